--- /dev/null
+++ b/agent/internal/broker/broker.go
@@ -0,0 +1,278 @@
+package broker
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bambooladder/bambooladder/agent/internal/client"
+	"github.com/bambooladder/bambooladder/agent/internal/output"
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/runs"
+	"github.com/bambooladder/bambooladder/core/sched"
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+const (
+	eventsMax    = 1024
+	tickPeriod   = 100 * time.Millisecond
+	reportPeriod = time.Second
+	checkPeriod  = 2 * time.Second
+	// orphanMax is how long a request runs on without a connection of its entry node.
+	orphanMax = 10 * time.Second
+	// keepAnswer is how long the answer to a claimed call is held for a replay.
+	keepAnswer = 10 * time.Minute
+)
+
+// attempt is a request that the agent accepted.
+type attempt struct {
+	di     *wire.Dispatch
+	out    *output.Output
+	cancel context.CancelFunc
+	// running is true from the forward until the backend server is done with it.
+	running bool
+	endedAt time.Time
+}
+
+// Broker owns the state of the agent.
+type Broker struct {
+	as       conf.AgentSettings
+	boot     string
+	cl       *client.Client
+	lg       zerolog.Logger
+	events   chan event
+	sc       *sched.Scheduler
+	ta       *runs.Table
+	attempts map[string]*attempt
+	sessions map[Session]uint64
+
+	engineBoot string
+	sequence   uint64
+	changed    bool
+	reportAt   time.Time
+	checkAt    time.Time
+	drained    chan struct{}
+}
+
+// NewBroker returns the broker of an agent's boot.
+func NewBroker(as conf.AgentSettings, boot string, cl *client.Client, lg zerolog.Logger) *Broker {
+	slots := as.Slots
+	if as.Kind == conf.AgentSettingsKindService {
+		slots = 0
+	}
+	return &Broker{
+		as: as, boot: boot, cl: cl, lg: lg, events: make(chan event, eventsMax),
+		sc:       sched.New(sched.Settings{Boot: boot, Slots: slots, Places: as.BatchPlaces}),
+		ta:       runs.NewTable(boot),
+		attempts: map[string]*attempt{}, sessions: map[Session]uint64{},
+	}
+}
+
+// Welcome describes the backend server to an entry node.
+func (br *Broker) Welcome() *wire.Welcome {
+	return &wire.Welcome{
+		Runner: br.as.Place.Name, Boot: br.boot, Zone: br.as.Place.Zone, Region: br.as.Place.Region,
+		Model: br.as.Model, Services: br.as.Services, Slots: br.as.Slots, BatchPlaces: br.as.BatchPlaces,
+		Resumes: br.as.Resumes,
+	}
+}
+
+// Opened takes a new connection.
+func (br *Broker) Opened(ctx context.Context, se Session) {
+	br.post(ctx, event{opened: &sessionOpened{se: se}})
+}
+
+// Closed takes the loss of a connection.
+func (br *Broker) Closed(ctx context.Context, se Session) {
+	br.post(ctx, event{closed: &sessionClosed{se: se}})
+}
+
+// Frame takes a frame of an entry node.
+func (br *Broker) Frame(ctx context.Context, se Session, fr *wire.Frame) {
+	br.post(ctx, event{frame: &sessionFrame{se: se, fr: fr}})
+}
+
+// LogTime takes a time read off the log, in Unix milliseconds.
+func (br *Broker) LogTime(ctx context.Context, millis int64) { br.post(ctx, event{logTime: millis}) }
+
+// Leave refuses new work and waits until every accepted request was answered.
+func (br *Broker) Leave(ctx context.Context) {
+	drained := make(chan struct{})
+	br.post(ctx, event{leave: &leaveAsked{drained: drained}})
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+}
+
+// post queues an event.
+func (br *Broker) post(ctx context.Context, ev event) {
+	select {
+	case br.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// Run handles events until the context ends.
+func (br *Broker) Run(ctx context.Context) {
+	tick := time.NewTicker(tickPeriod)
+	defer tick.Stop()
+	br.act(ctx, br.sc.Tick(time.Now()))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-br.events:
+			br.handle(ctx, ev)
+		case <-tick.C:
+			br.tick(ctx)
+		}
+		br.report()
+		br.checkDrained()
+	}
+}
+
+// handle passes one event to the decisions.
+func (br *Broker) handle(ctx context.Context, ev event) {
+	now := time.Now()
+	switch {
+	case ev.opened != nil:
+		br.sessions[ev.opened.se] = 0
+		br.reportAt = time.Time{}
+		br.changed = true
+	case ev.closed != nil:
+		br.detach(ev.closed.se, now)
+	case ev.frame != nil:
+		br.frame(ctx, ev.frame.se, ev.frame.fr, now)
+	case ev.ended != nil:
+		br.ended(ctx, ev.ended, now)
+	case ev.loaded != nil:
+		br.changed = true
+		br.act(ctx, br.sc.Loaded(ev.loaded.handle, ev.loaded.result, now))
+		br.seeBoot(ctx, ev.loaded.boot, now)
+	case ev.dropped != nil:
+		br.changed = true
+		br.act(ctx, br.sc.Unloaded(ev.dropped.handle, ev.dropped.result, now))
+		br.seeBoot(ctx, ev.dropped.boot, now)
+	case ev.held != nil:
+		br.inspected(ctx, ev.held, now)
+	case ev.leave != nil:
+		br.drained = ev.leave.drained
+		br.changed = true
+		br.act(ctx, br.sc.Leave())
+	case ev.logTime > 0:
+		br.ta.SeeLogTime(ev.logTime)
+	}
+}
+
+// tick advances time.
+func (br *Broker) tick(ctx context.Context) {
+	now := time.Now()
+	br.act(ctx, br.sc.Tick(now))
+	if br.as.Kind == conf.AgentSettingsKindEngine && !now.Before(br.checkAt) {
+		br.checkAt = now.Add(checkPeriod)
+		br.act(ctx, br.sc.Suspect(now))
+	}
+	for name, at := range br.attempts {
+		br.expire(name, at, now)
+	}
+}
+
+// expire drops answers that were delivered and cancels requests whose entry node is gone.
+func (br *Broker) expire(name string, at *attempt, now time.Time) {
+	since := at.out.DetachedSince()
+	orphan := !since.IsZero() && now.Sub(since) > orphanMax
+	switch {
+	case at.endedAt.IsZero() && orphan && at.di.ClaimedAt == 0:
+		br.withdraw(name, now)
+	case at.endedAt.IsZero():
+	case at.di.ClaimedAt > 0:
+		if now.Sub(at.endedAt) > keepAnswer {
+			delete(br.attempts, name)
+		}
+	case at.out.Delivered(), now.Sub(at.endedAt) > runs.Keep:
+		delete(br.attempts, name)
+	}
+}
+
+// detach marks the answers of a lost connection.
+func (br *Broker) detach(se Session, now time.Time) {
+	delete(br.sessions, se)
+	for _, at := range br.attempts {
+		at.out.Detach(se, now)
+	}
+}
+
+// seeBoot asks for an inspection when an answer came from another boot of the engine.
+func (br *Broker) seeBoot(ctx context.Context, boot string, now time.Time) {
+	if boot != "" && boot != br.engineBoot {
+		br.act(ctx, br.sc.Suspect(now))
+	}
+}
+
+// inspected takes what the engine holds.
+func (br *Broker) inspected(ctx context.Context, in *inspected, now time.Time) {
+	if in.err != nil {
+		br.lg.Warn().Str("error", in.err.Error()).Msg("inspection_failed")
+		return
+	}
+	if in.iv.Boot != br.engineBoot {
+		br.lg.Info().Str("engine_boot", in.iv.Boot).Str("earlier_boot", br.engineBoot).Msg("engine_started")
+		br.engineBoot = in.iv.Boot
+		br.act(ctx, br.sc.EngineRestarted(now))
+		br.changed = true
+	}
+	held := make([]sched.Held, 0, len(in.iv.Held))
+	for _, he := range in.iv.Held {
+		held = append(held, sched.Held{Handle: he.Handle, Running: he.Running})
+	}
+	br.act(ctx, br.sc.Inspected(held, in.iv.Fence, now))
+}
+
+// checkDrained ends the drain once every accepted request was answered.
+func (br *Broker) checkDrained() {
+	if br.drained == nil || br.sc.Running() > 0 || br.sc.Waiting() > 0 {
+		return
+	}
+	for _, at := range br.attempts {
+		if !at.out.Delivered() && at.out.DetachedSince().IsZero() {
+			return
+		}
+	}
+	close(br.drained)
+	br.drained = nil
+}
+
+// report sends slots and load to every entry node.
+func (br *Broker) report() {
+	now := time.Now()
+	if !br.changed && now.Before(br.reportAt) {
+		return
+	}
+	br.changed = false
+	br.reportAt = now.Add(reportPeriod)
+	br.sequence++
+	slots := br.slotReports()
+	for se, received := range br.sessions {
+		se.TrySend(&wire.Frame{Report: &wire.Report{
+			Sequence: br.sequence, Leaving: br.sc.Leaving(), Running: br.sc.Running(),
+			Waiting: br.sc.Waiting(), Received: received, Slots: slots,
+		}})
+	}
+}
+
+// slotReports describes the slots that hold or load an adapter.
+func (br *Broker) slotReports() []wire.SlotReport {
+	list := make([]wire.SlotReport, 0, br.as.Slots)
+	for _, sl := range br.sc.Slots() {
+		if sl.State != sched.Ready && sl.State != sched.Loading {
+			continue
+		}
+		list = append(list, wire.SlotReport{
+			Adapter: sl.Adapter.Adapter, Version: sl.Adapter.Version, State: sl.State.String(),
+			Pins: sl.Pins, Waiting: br.sc.WaitingFor(sl.Adapter),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/agent/internal/server/doc.go
@@ -0,0 +1,2 @@
+// Package server accepts the connections of entry nodes and serves health and metrics.
+package server
--- /dev/null
+++ b/agent/node/doc.go
@@ -0,0 +1,2 @@
+// Package node builds an agent out of its parts.
+package node
--- /dev/null
+++ b/core/fold/image.go
@@ -0,0 +1,111 @@
+package fold
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/record"
+)
+
+// chunkBytes bounds the data of one part of a snapshot, in bytes.
+const chunkBytes = 64 << 10
+
+// Image returns the state in the form that snapshots and peers carry.
+func (st State) Image() record.Image {
+	im := record.Image{Revision: st.revision, Next: st.next, LogTime: st.logTime, Outcomes: slices.Clone(st.outcomes)}
+	for _, su := range st.subtrees {
+		im.Subtrees = append(im.Subtrees, su)
+	}
+	slices.SortFunc(im.Subtrees, func(aa, bb record.Subtree) int { return strings.Compare(aa.Path, bb.Path) })
+	return im
+}
+
+// FromImage returns the state an image describes and fails where the image breaks a rule of the tree.
+func FromImage(im record.Image) (State, error) {
+	st := State{
+		subtrees: make(map[string]record.Subtree, len(im.Subtrees)),
+		outcomes: slices.Clone(im.Outcomes),
+		revision: im.Revision, next: im.Next, logTime: im.LogTime,
+	}
+	for _, su := range im.Subtrees {
+		st.subtrees[su.Path] = su
+		if len(su.Body) == 0 {
+			continue
+		}
+		var err error
+		if st.tree, err = withSubtree(st.tree, su.Path, su.Body); err != nil {
+			return State{}, errors.Wrap(err, "fold: read image")
+		}
+	}
+	if fi := st.tree.Check(); fi != nil {
+		return State{}, errors.Wrap(fi, "fold: check image")
+	}
+	return st, nil
+}
+
+// Chunks splits a snapshot of the state into records for the log.
+func (st State) Chunks(snapshot string) ([]record.Chunk, error) {
+	im := st.Image()
+	data, err := record.Encode(&record.Envelope{Image: &im})
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.Sum256(data)
+	count := (len(data) + chunkBytes - 1) / chunkBytes
+	list := make([]record.Chunk, 0, count)
+	for ix := range count {
+		part := data[ix*chunkBytes : min((ix+1)*chunkBytes, len(data))]
+		list = append(list, record.Chunk{
+			Snapshot: snapshot, Offset: st.next, Index: ix, Count: count,
+			Hash: hex.EncodeToString(sum[:]), Data: part,
+		})
+	}
+	return list, nil
+}
+
+// Assembler puts snapshots together from chunks that may be interleaved, doubled or missing.
+type Assembler struct {
+	parts map[string]map[int][]byte
+}
+
+// WithChunk takes one chunk and returns a state once a snapshot is whole and its hash agrees.
+func (as *Assembler) WithChunk(ch *record.Chunk) (State, bool) {
+	if as.parts == nil {
+		as.parts = map[string]map[int][]byte{}
+	}
+	if ch.Count < 1 || ch.Index < 0 || ch.Index >= ch.Count {
+		return State{}, false
+	}
+	key := ch.Snapshot + "/" + ch.Hash
+	if as.parts[key] == nil {
+		as.parts[key] = map[int][]byte{}
+	}
+	as.parts[key][ch.Index] = ch.Data
+	if len(as.parts[key]) < ch.Count {
+		return State{}, false
+	}
+	data := make([]byte, 0, ch.Count*chunkBytes)
+	for ix := range ch.Count {
+		data = append(data, as.parts[key][ix]...)
+	}
+	delete(as.parts, key)
+	return decodeSnapshot(data, ch)
+}
+
+// decodeSnapshot checks the hash and the offset before it trusts the image.
+func decodeSnapshot(data []byte, ch *record.Chunk) (State, bool) {
+	sum := sha256.Sum256(data)
+	if hex.EncodeToString(sum[:]) != ch.Hash {
+		return State{}, false
+	}
+	env, err := record.Decode(data)
+	if err != nil || env.Image == nil || env.Image.Next != ch.Offset {
+		return State{}, false
+	}
+	st, err := FromImage(*env.Image)
+	return st, err == nil
+}
--- /dev/null
+++ b/core/limit/doc.go
@@ -0,0 +1,2 @@
+// Package limit admits or refuses requests by team. It is pure: the caller gives the time.
+package limit
--- /dev/null
+++ b/core/link/link.go
@@ -0,0 +1,213 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+const (
+	// HeartbeatPeriod is the time between heartbeats.
+	HeartbeatPeriod = time.Second
+	// SilenceMax is the time without a frame after which a connection is given up.
+	SilenceMax = 3 * time.Second
+	// Path is where agents accept connections.
+	Path = "/link"
+
+	outboundMax  = 256
+	writeTimeout = SilenceMax
+)
+
+// ErrSilent is the cause of a connection closed for lack of heartbeats.
+var ErrSilent = errors.New("link: the peer sent nothing for 3 s; it is dialled again")
+
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Handler takes the frames of a connection in their order.
+type Handler interface {
+	// Frame takes one frame that is not a heartbeat; it must not block.
+	Frame(fr *wire.Frame)
+	// Beat takes the peer's heartbeat.
+	Beat(he *wire.Heartbeat)
+	// Heartbeat returns the heartbeat to send.
+	Heartbeat() wire.Heartbeat
+}
+
+// Conn is one connection.
+type Conn struct {
+	ws       *websocket.Conn
+	outbound chan *wire.Frame
+	done     chan struct{}
+	heard    atomic.Int64
+	start    time.Time
+}
+
+// NewConn wraps a WebSocket connection.
+func NewConn(ws *websocket.Conn) *Conn {
+	ws.SetReadLimit(wire.FrameBytesMax)
+	return &Conn{ws: ws, outbound: make(chan *wire.Frame, outboundMax), done: make(chan struct{}), start: time.Now()}
+}
+
+// Dial opens a connection to an agent's address.
+func Dial(ctx context.Context, di Dialer, address string) (*Conn, error) {
+	hc := &http.Client{Transport: &http.Transport{DialContext: di.DialContext, DisableKeepAlives: true}}
+	ws, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: hc})
+	if err != nil {
+		return nil, errors.Wrapf(err, "link: dial %s", address)
+	}
+	if resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	return NewConn(ws), nil
+}
+
+// Accept upgrades an HTTP request to a connection.
+func Accept(wr http.ResponseWriter, rq *http.Request) (*Conn, error) {
+	ws, err := websocket.Accept(wr, rq, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: accept")
+	}
+	return NewConn(ws), nil
+}
+
+// Send queues a frame and fails once the connection is closed.
+func (co *Conn) Send(ctx context.Context, fr *wire.Frame) error {
+	select {
+	case co.outbound <- fr:
+		return nil
+	case <-co.done:
+		return errors.New("link: the connection is closed")
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "link: send")
+	}
+}
+
+// TrySend queues a frame unless the queue is full.
+func (co *Conn) TrySend(fr *wire.Frame) bool {
+	select {
+	case co.outbound <- fr:
+		return true
+	default:
+		return false
+	}
+}
+
+// Abandon closes a connection that Run was not called on.
+func (co *Conn) Abandon() { _ = co.ws.CloseNow() }
+
+// ReadFrame reads one frame before Run was called.
+func (co *Conn) ReadFrame(ctx context.Context) (*wire.Frame, error) {
+	_, data, err := co.ws.Read(ctx)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: read")
+	}
+	return wire.Decode(data)
+}
+
+// WriteFrame writes one frame before Run was called.
+func (co *Conn) WriteFrame(ctx context.Context, fr *wire.Frame) error {
+	data, err := wire.Encode(fr)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(co.ws.Write(ctx, websocket.MessageBinary, data), "link: write")
+}
+
+// Run carries frames until the connection fails, falls silent or the context ends, and returns the cause.
+func (co *Conn) Run(ctx context.Context, ha Handler) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	co.touch()
+	writer := make(chan struct{})
+	go func() {
+		defer close(writer)
+		cancel(co.write(ctx))
+	}()
+	watcher := make(chan struct{})
+	go func() {
+		defer close(watcher)
+		if err := co.watch(ctx, ha); err != nil {
+			cancel(err)
+		}
+	}()
+	err := co.read(ctx, ha)
+	cancel(err)
+	close(co.done)
+	_ = co.ws.CloseNow()
+	<-writer
+	<-watcher
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// read hands frames to the handler.
+func (co *Conn) read(ctx context.Context, ha Handler) error {
+	for {
+		fr, err := co.ReadFrame(ctx)
+		if err != nil {
+			return err
+		}
+		co.touch()
+		if fr.Heartbeat != nil {
+			ha.Beat(fr.Heartbeat)
+			continue
+		}
+		ha.Frame(fr)
+	}
+}
+
+// write sends queued frames in their order.
+func (co *Conn) write(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case fr := <-co.outbound:
+			if err := co.writeTimed(ctx, fr); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// writeTimed bounds the time of one write, so that a peer that reads nothing is given up.
+func (co *Conn) writeTimed(ctx context.Context, fr *wire.Frame) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return co.WriteFrame(ctx, fr)
+}
+
+// watch sends heartbeats and gives up a silent connection.
+func (co *Conn) watch(ctx context.Context, ha Handler) error {
+	tick := time.NewTicker(HeartbeatPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if time.Since(co.start)-time.Duration(co.heard.Load()) >= SilenceMax {
+			return ErrSilent
+		}
+		he := ha.Heartbeat()
+		co.TrySend(&wire.Frame{Heartbeat: &he})
+	}
+}
+
+// touch records that something arrived.
+func (co *Conn) touch() {
+	co.heard.Store(int64(time.Since(co.start)))
+}
--- /dev/null
+++ b/core/logs/doc.go
@@ -0,0 +1,2 @@
+// Package logs sets up structured logs, one line of key=value pairs an event.
+package logs
--- /dev/null
+++ b/core/proc/proc.go
@@ -0,0 +1,85 @@
+package proc
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+// Exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitError    = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+const startTimeout = 15 * time.Second
+
+// Network is the host's own network.
+type Network struct {
+	dialer net.Dialer
+}
+
+// DialContext opens a TCP connection.
+func (ne *Network) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	co, err := ne.dialer.DialContext(ctx, network, address)
+	return co, errors.Wrapf(err, "proc: dial %s", address)
+}
+
+// Listen accepts TCP connections on an address.
+func (ne *Network) Listen(address string) (net.Listener, error) {
+	ls, err := net.Listen("tcp", address)
+	return ls, errors.Wrapf(err, "proc: listen on %s", address)
+}
+
+// Serve starts an application, waits for a signal, stops it and returns the exit
+// code. Signals during the stop are logged and change nothing, so that a drain is
+// never cut short.
+func Serve(app *fx.App, lg zerolog.Logger) int {
+	if err := app.Err(); err != nil {
+		lg.Error().Str("error", err.Error()).Msg("build_failed")
+		return ExitError
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		lg.Error().Str("error", err.Error()).Msg("start_failed")
+		return ExitError
+	}
+	lg.Info().Str("signal", (<-signals).String()).Msg("stop_requested")
+	go func() {
+		for si := range signals {
+			lg.Warn().Str("signal", si.String()).Msg("already_stopping")
+		}
+	}()
+	stopping, stop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer stop()
+	if err := app.Stop(stopping); err != nil {
+		lg.Error().Str("error", err.Error()).Msg("stop_failed")
+		return ExitError
+	}
+	return ExitOK
+}
+
+// ReadSettings reads a settings file, or prints why it cannot be read and returns false.
+func ReadSettings(file string, stderr io.Writer) ([]byte, bool) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "%v; name a readable file with --settings\n", err)
+		return nil, false
+	}
+	return data, true
+}
--- /dev/null
+++ b/core/route/fleet.go
@@ -0,0 +1,175 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+)
+
+// HoldState is the state of an adapter on a runner as last reported.
+type HoldState int
+
+// States of a hold.
+const (
+	Ready HoldState = iota
+	Loading
+)
+
+// Hold is an adapter version that a runner holds or loads.
+type Hold struct {
+	Adapter conf.AdapterVersion
+	State   HoldState
+	Pins    int
+}
+
+// Runner is what an entry node knows of a backend server.
+type Runner struct {
+	Name     string
+	Boot     string
+	Zone     string
+	Region   string
+	Model    string
+	Services []string
+	Slots    int
+	Places   int
+	Leaving  bool
+	// Reported counts requests running or waiting in the last report.
+	Reported int
+	// Unseen counts dispatches that the last report had not received.
+	Unseen int
+	Holds  []Hold
+	// Connected is when the runner was connected, for slow start.
+	Connected time.Time
+}
+
+// Load returns the number of requests believed to be at the runner.
+func (ru *Runner) Load() int {
+	return ru.Reported + ru.Unseen
+}
+
+// member is a runner with the entry node's own experience of it.
+type member struct {
+	Runner
+	hash         uint64
+	failures     int
+	ejectedUntil time.Time
+}
+
+// Fleet holds the runners an entry node can reach; its zero value is empty.
+type Fleet struct {
+	members  map[string]*member
+	models   map[string][]*member
+	services map[string][]*member
+	holders  map[conf.AdapterVersion][]*member
+}
+
+// Put adds a runner or replaces what is known of it.
+func (fl *Fleet) Put(ru Runner) {
+	if fl.members == nil {
+		fl.members = map[string]*member{}
+		fl.models = map[string][]*member{}
+		fl.services = map[string][]*member{}
+		fl.holders = map[conf.AdapterVersion][]*member{}
+	}
+	me := fl.members[ru.Name]
+	if me == nil {
+		me = &member{hash: xxh3.HashString(ru.Name)}
+		fl.members[ru.Name] = me
+	} else {
+		fl.unindex(me)
+	}
+	me.Runner = ru
+	fl.index(me)
+}
+
+// Remove forgets a runner.
+func (fl *Fleet) Remove(name string) {
+	if me := fl.members[name]; me != nil {
+		fl.unindex(me)
+		delete(fl.members, name)
+	}
+}
+
+// Runner returns what is known of a runner.
+func (fl *Fleet) Runner(name string) (Runner, bool) {
+	if me := fl.members[name]; me != nil {
+		return me.Runner, true
+	}
+	return Runner{}, false
+}
+
+// Names lists the runners in order.
+func (fl *Fleet) Names() []string {
+	names := make([]string, 0, len(fl.members))
+	for name := range fl.members {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// AddUnseen adjusts the number of dispatches that the last report had not received.
+func (fl *Fleet) AddUnseen(name string, delta int) {
+	if me := fl.members[name]; me != nil {
+		me.Unseen = max(0, me.Unseen+delta)
+	}
+}
+
+// index enters a runner into the lookups.
+func (fl *Fleet) index(me *member) {
+	if me.Model != "" {
+		fl.models[me.Model] = insert(fl.models[me.Model], me)
+	}
+	for _, service := range me.Services {
+		fl.services[service] = insert(fl.services[service], me)
+	}
+	for _, ho := range me.Holds {
+		fl.holders[ho.Adapter] = insert(fl.holders[ho.Adapter], me)
+	}
+}
+
+// unindex takes a runner out of the lookups.
+func (fl *Fleet) unindex(me *member) {
+	if me.Model != "" {
+		fl.models[me.Model] = without(fl.models[me.Model], me)
+	}
+	for _, service := range me.Services {
+		fl.services[service] = without(fl.services[service], me)
+	}
+	for _, ho := range me.Holds {
+		list := without(fl.holders[ho.Adapter], me)
+		if len(list) == 0 {
+			delete(fl.holders, ho.Adapter)
+			continue
+		}
+		fl.holders[ho.Adapter] = list
+	}
+}
+
+// insert keeps a list ordered by name, so that ties are broken the same way on every run.
+func insert(list []*member, me *member) []*member {
+	ix, found := slices.BinarySearchFunc(list, me.Name, func(el *member, name string) int {
+		if el.Name < name {
+			return -1
+		}
+		if el.Name > name {
+			return 1
+		}
+		return 0
+	})
+	if found {
+		return list
+	}
+	return slices.Insert(list, ix, me)
+}
+
+// without removes a runner from a list.
+func without(list []*member, me *member) []*member {
+	if ix := slices.Index(list, me); ix >= 0 {
+		return slices.Delete(list, ix, ix+1)
+	}
+	return list
+}
--- /dev/null
+++ b/core/sched/action.go
@@ -0,0 +1,76 @@
+package sched
+
+import (
+	"time"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+)
+
+// Action is one thing for the agent to do; exactly one field is set.
+type Action struct {
+	Forward *Forward
+	Refuse  *Refuse
+	Load    *Load
+	Unload  *Unload
+	Inspect *Inspect
+}
+
+// Forward sends a request to the backend server.
+type Forward struct {
+	Attempt string
+	// Handle is the engine's name for the adapter, empty for a plain service.
+	Handle string
+}
+
+// Refuse answers a request that will not run.
+type Refuse struct {
+	Attempt    string
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Load orders the engine to load an adapter under a handle.
+type Load struct {
+	Adapter conf.AdapterVersion
+	Handle  string
+	Fence   uint64
+}
+
+// Unload orders the engine to drop a handle.
+type Unload struct {
+	Handle string
+	Fence  uint64
+}
+
+// Inspect asks the engine which handles it holds.
+type Inspect struct{}
+
+// Result is what became of an order.
+type Result int
+
+// Results of an order.
+const (
+	// Done means that the engine has carried out the order.
+	Done Result = iota
+	// Rejected means that the engine has not carried out the order and will not.
+	Rejected
+	// Busy means that the weight store had no room; the order may be given again later.
+	Busy
+	// Lost means that no answer came; the order may still take effect.
+	Lost
+)
+
+// Held is a handle that the engine says it holds.
+type Held struct {
+	Handle  string
+	Running int
+}
+
+// Reasons of refusals.
+const (
+	ReasonLeaving    = "leaving"
+	ReasonQueueFull  = "queue_full"
+	ReasonDeadline   = "deadline"
+	ReasonLoadFailed = "load_failed"
+	ReasonNotReady   = "not_ready"
+)
--- /dev/null
+++ b/ctl/internal/remote/doc.go
@@ -0,0 +1,2 @@
+// Package remote calls the administration API of an entry node.
+package remote
--- /dev/null
+++ b/entry/internal/caller/service.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/bambooladder/bambooladder/core/claim"
+	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/entry/internal/config"
+	"github.com/bambooladder/bambooladder/entry/internal/relay"
+)
+
+const keyHeader = "Idempotency-Key"
+
+// serveService handles a call of a plain service.
+func (ca *Caller) serveService(gc *gin.Context) {
+	vi := ca.op.Settings.View()
+	ho := holder(gc)
+	rq, err := ca.serviceCall(gc, vi, ho.Team)
+	if err != nil {
+		ca.fail(gc, err)
+		return
+	}
+	ca.serve(gc, vi.Tree.Teams[ho.Team], rq, newAnswer(gc.Writer, false))
+}
+
+// serviceCall reads and checks a call.
+func (ca *Caller) serviceCall(gc *gin.Context, vi *config.View, team string) (*relay.Request, error) {
+	name := gc.Param("service")
+	te := vi.Tree.Teams[team]
+	se, ok := vi.Tree.Services[name]
+	if !ok {
+		return nil, fault.New(fault.NotFound, "service "+name+" does not exist", "ask an operator to add it under services")
+	}
+	if !te.MayCallService(name) {
+		return nil, fault.New(fault.Forbidden, "team "+team+" may not call service "+name, "ask an operator to add it to the team's services")
+	}
+	due, err := deadline(gc, vi.Tree.Shared())
+	if err != nil {
+		return nil, err
+	}
+	body, err := readBody(gc, vi.Tree.Shared().BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	path := gc.Param("path")
+	if query := gc.Request.URL.RawQuery; query != "" {
+		path += "?" + query
+	}
+	rq := &relay.Request{
+		ID: gc.GetString(requestKey), Team: team, Service: name, Method: gc.Request.Method,
+		Path: path, ContentType: gc.ContentType(), Body: body, Urgency: te.Urgency.Rank(),
+		Weights: te.Weights, Region: ca.op.Place.Region, Deadline: due, RetryPercent: vi.Tree.Shared().RetryPercent,
+	}
+	if se.MayRepeat(gc.Request.Method, gc.Param("path")) {
+		return rq, nil
+	}
+	return withKey(rq, gc.GetHeader(keyHeader))
+}
+
+// withKey prepares a call that must not be repeated.
+func withKey(rq *relay.Request, key string) (*relay.Request, error) {
+	if key == "" {
+		return nil, fault.New(fault.KeyRequired, "the call must not be repeated and carries no "+keyHeader,
+			"send "+keyHeader+" with a UUID of version 7, the same one when you send the call again")
+	}
+	keyTime, err := claim.KeyTime(key)
+	if err != nil {
+		return nil, err
+	}
+	sum := sha256.New()
+	for _, part := range []string{rq.Method, rq.Path, string(rq.Body)} {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	rq.Key = claim.Key(rq.Team, rq.Service, key)
+	rq.BareKey = key
+	rq.KeyTime = keyTime
+	rq.BodyHash = hex.EncodeToString(sum.Sum(nil))
+	return rq, nil
+}
--- /dev/null
+++ b/entry/internal/links/links.go
@@ -0,0 +1,322 @@
+package links
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/link"
+	"github.com/bambooladder/bambooladder/core/member"
+	"github.com/bambooladder/bambooladder/core/route"
+	"github.com/bambooladder/bambooladder/core/wire"
+	"github.com/bambooladder/bambooladder/entry/internal/plat"
+)
+
+const (
+	listPeriod  = time.Second
+	duePeriod   = 50 * time.Millisecond
+	dialTimeout = 2 * time.Second
+)
+
+// HostList is the platform's list of hosts.
+type HostList interface {
+	List(ctx context.Context) ([]member.Host, error)
+}
+
+// Options builds the links of an entry node.
+type Options struct {
+	Place  conf.Place
+	Boot   string
+	Hosts  HostList
+	Dialer link.Dialer
+	// Random gives numbers from 0 to 1.
+	Random func() float64
+	Logger zerolog.Logger
+}
+
+// peer is a connection to an agent.
+type peer struct {
+	co         *link.Conn
+	welcome    *wire.Welcome
+	dispatched uint64
+	connected  time.Time
+}
+
+// Links holds the connections, the fleet and the attempts.
+type Links struct {
+	op       Options
+	revision atomic.Int64
+	logTime  atomic.Int64
+
+	mu       sync.Mutex
+	members  member.Members
+	fleet    route.Fleet
+	peers    map[string]*peer
+	attempts map[string]*Attempt
+	entries  []member.Host
+	ready    bool
+}
+
+// ErrNoLink means that the runner cannot be reached, so that nothing was sent.
+var ErrNoLink = errors.New("links: the runner is not connected; choose another")
+
+// NewLinks returns links without connections.
+func NewLinks(op Options) *Links {
+	return &Links{op: op, peers: map[string]*peer{}, attempts: map[string]*Attempt{}}
+}
+
+// SetRevision sets the revision that heartbeats carry.
+func (ls *Links) SetRevision(revision int64) { ls.revision.Store(revision) }
+
+// SeeLogTime takes a time read off the log, in Unix milliseconds, for the heartbeats.
+func (ls *Links) SeeLogTime(millis int64) {
+	for {
+		seen := ls.logTime.Load()
+		if millis <= seen || ls.logTime.CompareAndSwap(seen, millis) {
+			return
+		}
+	}
+}
+
+// Run keeps the connections until the context ends.
+func (ls *Links) Run(ctx context.Context) {
+	list := time.NewTicker(listPeriod)
+	defer list.Stop()
+	due := time.NewTicker(duePeriod)
+	defer due.Stop()
+	ls.readList(ctx)
+	for {
+		ls.dialDue(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-list.C:
+			ls.readList(ctx)
+		case <-due.C:
+		}
+	}
+}
+
+// readList takes the platform's list of hosts; an old list serves while it cannot be read.
+func (ls *Links) readList(ctx context.Context) {
+	hosts, err := ls.op.Hosts.List(ctx)
+	if err != nil {
+		ls.op.Logger.Warn().Str("error", err.Error()).Msg("host_list_unreadable")
+		return
+	}
+	agents := make([]member.Host, 0, len(hosts))
+	entries := make([]member.Host, 0)
+	for _, ho := range hosts {
+		switch ho.Role {
+		case plat.RoleAgent:
+			agents = append(agents, ho)
+		case plat.RoleEntry:
+			entries = append(entries, ho)
+		}
+	}
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.members.Listed(agents, time.Now())
+	ls.entries = entries
+	ls.ready = true
+	for name := range ls.peers {
+		if ls.members.Leaving(name) {
+			ls.setLeaving(name)
+		}
+	}
+}
+
+// setLeaving keeps new work from a runner that the list says leaves.
+func (ls *Links) setLeaving(name string) {
+	if ru, ok := ls.fleet.Runner(name); ok && !ru.Leaving {
+		ru.Leaving = true
+		ls.fleet.Put(ru)
+	}
+}
+
+// dialDue dials the hosts that are due.
+func (ls *Links) dialDue(ctx context.Context) {
+	ls.mu.Lock()
+	due := ls.members.Due(time.Now())
+	ls.mu.Unlock()
+	for _, ho := range due {
+		go ls.connect(ctx, ho)
+	}
+}
+
+// connect carries one connection from its dial to its loss.
+func (ls *Links) connect(ctx context.Context, ho member.Host) {
+	co, we, err := ls.dial(ctx, ho)
+	if err != nil {
+		ls.op.Logger.Debug().Str("runner", ho.Name).Str("error", err.Error()).Msg("dial_failed")
+		ls.lost(ho.Name, nil)
+		return
+	}
+	pe := &peer{co: co, welcome: we, connected: time.Now()}
+	ls.opened(ho.Name, pe)
+	err = co.Run(ctx, &session{ls: ls, name: ho.Name, pe: pe})
+	ls.op.Logger.Info().Str("runner", ho.Name).Str("reason", err.Error()).Msg("link_lost")
+	ls.lost(ho.Name, pe)
+}
+
+// dial opens a connection and exchanges the first frames.
+func (ls *Links) dial(ctx context.Context, ho member.Host) (*link.Conn, *wire.Welcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	co, err := link.Dial(ctx, ls.op.Dialer, ho.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	err = co.WriteFrame(ctx, &wire.Frame{Hello: &wire.Hello{Entry: ls.op.Place.Name, EntryBoot: ls.op.Boot}})
+	if err != nil {
+		co.Abandon()
+		return nil, nil, err
+	}
+	first, err := co.ReadFrame(ctx)
+	if err != nil || first.Welcome == nil || first.Welcome.Runner != ho.Name {
+		co.Abandon()
+		return nil, nil, errors.Newf("links: %s did not welcome the connection as %s", ho.Address, ho.Name)
+	}
+	return co, first.Welcome, nil
+}
+
+// opened enters a connection and tells the attempts at its runner.
+func (ls *Links) opened(name string, pe *peer) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.members.Connected(name)
+	ls.peers[name] = pe
+	ls.tell(name, LinkChange{Up: true, Boot: pe.welcome.Boot})
+	ls.op.Logger.Info().Str("runner", name).Str("boot", pe.welcome.Boot).Msg("link_opened")
+}
+
+// lost takes a connection out and tells the attempts at its runner.
+func (ls *Links) lost(name string, pe *peer) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.members.Lost(name, time.Now(), ls.op.Random())
+	if pe == nil || ls.peers[name] != pe {
+		return
+	}
+	delete(ls.peers, name)
+	ls.fleet.Remove(name)
+	ls.tell(name, LinkChange{})
+}
+
+// tell passes a change of a connection to the attempts at its runner.
+func (ls *Links) tell(name string, ch LinkChange) {
+	for _, at := range ls.attempts {
+		if at.Runner == name {
+			at.deliver(Signal{Link: &ch})
+		}
+	}
+}
+
+// Choose returns the cheapest runner for a request.
+func (ls *Links) Choose(rq route.Request) (route.Choice, bool) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.fleet.Choose(rq, time.Now())
+}
+
+// Failed records a failed attempt.
+func (ls *Links) Failed(runner string) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.fleet.Failed(runner, time.Now())
+}
+
+// Succeeded records a whole answer.
+func (ls *Links) Succeeded(runner string) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.fleet.Succeeded(runner)
+}
+
+// Random returns a number from 0 to 1 of the node's random source.
+func (ls *Links) Random() float64 { return ls.op.Random() }
+
+// Resumes tells whether a runner continues a stream from a token.
+func (ls *Links) Resumes(runner string) bool {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	pe := ls.peers[runner]
+	return pe != nil && pe.welcome.Resumes
+}
+
+// Boot returns the boot of a connected runner's agent.
+func (ls *Links) Boot(runner string) (string, bool) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	if pe := ls.peers[runner]; pe != nil {
+		return pe.welcome.Boot, true
+	}
+	return "", false
+}
+
+// Watch registers an attempt that may already be at its runner.
+func (ls *Links) Watch(id, runner, boot string) *Attempt {
+	at := &Attempt{ID: id, Runner: runner, Boot: boot, Signals: make(chan Signal, signalsMax), Sent: time.Now(), ls: ls}
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.attempts[id] = at
+	return at
+}
+
+// Dispatch sends an attempt to its runner; it fails with ErrNoLink where nothing was sent.
+func (ls *Links) Dispatch(ctx context.Context, runner string, di *wire.Dispatch) (*Attempt, error) {
+	di.Window = Window
+	at := ls.Watch(di.Attempt, runner, di.Boot)
+	if !ls.send(ctx, runner, di.Boot, &wire.Frame{Dispatch: di}) {
+		at.Close()
+		return nil, ErrNoLink
+	}
+	return at, nil
+}
+
+// send queues a frame for a runner's agent of a boot and tells whether it was queued.
+func (ls *Links) send(ctx context.Context, runner, boot string, fr *wire.Frame) bool {
+	ls.mu.Lock()
+	pe := ls.peers[runner]
+	if pe == nil || pe.welcome.Boot != boot {
+		ls.mu.Unlock()
+		return false
+	}
+	if fr.Dispatch != nil {
+		pe.dispatched++
+		ls.fleet.AddUnseen(runner, 1)
+	}
+	ls.mu.Unlock()
+	return pe.co.Send(ctx, fr) == nil
+}
+
+// Ready tells whether the list of hosts was read once.
+func (ls *Links) Ready() bool {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.ready
+}
+
+// Entries returns the entry nodes in the platform's list.
+func (ls *Links) Entries() []member.Host {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	return ls.entries
+}
+
+// Runners returns what is known of the connected runners, in the order of their names.
+func (ls *Links) Runners() []route.Runner {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	list := make([]route.Runner, 0)
+	for _, name := range ls.fleet.Names() {
+		ru, _ := ls.fleet.Runner(name)
+		list = append(list, ru)
+	}
+	return list
+}
--- /dev/null
+++ b/entry/internal/links/session.go
@@ -0,0 +1,85 @@
+package links
+
+import (
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/route"
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+// session passes the frames of one connection on.
+type session struct {
+	ls   *Links
+	name string
+	pe   *peer
+}
+
+// Beat takes the agent's heartbeat.
+func (se *session) Beat(*wire.Heartbeat) {}
+
+// Heartbeat returns the entry node's heartbeat.
+func (se *session) Heartbeat() wire.Heartbeat {
+	return wire.Heartbeat{ConfigRevision: se.ls.revision.Load(), LogTime: se.ls.logTime.Load()}
+}
+
+// Frame takes one frame of the agent.
+func (se *session) Frame(fr *wire.Frame) {
+	if fr.Report != nil {
+		se.report(fr.Report)
+		return
+	}
+	id := attemptOf(fr)
+	if id == "" {
+		return
+	}
+	se.ls.mu.Lock()
+	at := se.ls.attempts[id]
+	se.ls.mu.Unlock()
+	if at != nil {
+		at.deliver(Signal{Frame: fr})
+	}
+}
+
+// report enters the agent's report into the fleet.
+func (se *session) report(re *wire.Report) {
+	we := se.pe.welcome
+	ru := route.Runner{
+		Name: se.name, Boot: we.Boot, Zone: we.Zone, Region: we.Region, Model: we.Model,
+		Services: we.Services, Slots: we.Slots, Places: we.BatchPlaces, Leaving: re.Leaving,
+		Reported: re.Running + re.Waiting, Connected: se.pe.connected,
+		Holds: make([]route.Hold, 0, len(re.Slots)),
+	}
+	for _, sr := range re.Slots {
+		state := route.Ready
+		if sr.State != "ready" {
+			state = route.Loading
+		}
+		ru.Holds = append(ru.Holds, route.Hold{
+			Adapter: conf.AdapterVersion{Adapter: sr.Adapter, Version: sr.Version}, State: state, Pins: sr.Pins + sr.Waiting,
+		})
+	}
+	se.ls.mu.Lock()
+	defer se.ls.mu.Unlock()
+	if se.ls.peers[se.name] != se.pe {
+		return
+	}
+	ru.Unseen = int(se.pe.dispatched - min(re.Received, se.pe.dispatched))
+	ru.Leaving = ru.Leaving || se.ls.members.Leaving(se.name)
+	se.ls.fleet.Put(ru)
+}
+
+// attemptOf returns the attempt that a frame belongs to.
+func attemptOf(fr *wire.Frame) string {
+	switch {
+	case fr.Head != nil:
+		return fr.Head.Attempt
+	case fr.Chunk != nil:
+		return fr.Chunk.Attempt
+	case fr.End != nil:
+		return fr.End.Attempt
+	case fr.Refusal != nil:
+		return fr.Refusal.Attempt
+	case fr.Verdict != nil:
+		return fr.Verdict.Attempt
+	}
+	return ""
+}
--- /dev/null
+++ b/entry/internal/relay/relay.go
@@ -0,0 +1,229 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/retry"
+	"github.com/bambooladder/bambooladder/core/route"
+	"github.com/bambooladder/bambooladder/entry/internal/claims"
+	"github.com/bambooladder/bambooladder/entry/internal/links"
+)
+
+const (
+	reasonLeaving = "leaving"
+	comeBack      = 500 * time.Millisecond
+)
+
+// Relay carries requests.
+type Relay struct {
+	ls *links.Links
+	cs *claims.Claims
+	lg zerolog.Logger
+
+	mu     sync.Mutex
+	budget retry.Budget
+}
+
+// NewRelay returns a relay over the links.
+func NewRelay(ls *links.Links, cs *claims.Claims, lg zerolog.Logger) *Relay {
+	return &Relay{ls: ls, cs: cs, lg: lg}
+}
+
+// journey is one request on its way.
+type journey struct {
+	rl      *Relay
+	rq      *Request
+	an      Answer
+	exclude []string
+	// unsure is set once an attempt may have run.
+	unsure bool
+	tries  int
+}
+
+// Run carries a request that may be repeated; the error is typed and tells whether the request ran.
+func (rl *Relay) Run(ctx context.Context, rq *Request, an Answer) error {
+	rl.refill(rq.RetryPercent)
+	jo := &journey{rl: rl, rq: rq, an: an}
+	for {
+		ch, ok := rl.choose(rq, jo.exclude)
+		if !ok {
+			return jo.noRunner()
+		}
+		if an.Begun() && !rl.ls.Resumes(ch.Runner) {
+			jo.exclude = append(jo.exclude, ch.Runner)
+			continue
+		}
+		jo.tries++
+		rs := jo.attempt(ctx, ch, uuid.Must(uuid.NewV7()).String(), 0)
+		if rs.kind == answered {
+			return an.Finish()
+		}
+		if err, final := jo.failed(ctx, ch.Runner, rs); final {
+			return err
+		}
+	}
+}
+
+// refill adds to the budget of retries.
+func (rl *Relay) refill(percent int) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	rl.budget.Request(percent)
+}
+
+// takeRetry spends a retry.
+func (rl *Relay) takeRetry() bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.budget.Take()
+}
+
+// choose takes a routing decision and logs it with its reason.
+func (rl *Relay) choose(rq *Request, exclude []string) (route.Choice, bool) {
+	ch, ok := rl.ls.Choose(rq.routing(exclude))
+	ev := rl.lg.Info().Str("request", rq.ID).Str("team", rq.Team)
+	if rq.Service != "" {
+		ev = ev.Str("service", rq.Service)
+	} else {
+		ev = ev.Str("adapter", rq.Adapter.String())
+	}
+	if !ok {
+		ev.Str("reason", "no_runner").Strs("excluded", exclude).Msg("route_refused")
+		return ch, false
+	}
+	ev.Str("runner", ch.Runner).Str("reason", string(ch.Reason)).Str("candidates", candidates(ch)).Msg("route_chosen")
+	return ch, true
+}
+
+// candidates renders the compared runners with their costs.
+func candidates(ch route.Choice) string {
+	parts := make([]string, 0, len(ch.Candidates))
+	for ix := range ch.Count {
+		ca := ch.Candidates[ix]
+		parts = append(parts, ca.Runner+":"+strconv.FormatFloat(ca.Cost, 'f', 3, 64))
+	}
+	return strings.Join(parts, ",")
+}
+
+// attempt runs the request once at a runner.
+func (jo *journey) attempt(ctx context.Context, ch route.Choice, id string, claimedAt int64) result {
+	di := jo.rq.dispatch(id, ch.Boot, claimedAt, jo.an.Tokens())
+	at, err := jo.rl.ls.Dispatch(ctx, ch.Runner, di)
+	if err != nil {
+		return result{kind: notRun, reason: "no_link"}
+	}
+	defer at.Close()
+	re := &reception{at: at, an: jo.an, claimedAt: claimedAt, resolve: modelResolveMax}
+	if claimedAt > 0 {
+		re.resolve = claimResolveMax
+	}
+	rs := re.run(ctx, jo.rq.Deadline)
+	if claimedAt == 0 && (rs.kind == gone || rs.kind == timedOut || rs.kind == broken) {
+		at.Cancel(context.WithoutCancel(ctx))
+	}
+	jo.rl.judge(ch.Runner, rs)
+	jo.rl.lg.Info().Str("request", jo.rq.ID).Str("attempt", id).Str("runner", ch.Runner).
+		Str("outcome", rs.kind.String()).Str("reason", rs.reason).Msg("attempt_ended")
+	return rs
+}
+
+// String returns the kind's name in logs.
+func (ki kind) String() string {
+	return [...]string{"answered", "not_run", "broken", "timed_out", "caller_gone"}[ki]
+}
+
+// judge records what an attempt says about its runner.
+func (rl *Relay) judge(runner string, rs result) {
+	switch {
+	case rs.kind == answered:
+		rl.ls.Succeeded(runner)
+	case rs.kind == broken, rs.kind == notRun && isFault(rs.reason):
+		rl.ls.Failed(runner)
+	}
+}
+
+// isFault tells whether a refusal points to a fault of the runner rather than to its load.
+func isFault(reason string) bool {
+	return strings.HasPrefix(reason, "engine_status_") || strings.HasPrefix(reason, "backend_") || reason == "load_failed"
+}
+
+// failed decides whether a request is tried again; the error is final where it is not.
+func (jo *journey) failed(ctx context.Context, runner string, rs result) (error, bool) {
+	switch rs.kind {
+	case gone:
+		return fault.New(fault.Unavailable, "the caller went away", "send the request again").WithOutcome(fault.Unknown), true
+	case timedOut:
+		return jo.timeout(), true
+	case broken:
+		jo.unsure = true
+		if jo.an.Begun() && !jo.rq.Stream {
+			return jo.gaveUp(rs), true
+		}
+		jo.an.Reset()
+	case notRun, answered:
+	}
+	jo.exclude = append(jo.exclude, runner)
+	if jo.tries >= retry.AttemptsMax {
+		return jo.gaveUp(rs), true
+	}
+	if rs.reason != reasonLeaving && !jo.rl.takeRetry() {
+		jo.rl.lg.Info().Str("request", jo.rq.ID).Str("reason", "retry_budget_spent").Msg("retry_refused")
+		return jo.gaveUp(rs), true
+	}
+	wait := retry.Backoff(jo.tries, jo.rl.ls.Random())
+	if rs.reason == reasonLeaving {
+		wait = 0
+	}
+	if time.Until(jo.rq.Deadline) <= wait {
+		return jo.gaveUp(rs), true
+	}
+	select {
+	case <-time.After(wait):
+		return nil, false
+	case <-ctx.Done():
+		return fault.New(fault.Unavailable, "the caller went away", "send the request again").WithOutcome(jo.outcome()), true
+	}
+}
+
+// outcome tells whether any attempt may have run.
+func (jo *journey) outcome() fault.Outcome {
+	if jo.unsure {
+		return fault.Unknown
+	}
+	return fault.NotRun
+}
+
+// gaveUp returns the final error after the last attempt.
+func (jo *journey) gaveUp(rs result) error {
+	kind := fault.Overloaded
+	if jo.unsure {
+		kind = fault.OutcomeUnsure
+	}
+	wait := max(rs.retryAfter, comeBack)
+	return fault.New(kind, "no backend server could answer the request ("+rs.reason+")",
+		"send the request again later").WithOutcome(jo.outcome()).WithRetryAfter(wait)
+}
+
+// timeout returns the error for a request whose time ran out after it was dispatched.
+func (jo *journey) timeout() error {
+	return fault.New(fault.Timeout, "the request was not answered in its time",
+		"allow more time or send it again later").WithOutcome(fault.Unknown).WithRetryAfter(comeBack)
+}
+
+// noRunner returns the error for a request that no runner may take.
+func (jo *journey) noRunner() error {
+	kind := fault.Unavailable
+	if jo.unsure {
+		kind = fault.OutcomeUnsure
+	}
+	return fault.New(kind, "no backend server can take the request now",
+		"send the request again later").WithOutcome(jo.outcome()).WithRetryAfter(comeBack)
+}
--- /dev/null
+++ b/entry/node/doc.go
@@ -0,0 +1,2 @@
+// Package node builds an entry node out of its parts.
+package node
--- /dev/null
+++ b/stand/engine/fetch.go
@@ -0,0 +1,28 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+)
+
+// HTTPStore loads weights from the store's HTTP interface.
+type HTTPStore struct {
+	Client *http.Client
+	URL    string
+}
+
+// Fetch takes the time of a load and returns the HTTP status it ended with.
+func (hs HTTPStore) Fetch(ctx context.Context, adapter string, version int) int {
+	url := fmt.Sprintf("%s/weights/%s/%d", hs.URL, adapter, version)
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return http.StatusInternalServerError
+	}
+	resp, err := hs.Client.Do(rq)
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
--- /dev/null
+++ b/stand/internal/launch/doc.go
@@ -0,0 +1,2 @@
+// Package launch parses the command line of the stand-ins and serves the one named.
+package launch
--- /dev/null
+++ b/stand/internal/launch/launch.go
@@ -0,0 +1,151 @@
+package launch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/bambooladder/bambooladder/stand/engine"
+	"github.com/bambooladder/bambooladder/stand/hostls"
+	"github.com/bambooladder/bambooladder/stand/logsvc"
+	"github.com/bambooladder/bambooladder/stand/plain"
+	"github.com/bambooladder/bambooladder/stand/weight"
+)
+
+const (
+	exitOK    = 0
+	exitError = 1
+	exitUsage = 2
+
+	headerTimeout = 5 * time.Second
+	closeTimeout  = 2 * time.Second
+)
+
+// options holds the parsed command line.
+type options struct {
+	listen      string
+	appends     float64
+	retention   time.Duration
+	lag         time.Duration
+	hostsFile   string
+	loads       float64
+	storeURL    string
+	engine      engine.Options
+	serviceName string
+	delay       time.Duration
+}
+
+// Main runs the stand-in that the arguments name and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	op := &options{}
+	app := kingpin.New("stand", "Small stand-ins for the platform, an engine and a plain service.")
+	app.Terminate(nil)
+	app.UsageWriter(stdout)
+	app.ErrorWriter(stderr)
+	app.Flag("listen", "Address to serve on.").Required().StringVar(&op.listen)
+	lo := app.Command("log", "The append-only log service.")
+	lo.Flag("appends", "Appends allowed a second.").Default("300").Float64Var(&op.appends)
+	lo.Flag("retention", "Time that records are kept.").Default("24h").DurationVar(&op.retention)
+	ho := app.Command("hosts", "The list of hosts.")
+	ho.Flag("lag", "Time until a change shows.").Default("5s").DurationVar(&op.lag)
+	ho.Flag("file", "JSON file with the first hosts.").Required().StringVar(&op.hostsFile)
+	we := app.Command("store", "The weight store.")
+	we.Flag("loads", "Loads allowed a second.").Default("4").Float64Var(&op.loads)
+	op.engineFlags(app.Command("engine", "A model engine."))
+	se := app.Command("service", "A plain service.")
+	se.Flag("name", "Name of the service.").Required().StringVar(&op.serviceName)
+	se.Flag("delay", "Time of one call.").Default("5ms").DurationVar(&op.delay)
+	command, err := app.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(stderr, "stand: %v; see stand --help\n", err)
+		return exitUsage
+	}
+	if command == "" {
+		return exitOK
+	}
+	if err := op.run(command); err != nil {
+		_, _ = fmt.Fprintf(stderr, "stand: %v\n", err)
+		return exitError
+	}
+	return exitOK
+}
+
+// engineFlags declares the flags of an engine.
+func (op *options) engineFlags(cc *kingpin.CmdClause) {
+	cc.Flag("name", "Name of the engine.").Required().StringVar(&op.engine.Name)
+	cc.Flag("model", "Base model.").Default("base").StringVar(&op.engine.Model)
+	cc.Flag("slots", "Adapter slots.").Default("4").IntVar(&op.engine.Slots)
+	cc.Flag("places", "Requests run together.").Default("8").IntVar(&op.engine.Places)
+	cc.Flag("fencing", "Refuse orders with an old fencing number.").BoolVar(&op.engine.ChecksFencing)
+	cc.Flag("step", "Time of one decoding step.").Default("10ms").DurationVar(&op.engine.StepTime)
+	cc.Flag("step-per-request", "Time added to a step for each request.").Default("500us").DurationVar(&op.engine.StepTimePerRequest)
+	cc.Flag("prefill", "Time of one prompt token.").Default("200us").DurationVar(&op.engine.PrefillPerToken)
+	cc.Flag("report-lag", "Age of the reported load.").Default("500ms").DurationVar(&op.engine.ReportLag)
+	cc.Flag("cold-start", "Time without answers after a crash.").Default("3s").DurationVar(&op.engine.ColdStart)
+	cc.Flag("crash-word", "Word in a prompt that crashes the engine.").StringVar(&op.engine.CrashWord)
+	cc.Flag("store", "URL of the weight store.").Required().StringVar(&op.storeURL)
+}
+
+// run serves the stand-in until a signal arrives.
+func (op *options) run(command string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	handler, err := op.handler(ctx, command)
+	if err != nil {
+		return err
+	}
+	sv := &http.Server{Addr: op.listen, Handler: handler, ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- sv.ListenAndServe() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = sv.Shutdown(closing)
+	return nil
+}
+
+// handler builds the stand-in.
+func (op *options) handler(ctx context.Context, command string) (http.Handler, error) {
+	switch command {
+	case "log":
+		return logsvc.New(op.appends, op.retention).Handler(), nil
+	case "hosts":
+		return op.hosts()
+	case "store":
+		return weight.New(op.loads).Handler(), nil
+	case "engine":
+		en := engine.New(op.engine, engine.HTTPStore{Client: http.DefaultClient, URL: op.storeURL})
+		go en.Run(ctx)
+		return en.Handler(), nil
+	}
+	return plain.New(op.serviceName, op.delay).Handler(), nil
+}
+
+// hosts builds the list of hosts from its file.
+func (op *options) hosts() (http.Handler, error) {
+	data, err := os.ReadFile(op.hostsFile)
+	if err != nil {
+		return nil, fmt.Errorf("read hosts: %w", err)
+	}
+	hosts := []hostls.Host{}
+	if err := json.Unmarshal(data, &hosts); err != nil {
+		return nil, fmt.Errorf("parse %s: %w", op.hostsFile, err)
+	}
+	li := hostls.New(op.lag)
+	for _, ho := range hosts {
+		li.Seed(ho)
+	}
+	return li.Handler(), nil
+}
--- /dev/null
+++ b/stand/weight/doc.go
@@ -0,0 +1,2 @@
+// Package weight stands in for the rate-limited weight store.
+package weight
