--- a/entry/internal/admin/admin.go
+++ b/entry/internal/admin/admin.go
@@ -62,7 +62,6 @@
 
 // Handler returns the HTTP interface.
 func (ad *Admin) Handler() http.Handler {
-	gin.SetMode(gin.ReleaseMode)
 	en := gin.New()
 	en.ContextWithFallback = true
 	en.GET("/health", func(gc *gin.Context) { gc.Status(http.StatusOK) })
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -66,7 +66,6 @@
 
 // Handler returns the HTTP interface.
 func (ca *Caller) Handler() http.Handler {
-	gin.SetMode(gin.ReleaseMode)
 	en := gin.New()
 	en.ContextWithFallback = true
 	en.GET("/health", func(gc *gin.Context) { gc.Status(http.StatusOK) })
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
@@ -51,8 +52,12 @@
 	Seed uint64
 }
 
+// releaseMode quiets the HTTP library once.
+var releaseMode sync.Once
+
 // New returns an entry node that serves once it is started and drains when it is stopped.
 func New(op Options) *fx.App {
+	releaseMode.Do(func() { gin.SetMode(gin.ReleaseMode) })
 	return fx.New(
 		fx.StopTimeout(drainMax),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
--- a/stand/engine/batch.go
+++ b/stand/engine/batch.go
@@ -35,6 +35,7 @@
 	tokens   chan string
 	whole    bool
 	done     bool
+	started  time.Time
 }
 
 // words are the vocabulary of the answers.
@@ -48,6 +49,21 @@
 	return " " + words[xxh3.HashString(strconv.FormatUint(sq.seed, 16)+"/"+strconv.Itoa(index))%uint64(len(words))]
 }
 
+// seedOf returns the seed of the words of an answer.
+func seedOf(model, prompt string) uint64 {
+	return xxh3.HashString(model + "\n" + prompt)
+}
+
+// Expected returns the text that every engine answers a prompt with.
+func Expected(model, prompt string, tokens int) string {
+	sq := &sequence{model: model, seed: seedOf(model, prompt)}
+	text := strings.Builder{}
+	for ix := range tokens {
+		text.WriteString(sq.token(ix))
+	}
+	return text.String()
+}
+
 // submit puts a request into the batch queue.
 func (en *Engine) submit(pr Prompt) (*sequence, error) {
 	en.mu.Lock()
@@ -66,7 +82,7 @@
 	model := lo.adapter + "@" + strconv.Itoa(lo.version)
 	sq := &sequence{
 		request: pr.Request, handle: pr.Handle, model: model, prompt: pr.Text, priority: pr.Priority,
-		seed: xxh3.HashString(model + "\n" + pr.Text), made: pr.Resume, wanted: pr.Tokens,
+		seed: seedOf(model, pr.Text), made: pr.Resume, wanted: pr.Tokens, started: time.Now(),
 		tokens: make(chan string, pr.Tokens+1),
 	}
 	sq.prefill = time.Duration(en.cache.miss(model, pr.Text)) * en.op.PrefillPerToken
@@ -111,7 +127,9 @@
 	sq.done = true
 	sq.whole = whole
 	close(sq.tokens)
-	en.served = append(en.served, Served{Request: sq.request, Model: sq.model, Tokens: sq.made, Whole: whole})
+	en.served = append(en.served, Served{
+		Request: sq.request, Model: sq.model, Prompt: sq.prompt, Tokens: sq.made, Whole: whole, Started: sq.started,
+	})
 }
 
 // signal wakes the batch loop.
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -93,8 +93,11 @@
 type Served struct {
 	Request string
 	Model   string
+	Prompt  string
 	Tokens  int
 	Whole   bool
+	// Started is when the engine took the request.
+	Started time.Time
 }
 
 // New returns an engine that is up.
