Keep an adapter loaded across an unnoticed engine restart, bound claimed calls by their deadline

Ruled out: a late unload order (handles are never used again) and a stray of an earlier agent boot. Change: a load that ends on another boot is doubtful until the engine was inspected; inspections run one at a time; a doubtful load that the engine holds becomes ready; a slot is kept for 2 s after a request on it was given up. A claimed call runs under its deadline. A key ahead of the last record is judged by the time of its own claim. A node without settings answers not_ready. Dials end after 2 s; reads of the log wait 3 s, so that peers are asked in time.

--- a/agent/internal/broker/act.go
+++ b/agent/internal/broker/act.go
@@ -55,6 +55,10 @@
 
 // inspect asks the engine what it holds.
 func (br *Broker) inspect(ctx context.Context) {
+	if br.inspecting {
+		return
+	}
+	br.inspecting = true
 	go func() {
 		iv, err := br.cl.Inspect(ctx)
 		br.post(ctx, event{held: &inspected{iv: iv, err: err}})
@@ -118,7 +122,11 @@
 	if en.how == noHandle || en.how == doubtful {
 		br.act(ctx, br.sc.Missing(en.handle, now))
 	}
-	br.act(ctx, br.sc.Ended(en.attempt, now))
+	if en.how == doubtful || en.cut {
+		br.act(ctx, br.sc.Abandoned(en.attempt, now))
+	} else {
+		br.act(ctx, br.sc.Ended(en.attempt, now))
+	}
 	br.seeBoot(ctx, en.boot, now)
 }
 
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -48,6 +48,9 @@
 	sessions map[Session]uint64
 
 	engineBoot string
+	// inspecting is true while an inspection is under way; one at a time keeps their
+	// answers in order.
+	inspecting bool
 	sequence   uint64
 	changed    bool
 	reportAt   time.Time
@@ -149,8 +152,7 @@
 		br.ended(ctx, ev.ended, now)
 	case ev.loaded != nil:
 		br.changed = true
-		br.act(ctx, br.sc.Loaded(ev.loaded.handle, ev.loaded.result, now))
-		br.seeBoot(ctx, ev.loaded.boot, now)
+		br.loaded(ctx, ev.loaded, now)
 	case ev.dropped != nil:
 		br.changed = true
 		br.act(ctx, br.sc.Unloaded(ev.dropped.handle, ev.dropped.result, now))
@@ -204,6 +206,16 @@
 	}
 }
 
+// loaded takes the result of a load; one from another boot of the engine proves nothing.
+func (br *Broker) loaded(ctx context.Context, od *orderDone, now time.Time) {
+	result := od.result
+	if result == sched.Done && od.boot != br.engineBoot {
+		result = sched.Lost
+	}
+	br.act(ctx, br.sc.Loaded(od.handle, result, now))
+	br.seeBoot(ctx, od.boot, now)
+}
+
 // seeBoot asks for an inspection when an answer came from another boot of the engine.
 func (br *Broker) seeBoot(ctx context.Context, boot string, now time.Time) {
 	if boot != "" && boot != br.engineBoot {
@@ -213,6 +225,7 @@
 
 // inspected takes what the engine holds.
 func (br *Broker) inspected(ctx context.Context, in *inspected, now time.Time) {
+	br.inspecting = false
 	if in.err != nil {
 		br.lg.Warn().Str("error", in.err.Error()).Msg("inspection_failed")
 		return
@@ -225,7 +238,7 @@
 	}
 	held := make([]sched.Held, 0, len(in.iv.Held))
 	for _, he := range in.iv.Held {
-		held = append(held, sched.Held{Handle: he.Handle, Running: he.Running})
+		held = append(held, sched.Held{Handle: he.Handle, Running: he.Running, Ready: he.Ready})
 	}
 	br.act(ctx, br.sc.Inspected(held, in.iv.Fence, now))
 }
--- a/agent/internal/broker/event.go
+++ b/agent/internal/broker/event.go
@@ -64,6 +64,8 @@
 	how     ending
 	reason  string
 	boot    string
+	// cut is true when the request was given up before its end.
+	cut bool
 }
 
 // orderDone is the result of a load or unload order.
--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -75,6 +75,7 @@
 		return en
 	}
 	en.reason = reasonLost
+	en.cut = true
 	switch {
 	case errors.Is(err, errWrongAdapter):
 		en.reason = reasonWrong
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -36,6 +36,7 @@
 type Held struct {
 	Handle  string `json:"handle"`
 	Running int    `json:"running"`
+	Ready   bool   `json:"ready"`
 }
 
 // Inventory is what the engine holds.
--- a/core/claim/decide.go
+++ b/core/claim/decide.go
@@ -22,15 +22,24 @@
 	BodyHash string
 }
 
-// Decide returns what to do with a call, or the typed error that refuses it.
+// expiredKey returns the error for a key older than the window.
+func expiredKey() *fault.Error {
+	return fault.New(fault.KeyExpired, "the idempotency key is older than an hour",
+		"look up whether the call took effect, then send it with a new key")
+}
+
+// earlyKey returns the error for a key whose time lies too far ahead of the log's.
+func earlyKey() *fault.Error {
+	return fault.New(fault.KeyInvalid, "the idempotency key's time lies in the future",
+		"set the caller's clock and make a new key")
+}
+
+// Decide returns what to do with a call, or the typed error that refuses it. The
+// table's time is that of its last record, which may be old, so a key ahead of it
+// is judged when its claim is folded.
 func (ta *Table) Decide(ca Call) (Verdict, *Holder, error) {
 	if expired(ca.KeyTime, ta.logTime) {
-		return Append, nil, fault.New(fault.KeyExpired, "the idempotency key is older than an hour",
-			"look up whether the call took effect, then send it with a new key")
-	}
-	if ta.logTime > 0 && early(ca.KeyTime, ta.logTime) {
-		return Append, nil, fault.New(fault.KeyInvalid, "the idempotency key's time lies in the future",
-			"set the caller's clock and make a new key")
+		return Append, nil, expiredKey()
 	}
 	ho := ta.holders[ca.Key]
 	if ho == nil && !ta.covers(ca.KeyTime) {
--- a/core/claim/table.go
+++ b/core/claim/table.go
@@ -34,6 +34,9 @@
 	Won *Holder
 	// Lost is the claim in the record that did not win, or nil.
 	Lost *record.Claim
+	// Reason is the error of a claim that no claim for its key can win, or nil where
+	// another attempt holds the key.
+	Reason error
 	// Freed is true when the record released its key.
 	Freed bool
 }
@@ -84,7 +87,14 @@
 // claim lets the first claim of a key win.
 func (ta *Table) claim(cl *record.Claim) Effect {
 	keyTime, err := KeyTime(bareKey(cl.Key))
-	if err != nil || expired(keyTime, ta.logTime) || early(keyTime, ta.logTime) || ta.holders[cl.Key] != nil {
+	switch {
+	case err != nil:
+		return Effect{Lost: cl, Reason: err}
+	case expired(keyTime, ta.logTime):
+		return Effect{Lost: cl, Reason: expiredKey()}
+	case early(keyTime, ta.logTime):
+		return Effect{Lost: cl, Reason: earlyKey()}
+	case ta.holders[cl.Key] != nil:
 		return Effect{Lost: cl}
 	}
 	if ta.holders == nil {
--- a/core/proc/proc.go
+++ b/core/proc/proc.go
@@ -23,21 +23,24 @@
 	ExitSettings = 3
 )
 
-const startTimeout = 15 * time.Second
+const (
+	startTimeout = 15 * time.Second
+	// dialTimeout bounds the wait for a host that does not answer.
+	dialTimeout = 2 * time.Second
+)
 
 // Network is the host's own network.
-type Network struct {
-	dialer net.Dialer
-}
+type Network struct{}
 
 // DialContext opens a TCP connection.
-func (ne *Network) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	co, err := ne.dialer.DialContext(ctx, network, address)
+func (*Network) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	co, err := dialer.DialContext(ctx, network, address)
 	return co, errors.Wrapf(err, "proc: dial %s", address)
 }
 
 // Listen accepts TCP connections on an address.
-func (ne *Network) Listen(address string) (net.Listener, error) {
+func (*Network) Listen(address string) (net.Listener, error) {
 	ls, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	return ls, errors.Wrapf(err, "proc: listen on %s", address)
 }
--- a/core/sched/action.go
+++ b/core/sched/action.go
@@ -64,6 +64,8 @@
 type Held struct {
 	Handle  string
 	Running int
+	// Ready is true once the load has ended.
+	Ready bool
 }
 
 // Reasons of refusals.
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -22,6 +22,9 @@
 	// busyWait is the time before the next load after one that failed.
 	busyWait = 250 * time.Millisecond
 
+	// lateMax is how long a request that was given up may take to arrive at the engine.
+	lateMax = 2 * time.Second
+
 	refusalWait = 200 * time.Millisecond
 )
 
@@ -139,6 +142,14 @@
 	return sc.plan(now)
 }
 
+// Abandoned takes a request off the engine that may still arrive there late.
+func (sc *Scheduler) Abandoned(attempt string, now time.Time) []Action {
+	if ix := sc.slotByHandle(sc.running[attempt]); ix >= 0 {
+		sc.slots[ix].keepUntil = now.Add(lateMax)
+	}
+	return sc.Ended(attempt, now)
+}
+
 // Missing records that the engine does not know a handle; its slot is doubtful until the engine was inspected.
 func (sc *Scheduler) Missing(handle string, now time.Time) []Action {
 	if ix := sc.slotByHandle(handle); ix >= 0 && sc.slots[ix].State == Ready {
@@ -194,10 +205,13 @@
 	return sc.plan(now)
 }
 
-// EngineRestarted records that the engine lost all it held; requests on it are ended by their own failures.
+// EngineRestarted records that the engine lost all it held; requests on it are
+// ended by their own failures. A load under way is judged by its own result.
 func (sc *Scheduler) EngineRestarted(now time.Time) []Action {
 	for ix := range sc.slots {
-		sc.slots[ix] = Slot{}
+		if sc.slots[ix].State != Loading {
+			sc.slots[ix] = Slot{}
+		}
 	}
 	clear(sc.strays)
 	sc.known = true
@@ -244,10 +258,15 @@
 		if he.Handle != sl.Handle {
 			continue
 		}
-		if he.Running > 0 || sl.Pins > 0 {
+		if he.Ready && !sl.unloadOrdered {
+			sl.State = Ready
+			return nil
+		}
+		if he.Running > 0 || sl.Pins > 0 || !he.Ready {
 			return nil
 		}
 		sl.State = Unloading
+		sl.unloadOrdered = true
 		return []Action{{Unload: &Unload{Handle: sl.Handle, Fence: sc.nextFence()}}}
 	}
 	*sl = Slot{}
@@ -394,6 +413,7 @@
 		if sx < 0 {
 			if vi := sc.victim(now); vi >= 0 && sc.unloads() < loadsMax {
 				sc.slots[vi].State = Unloading
+				sc.slots[vi].unloadOrdered = true
 				actions = append(actions, Action{Unload: &Unload{Handle: sc.slots[vi].Handle, Fence: sc.nextFence()}})
 			}
 			break
--- a/core/sched/slots.go
+++ b/core/sched/slots.go
@@ -38,6 +38,11 @@
 	// Pins counts requests that the engine runs on the slot.
 	Pins    int
 	lastUse time.Time
+	// unloadOrdered is true once an unload was ordered; it may take effect late.
+	unloadOrdered bool
+	// keepUntil is the time before which the slot is not evicted, because a request
+	// that was given up may still arrive at the engine.
+	keepUntil time.Time
 }
 
 // popularity is a count of requests that decays over time.
@@ -90,7 +95,7 @@
 	best := -1
 	for ix := range sc.slots {
 		sl := &sc.slots[ix]
-		if sl.State != Ready || sl.Pins > 0 || sc.wanted(sl.Adapter) {
+		if sl.State != Ready || sl.Pins > 0 || now.Before(sl.keepUntil) || sc.wanted(sl.Adapter) {
 			continue
 		}
 		if best < 0 || sc.lessPopular(sl, &sc.slots[best], now) {
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -27,6 +27,8 @@
 	// RequestHeader names the request in answers and logs.
 	RequestHeader = "X-Request-Id"
 
+	notReadyWait = time.Second
+
 	holderKey  = "holder"
 	requestKey = "request"
 )
@@ -39,6 +41,8 @@
 // Settings gives the settings in force.
 type Settings interface {
 	View() *config.View
+	// Ready tells whether the settings were read once.
+	Ready() bool
 }
 
 // Options builds the callers' interface.
@@ -98,6 +102,9 @@
 	token, found := strings.CutPrefix(gc.GetHeader("Authorization"), "Bearer ")
 	ho, known := ca.op.Settings.View().Holder(token)
 	switch {
+	case !ca.op.Settings.Ready():
+		ca.fail(gc, fault.New(fault.NotReady, "the node has not read the settings yet", "send the request to another entry node").
+			WithRetryAfter(notReadyWait))
 	case !found:
 		ca.fail(gc, fault.New(fault.Unauthorized, "the request carries no bearer token", "send Authorization: Bearer <token>"))
 	case !known:
--- a/entry/internal/claims/claims.go
+++ b/entry/internal/claims/claims.go
@@ -17,7 +17,7 @@
 
 const (
 	streamPrefix = "claims-"
-	pollWait     = 10 * time.Second
+	pollWait     = 3 * time.Second
 	tickPeriod   = 10 * time.Minute
 	retryWait    = 200 * time.Millisecond
 	groupMax     = 500
@@ -45,9 +45,10 @@
 	lg      zerolog.Logger
 	pending chan pending
 
-	mu      sync.Mutex
-	table   *claim.Table
-	lost    map[string]bool
+	mu    sync.Mutex
+	table *claim.Table
+	// lost holds the claims that did not win, each with the reason or nil.
+	lost    map[string]error
 	changed chan struct{}
 	// current is true while the fold has read to the end of the stream.
 	current bool
@@ -72,7 +73,7 @@
 	for ix := range cs.streams {
 		cs.streams[ix] = &stream{
 			name: streamPrefix + strconv.Itoa(ix), log: lo, lg: lg, table: claim.Start(0),
-			pending: make(chan pending, pendingMax), lost: map[string]bool{}, changed: make(chan struct{}),
+			pending: make(chan pending, pendingMax), lost: map[string]error{}, changed: make(chan struct{}),
 			tickAfter: time.Duration(float64(tickPeriod) * (1 + jitter())),
 		}
 	}
@@ -125,10 +126,11 @@
 		return 0, false, unavailable()
 	}
 	at, won, err := st.await(ctx, cl)
-	if err != nil {
-		return 0, false, unavailable()
+	fe := &fault.Error{}
+	if err != nil && !errors.As(err, &fe) {
+		err = unavailable()
 	}
-	return at, won, nil
+	return at, won, err
 }
 
 // Release frees a key whose attempt has not run and will not run.
@@ -217,7 +219,7 @@
 	for {
 		st.mu.Lock()
 		ho := st.table.Holder(cl.Key)
-		lost := st.lost[cl.Attempt]
+		reason, lost := st.lost[cl.Attempt]
 		changed := st.changed
 		delete(st.lost, cl.Attempt)
 		st.mu.Unlock()
@@ -225,7 +227,7 @@
 			return ho.At, true, nil
 		}
 		if lost {
-			return 0, false, nil
+			return 0, false, reason
 		}
 		select {
 		case <-changed:
--- a/entry/internal/claims/follow.go
+++ b/entry/internal/claims/follow.go
@@ -98,6 +98,6 @@
 		if len(st.lost) >= lostMax {
 			clear(st.lost)
 		}
-		st.lost[effect.Lost.Attempt] = true
+		st.lost[effect.Lost.Attempt] = effect.Reason
 	}
 }
--- a/entry/internal/plat/log.go
+++ b/entry/internal/plat/log.go
@@ -17,7 +17,7 @@
 
 const (
 	appendTimeout = 2 * time.Second
-	readTimeout   = 3 * time.Second
+	readTimeout   = 2 * time.Second
 	answerBytes   = 64 << 20
 )
 
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -36,7 +36,8 @@
 // before the dispatch, and a claim of another attempt is resolved before a new one.
 func (rl *Relay) RunClaimed(ctx context.Context, rq *Request, entry string, an Answer) error {
 	// The call outlives its caller, so that its answer can be kept.
-	ctx = context.WithoutCancel(ctx)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), rq.Deadline)
+	defer cancel()
 	rl.refill(rq.RetryPercent)
 	jo := &journey{rl: rl, rq: rq, an: an}
 	ca := claim.Call{Key: rq.Key, KeyTime: rq.KeyTime, BodyHash: rq.BodyHash}
@@ -107,7 +108,7 @@
 	if ke, ok := jo.an.(Keeper); ok {
 		do.Status, do.ContentType, do.Body, do.Kept = ke.Kept(keepBytes)
 	}
-	jo.rl.cs.Done(ctx, do)
+	jo.rl.cs.Done(context.WithoutCancel(ctx), do)
 }
 
 // release frees the key of an attempt that has not run, then tries again or gives up.
@@ -146,13 +147,17 @@
 	case boot != ho.Claim.Boot:
 		return unsure("the agent that may have run the call has restarted, so its outcome stays unknown")
 	}
-	time.Sleep(youngClaim)
+	select {
+	case <-time.After(youngClaim):
+	case <-ctx.Done():
+		return inProgress("the idempotency key is held by another attempt")
+	}
 	at := rl.ls.Watch(ho.Claim.Attempt, ho.Claim.Runner, ho.Claim.Boot)
 	defer at.Close()
 	if !at.Void(ctx, ho.At) {
 		return unsure("the backend server that may have run the call cannot be reached")
 	}
-	outcome := awaitVerdict(at.Signals)
+	outcome := awaitVerdict(ctx, at.Signals)
 	rl.lg.Info().Str("attempt", ho.Claim.Attempt).Str("outcome", string(outcome)).Msg("claim_resolved")
 	switch outcome {
 	case wire.VerdictOutcomeVoided:
@@ -195,7 +200,7 @@
 }
 
 // awaitVerdict returns the agent's word on an attempt, or unknown where none comes.
-func awaitVerdict(signals <-chan links.Signal) wire.VerdictOutcome {
+func awaitVerdict(ctx context.Context, signals <-chan links.Signal) wire.VerdictOutcome {
 	limit := time.NewTimer(verdictWait)
 	defer limit.Stop()
 	for {
@@ -206,6 +211,8 @@
 			}
 		case <-limit.C:
 			return wire.VerdictOutcomeUnknown
+		case <-ctx.Done():
+			return wire.VerdictOutcomeUnknown
 		}
 	}
 }
--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -5,12 +5,16 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+// dialTimeout is the time after which a dial without an answer fails.
+const dialTimeout = 2 * time.Second
+
 var errRefused = fmt.Errorf("memory: %w", syscall.ECONNREFUSED)
 
 // network joins hosts in memory; its connections can be cut or fall silent.
@@ -64,8 +68,12 @@
 	}
 	if hn.ne.apart[pair(hn.host, ls.host)] {
 		hn.ne.mu.Unlock()
-		<-ctx.Done()
-		return nil, ctx.Err()
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(dialTimeout):
+			return nil, os.ErrDeadlineExceeded
+		}
 	}
 	near, far := hn.ne.connect(hn.host, ls.host)
 	hn.ne.mu.Unlock()
--- a/proofs/world_test.go
+++ b/proofs/world_test.go
@@ -380,7 +380,19 @@
 }
 
 // newKey returns an idempotency key of now.
-func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+func newKey() string { return keyAt(time.Now()) }
+
+// keyAt returns an idempotency key of a time. The library's own keys of version 7
+// keep the newest time of the process, which several virtual clocks share.
+func keyAt(at time.Time) string {
+	id := uuid.New()
+	millis := at.UnixMilli()
+	for ix := range 6 {
+		id[ix] = byte(millis >> (8 * (5 - ix)))
+	}
+	id[6] = 0x70 | id[6]&0x0f
+	return id.String()
+}
 
 // text returns the answer's text and whether the answer is whole.
 func (re reply) text() (string, bool) {
