--- a/core/link/link.go
+++ b/core/link/link.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -21,7 +22,9 @@
 	// Path is where agents accept connections.
 	Path = "/link"
 
-	outboundMax  = 256
+	outboundMax = 256
+	// messageBytes is the size from which a message takes no more frames.
+	messageBytes = 64 << 10
 	writeTimeout = SilenceMax
 )
 
@@ -49,7 +52,9 @@
 	outbound chan *wire.Frame
 	done     chan struct{}
 	heard    atomic.Int64
-	start    time.Time
+	// message holds the message being read.
+	message bytes.Buffer
+	start   time.Time
 }
 
 // NewConn wraps a WebSocket connection.
@@ -107,20 +112,31 @@
 
 // ReadFrame reads one frame before Run was called.
 func (co *Conn) ReadFrame(ctx context.Context) (*wire.Frame, error) {
-	_, data, err := co.ws.Read(ctx)
+	if err := co.readMessage(ctx); err != nil {
+		return nil, err
+	}
+	fr, _, err := wire.DecodeFirst(co.message.Bytes())
+	return fr, err
+}
+
+// readMessage reads one WebSocket message into the buffer.
+func (co *Conn) readMessage(ctx context.Context) error {
+	_, rd, err := co.ws.Reader(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "link: read")
+		return errors.Wrap(err, "link: read")
 	}
-	return wire.Decode(data)
+	co.message.Reset()
+	_, err = co.message.ReadFrom(rd)
+	return errors.Wrap(err, "link: read")
 }
 
 // WriteFrame writes one frame before Run was called.
 func (co *Conn) WriteFrame(ctx context.Context, fr *wire.Frame) error {
-	data, err := wire.Encode(fr)
-	if err != nil {
+	buf := bytes.Buffer{}
+	if err := wire.Append(&buf, fr); err != nil {
 		return err
 	}
-	return errors.Wrap(co.ws.Write(ctx, websocket.MessageBinary, data), "link: write")
+	return errors.Wrap(co.ws.Write(ctx, websocket.MessageBinary, buf.Bytes()), "link: write")
 }
 
 // Run carries frames until the connection fails, falls silent or the context ends, and returns the cause.
@@ -155,38 +171,74 @@
 // read hands frames to the handler.
 func (co *Conn) read(ctx context.Context, ha Handler) error {
 	for {
-		fr, err := co.ReadFrame(ctx)
-		if err != nil {
+		if err := co.readMessage(ctx); err != nil {
 			return err
 		}
 		co.touch()
+		if err := handleAll(co.message.Bytes(), ha); err != nil {
+			return err
+		}
+	}
+}
+
+// handleAll hands the frames of one message to the handler.
+func handleAll(data []byte, ha Handler) error {
+	for len(data) > 0 {
+		fr, rest, err := wire.DecodeFirst(data)
+		if err != nil {
+			return err
+		}
+		data = rest
 		if fr.Heartbeat != nil {
 			ha.Beat(fr.Heartbeat)
 			continue
 		}
 		ha.Frame(fr)
 	}
+	return nil
 }
 
-// write sends queued frames in their order.
+// write sends queued frames in their order, those that wait together in one message.
 func (co *Conn) write(ctx context.Context) error {
+	buf := bytes.Buffer{}
 	for {
 		select {
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		case fr := <-co.outbound:
-			if err := co.writeTimed(ctx, fr); err != nil {
+			buf.Reset()
+			if err := co.gather(&buf, fr); err != nil {
 				return err
 			}
+			if err := co.writeTimed(ctx, buf.Bytes()); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// gather encodes a frame and those queued behind it.
+func (co *Conn) gather(buf *bytes.Buffer, fr *wire.Frame) error {
+	for {
+		if err := wire.Append(buf, fr); err != nil {
+			return err
+		}
+		if buf.Len() >= messageBytes {
+			return nil
+		}
+		select {
+		case fr = <-co.outbound:
+		default:
+			return nil
 		}
 	}
 }
 
 // writeTimed bounds the time of one write, so that a peer that reads nothing is given up.
-func (co *Conn) writeTimed(ctx context.Context, fr *wire.Frame) error {
+func (co *Conn) writeTimed(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	return co.WriteFrame(ctx, fr)
+	return errors.Wrap(co.ws.Write(ctx, websocket.MessageBinary, data), "link: write")
 }
 
 // watch sends heartbeats and gives up a silent connection.
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"bytes"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -8,7 +10,19 @@
 // FrameBytesMax bounds an encoded frame, in bytes.
 const FrameBytesMax = 16 << 20
 
-var decMode = mustDecMode()
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// mustEncMode builds an encoder that appends to a buffer.
+func mustEncMode() cbor.UserBufferEncMode {
+	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 // mustDecMode builds a decoder that bounds nesting and refuses duplicate keys.
 func mustDecMode() cbor.DecMode {
@@ -23,22 +37,23 @@
 	return mode
 }
 
-// Encode returns the frame as CBOR.
-func Encode(fr *Frame) ([]byte, error) {
-	data, err := cbor.Marshal(fr)
-	return data, errors.Wrap(err, "wire: encode frame")
+// Append adds the frame to a buffer as CBOR; several frames in a row are a CBOR sequence.
+func Append(buf *bytes.Buffer, fr *Frame) error {
+	return errors.Wrap(encMode.MarshalToBuffer(fr, buf), "wire: encode frame")
 }
 
-// Decode reads a frame from CBOR and fails unless it carries exactly one message.
-func Decode(data []byte) (*Frame, error) {
+// DecodeFirst reads the first frame of a CBOR sequence and returns it with the rest. It
+// fails unless the frame carries exactly one message.
+func DecodeFirst(data []byte) (*Frame, []byte, error) {
 	fr := &Frame{}
-	if err := decMode.Unmarshal(data, fr); err != nil {
-		return nil, errors.Wrap(err, "wire: decode frame")
+	rest, err := decMode.UnmarshalFirst(data, fr)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "wire: decode frame")
 	}
 	if fr.messages() != 1 {
-		return nil, errors.Newf("wire: frame carries %d messages instead of one", fr.messages())
+		return nil, nil, errors.Newf("wire: frame carries %d messages instead of one", fr.messages())
 	}
-	return fr, nil
+	return fr, rest, nil
 }
 
 // messages counts the messages in the frame.
--- /dev/null
+++ b/proofs/bench_test.go
@@ -0,0 +1,281 @@
+package proofs
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	agentnode "github.com/bambooladder/bambooladder/agent/node"
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/proc"
+	entrynode "github.com/bambooladder/bambooladder/entry/node"
+	"github.com/bambooladder/bambooladder/stand/engine"
+	"github.com/bambooladder/bambooladder/stand/hostls"
+	"github.com/bambooladder/bambooladder/stand/logsvc"
+)
+
+const (
+	openStreams = 10_000
+	warmUps     = 200
+)
+
+// instantStore loads weights at once.
+type instantStore struct{}
+
+// Fetch takes no time.
+func (instantStore) Fetch(context.Context, string, int) int { return http.StatusOK }
+
+// bench is an entry node, an agent and an engine on loopback in one process.
+type bench struct {
+	tb     testing.TB
+	engine string
+	entry  string
+	handle string
+	client *http.Client
+}
+
+// newBench starts the path with an engine that takes a step time for each token.
+func newBench(tb testing.TB, step time.Duration) *bench {
+	tb.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	tb.Cleanup(cancel)
+	en := engine.New(engine.Options{Name: "engine", Model: "base", Slots: 4, Places: 2 * openStreams, StepTime: step}, instantStore{})
+	go en.Run(ctx)
+	li := hostls.New(0)
+	be := &bench{tb: tb, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	be.engine = be.serve(en.Handler())
+	logURL, hostsURL := be.serve(logsvc.New(300, time.Hour).Handler()), be.serve(li.Handler())
+	agentAddress, callerAddress, adminAddress := freeAddress(tb), freeAddress(tb), freeAddress(tb)
+	li.Seed(hostls.Host{Name: "runner", Role: "agent", Address: agentAddress, Region: "region", Zone: "zone"})
+	agent := agentnode.New(agentnode.Options{Network: &proc.Network{}, Logger: zerolog.Nop(), Settings: conf.AgentSettings{
+		Place: conf.Place{Name: "runner", Region: "region", Zone: "zone"}, ListenAddress: agentAddress, BackendURL: be.engine,
+		Kind: conf.AgentSettingsKindEngine, Model: "base", Services: []string{}, Slots: 4, BatchPlaces: 2 * openStreams,
+	}})
+	entry := entrynode.New(entrynode.Options{Network: &proc.Network{}, Logger: zerolog.Nop(), Settings: conf.EntrySettings{
+		Place: conf.Place{Name: "entry", Region: "region", Zone: "zone"}, CallerAddress: callerAddress, AdminAddress: adminAddress,
+		LogURL: logURL, HostsURL: hostsURL, BootstrapSha256: hashOf(rootToken),
+	}})
+	if err := agent.Start(ctx); err != nil {
+		tb.Fatal(err)
+	}
+	if err := entry.Start(ctx); err != nil {
+		tb.Fatal(err)
+	}
+	be.entry = "http://" + callerAddress
+	be.applySettings("http://" + adminAddress)
+	be.handle = "batch-sheet@3#direct"
+	if err := en.Load(ctx, be.handle, "batch-sheet", 3, 0); err != nil {
+		tb.Fatal(err)
+	}
+	return be
+}
+
+// serve answers HTTP on a free address.
+func (be *bench) serve(ha http.Handler) string {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		be.tb.Fatal(err)
+	}
+	sv := &http.Server{Handler: ha}
+	be.tb.Cleanup(func() { _ = sv.Close() })
+	go func() { _ = sv.Serve(ls) }()
+	return "http://" + ls.Addr().String()
+}
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(tb testing.TB) string {
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = ls.Close() }()
+	return ls.Addr().String()
+}
+
+// applySettings lets one team call one adapter.
+func (be *bench) applySettings(admin string) {
+	body := `{"id":"first","edits":[
+	{"path":"models/base","base":0,"remove":false,"body":{}},
+	{"path":"adapters/batch-sheet","base":0,"remove":false,"body":{"model":"base","versions":[3]}},
+	{"path":"teams/recipe","base":0,"remove":false,"body":{"adapters":["batch-sheet@3"],"services":[],"urgency":"urgent",
+	"limits":{"requests_per_second":0,"burst":0,"in_flight":0},
+	"weights":{"load_stall":1,"batch_efficiency":1,"queueing":1,"region_crossing":1},
+	"tokens":[{"name":"caller","sha256":"` + hashOf(callerToken) + `","role":"caller"}]}}]}`
+	waitFor(be.tb, "the settings", func() bool {
+		status, _, _ := be.send(admin+"/admin/v1/changes", rootToken, body)
+		return status == http.StatusOK
+	})
+	waitFor(be.tb, "the first answer", func() bool {
+		status, _, _ := be.send(be.entry+"/v1/chat/completions", callerToken, chatBody("batch-sheet@3", 1, false))
+		return status == http.StatusOK
+	})
+}
+
+// send posts a body and returns status, answer and time.
+func (be *bench) send(url, token, body string) (int, string, time.Duration) {
+	start := time.Now()
+	rq, _ := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	rq.Header.Set("Authorization", "Bearer "+token)
+	resp, err := be.client.Do(rq)
+	if err != nil {
+		be.tb.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		be.tb.Fatal(err)
+	}
+	return resp.StatusCode, string(data), time.Since(start)
+}
+
+// chatBody is a request for so many tokens.
+func chatBody(model string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"bench"}]}`, model, stream, tokens)
+}
+
+// BenchmarkAdded compares the same request straight to the engine and through
+// entry node and agent, one at a time and in turn.
+func BenchmarkAdded(b *testing.B) {
+	be := newBench(b, 0)
+	for range warmUps {
+		be.send(be.engine+"/v1/chat/completions", "", chatBody(be.handle, 1, false))
+		be.send(be.entry+"/v1/chat/completions", callerToken, chatBody("batch-sheet@3", 1, false))
+	}
+	direct, through := make([]time.Duration, 0, b.N), make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for range b.N {
+		_, _, took := be.send(be.engine+"/v1/chat/completions", "", chatBody(be.handle, 1, false))
+		direct = append(direct, took)
+		_, _, took = be.send(be.entry+"/v1/chat/completions", callerToken, chatBody("batch-sheet@3", 1, false))
+		through = append(through, took)
+	}
+	b.StopTimer()
+	for _, percent := range []int{50, 99} {
+		added := percentile(through, percent) - percentile(direct, percent)
+		b.ReportMetric(float64(added.Microseconds()), fmt.Sprintf("added-p%d-µs", percent))
+		b.ReportMetric(float64(percentile(direct, percent).Microseconds()), fmt.Sprintf("direct-p%d-µs", percent))
+	}
+}
+
+// percentile returns a percentile of times.
+func percentile(times []time.Duration, percent int) time.Duration {
+	sorted := slices.Sorted(slices.Values(times))
+	return sorted[min(len(sorted)-1, len(sorted)*percent/100)]
+}
+
+// BenchmarkRate sends from several callers at once; with GOMAXPROCS=1 caller,
+// entry node, agent and engine share one core.
+func BenchmarkRate(b *testing.B) {
+	be := newBench(b, 0)
+	for _, target := range []struct{ name, url, token, model string }{
+		{"direct", be.engine, "", be.handle}, {"through", be.entry, callerToken, "batch-sheet@3"},
+	} {
+		b.Run(target.name, func(b *testing.B) {
+			b.ReportAllocs()
+			wg := sync.WaitGroup{}
+			work := make(chan struct{})
+			for range 16 {
+				wg.Go(func() {
+					for range work {
+						be.send(target.url+"/v1/chat/completions", target.token, chatBody(target.model, 1, false))
+					}
+				})
+			}
+			b.ResetTimer()
+			for range b.N {
+				work <- struct{}{}
+			}
+			close(work)
+			wg.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+		})
+	}
+}
+
+// BenchmarkTokens shows what one more token of a stream costs.
+func BenchmarkTokens(b *testing.B) {
+	be := newBench(b, 0)
+	for _, tokens := range []int{16, 1024} {
+		b.Run(fmt.Sprint(tokens), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				be.send(be.entry+"/v1/chat/completions", callerToken, chatBody("batch-sheet@3", tokens, true))
+			}
+		})
+	}
+}
+
+// BenchmarkOpenStreams opens 10,000 streams straight to the engine, then 10,000
+// through entry node and agent, and reports what a stream costs more.
+func BenchmarkOpenStreams(b *testing.B) {
+	be := newBench(b, time.Hour)
+	for range b.N {
+		direct := be.memoryOfStreams(be.engine, "", be.handle)
+		through := be.memoryOfStreams(be.entry, callerToken, "batch-sheet@3")
+		b.ReportMetric(float64(direct), "direct-B/stream")
+		b.ReportMetric(float64(through), "through-B/stream")
+		b.ReportMetric(float64(through-direct), "added-B/stream")
+	}
+}
+
+// memoryOfStreams opens streams and returns the memory in use for each.
+func (be *bench) memoryOfStreams(url, token, model string) int64 {
+	address := strings.TrimPrefix(url, "http://")
+	body := chatBody(model, 4, true)
+	request := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", token, len(body), body)
+	before := memoryInUse()
+	conns := make([]net.Conn, 0, openStreams)
+	for range openStreams {
+		co, err := net.Dial("tcp", address)
+		if err != nil {
+			be.tb.Fatal(err)
+		}
+		if _, err := io.WriteString(co, request); err != nil {
+			be.tb.Fatal(err)
+		}
+		conns = append(conns, co)
+	}
+	waitFor(be.tb, "the streams to reach the engine", func() bool {
+		resp, err := be.client.Get(be.engine + "/adapters")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		line, _ := bufio.NewReader(resp.Body).ReadString('\n')
+		return strings.Contains(line, fmt.Sprintf(`"running":%d`, openStreams))
+	})
+	used := memoryInUse() - before
+	for _, co := range conns {
+		_ = co.Close()
+	}
+	waitFor(be.tb, "the streams to end", func() bool {
+		resp, err := be.client.Get(be.engine + "/adapters")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		line, _ := bufio.NewReader(resp.Body).ReadString('\n')
+		return !strings.Contains(line, fmt.Sprintf(`"running":%d`, openStreams))
+	})
+	return used / openStreams
+}
+
+// memoryInUse returns heap and stacks after a collection.
+func memoryInUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	ms := runtime.MemStats{}
+	runtime.ReadMemStats(&ms)
+	return int64(ms.HeapInuse + ms.StackInuse)
+}
