--- a/agent/internal/broker/act.go
+++ b/agent/internal/broker/act.go
@@ -95,7 +95,7 @@
 	running, cancel := context.WithTimeout(ctx, time.Duration(at.di.Budget)*time.Millisecond)
 	at.cancel = cancel
 	at.running = true
-	fw := &forwarding{cl: br.cl, di: at.di, handle: fo.Handle, out: at.out}
+	fw := &forwarding{cl: br.cl, di: at.di, handle: fo.Handle, out: at.out, boot: br.engineBoot}
 	go func() {
 		defer cancel()
 		br.post(ctx, event{ended: fw.run(running, ctx)})
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -21,6 +21,8 @@
 	checkPeriod  = 2 * time.Second
 	// orphanMax is how long a request runs on without a connection of its entry node.
 	orphanMax = 10 * time.Second
+	// deliverMax is how long a drain waits for an answer to be acknowledged.
+	deliverMax = 5 * time.Second
 	// keepAnswer is how long the answer to a claimed call is held for a replay.
 	keepAnswer = 10 * time.Minute
 )
@@ -248,8 +250,10 @@
 	if br.drained == nil || br.sc.Running() > 0 || br.sc.Waiting() > 0 {
 		return
 	}
+	now := time.Now()
 	for _, at := range br.attempts {
-		if !at.out.Delivered() && at.out.DetachedSince().IsZero() {
+		attached := at.out.DetachedSince().IsZero()
+		if !at.out.Delivered() && attached && now.Sub(at.endedAt) < deliverMax {
 			return
 		}
 	}
--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -31,6 +31,7 @@
 	reasonLost    = "backend_lost"
 	reasonWrong   = "wrong_adapter"
 	reasonTimeout = "deadline"
+	reasonCrashed = "engine_crashed"
 )
 
 var errWrongAdapter = errors.New("broker: the engine answered with another adapter")
@@ -41,6 +42,8 @@
 	di     *wire.Dispatch
 	handle string
 	out    *output.Output
+	// boot is the engine's boot when the request was forwarded.
+	boot string
 }
 
 // run forwards the request, passes the answer on and returns how it ended. The
@@ -81,13 +84,31 @@
 	case running.Err() != nil:
 		en.reason = reasonTimeout
 	}
-	if fw.handle != "" && fw.cl.Cancel(ctx, fw.di.Attempt) != nil {
-		en.how = doubtful
+	crash := ""
+	if fw.handle != "" {
+		boot, err := fw.cl.Cancel(ctx, fw.di.Attempt)
+		if err != nil {
+			en.how = doubtful
+		}
+		crash = fw.crash(boot, err)
+	}
+	if crash != "" {
+		en.reason = reasonCrashed
 	}
-	fw.out.End(ctx, false, en.reason)
+	fw.out.End(ctx, false, en.reason, crash)
 	return en
 }
 
+// crash identifies the engine's crash, if the request was running at one: the engine
+// has another boot or its host refuses connections.
+func (fw *forwarding) crash(boot string, err error) string {
+	gone := errors.Is(err, syscall.ECONNREFUSED)
+	if fw.boot == "" || !gone && (boot == "" || boot == fw.boot) {
+		return ""
+	}
+	return fw.cl.Base() + "/" + fw.boot
+}
+
 // pass sends the answer on.
 func (fw *forwarding) pass(ctx context.Context, resp *http.Response) error {
 	contentType := resp.Header.Get("Content-Type")
@@ -106,7 +127,7 @@
 	if err := fw.passPieces(ctx, resp.Body); err != nil {
 		return err
 	}
-	fw.out.End(ctx, true, "")
+	fw.out.End(ctx, true, "", "")
 	return nil
 }
 
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -57,6 +57,9 @@
 	return &Client{http: hc, base: base}
 }
 
+// Base returns the backend server's URL.
+func (cl *Client) Base() string { return cl.base }
+
 // Load orders the engine to load an adapter and returns the result with the engine's boot.
 func (cl *Client) Load(ctx context.Context, or Order) (sched.Result, string) {
 	status, boot, err := cl.order(ctx, "/adapters/load", or)
@@ -128,23 +131,25 @@
 	return iv, errors.Wrap(err, "client: decode inventory")
 }
 
-// Cancel tells the engine to stop a request and fails unless the engine says it has.
-func (cl *Client) Cancel(ctx context.Context, attempt string) error {
+// Cancel tells the engine to stop a request, returns the engine's boot and fails
+// unless the engine says that it has.
+func (cl *Client) Cancel(ctx context.Context, attempt string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, cl.base+"/cancel/"+url.PathEscape(attempt), nil)
 	if err != nil {
-		return errors.Wrap(err, "client: build cancel")
+		return "", errors.Wrap(err, "client: build cancel")
 	}
 	resp, err := cl.http.Do(rq)
 	if err != nil {
-		return errors.Wrap(err, "client: cancel")
+		return "", errors.Wrap(err, "client: cancel")
 	}
 	defer discard(resp)
+	boot := resp.Header.Get(bootHeader)
 	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("client: cancel answered %d", resp.StatusCode)
+		return boot, errors.Newf("client: cancel answered %d", resp.StatusCode)
 	}
-	return nil
+	return boot, nil
 }
 
 // discard reads the rest of a short answer, so that its connection is used again.
--- a/agent/internal/output/output.go
+++ b/agent/internal/output/output.go
@@ -116,7 +116,7 @@
 		se, frames := ou.add(data)
 		if frames != nil {
 			ou.mu.Lock()
-			frames = append(frames, ou.endFrame(true, ""))
+			frames = append(frames, ou.endFrame(true, "", ""))
 			ou.mu.Unlock()
 			ou.send(ctx, se, frames...)
 			return nil
@@ -130,15 +130,17 @@
 }
 
 // endFrame makes the end of the answer.
-func (ou *Output) endFrame(whole bool, reason string) *wire.Frame {
-	ou.end = &wire.Frame{End: &wire.End{Attempt: ou.attempt, Count: ou.sent, Whole: whole, Reason: reason}}
+func (ou *Output) endFrame(whole bool, reason, crash string) *wire.Frame {
+	ou.end = &wire.Frame{End: &wire.End{
+		Attempt: ou.attempt, Count: ou.sent, Whole: whole, Reason: reason, Crash: crash,
+	}}
 	return ou.end
 }
 
-// End closes the answer.
-func (ou *Output) End(ctx context.Context, whole bool, reason string) {
+// End closes the answer; crash identifies the engine's crash that ended it, or is empty.
+func (ou *Output) End(ctx context.Context, whole bool, reason, crash string) {
 	ou.mu.Lock()
-	frames := append(ou.dueHead(), ou.endFrame(whole, reason))
+	frames := append(ou.dueHead(), ou.endFrame(whole, reason, crash))
 	se := ou.sender
 	ou.mu.Unlock()
 	ou.send(ctx, se, frames...)
--- /dev/null
+++ b/core/guard/table_test.go
@@ -0,0 +1,52 @@
+package guard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/record"
+)
+
+func TestGuardVerdicts(t *testing.T) {
+	ta, offset, millis := &Table{}, int64(0), int64(1_000_000)
+	apply := func(env record.Envelope) {
+		data, err := record.Encode(&env)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ta.Apply(record.Entry{Offset: offset, Time: millis, Data: data})
+		offset++
+	}
+	expect := func(what string, want Verdict) {
+		t.Helper()
+		if got := ta.Decide("print"); got != want {
+			t.Fatalf("%s: %s instead of %s", what, got, want)
+		}
+	}
+	expect("unknown", Free)
+	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-1", Attempt: "a"}})
+	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-1", Attempt: "b"}})
+	expect("one crash reported twice", Trial)
+	apply(record.Envelope{Trial: &record.Trial{Fingerprint: "print", Attempt: "c"}})
+	apply(record.Envelope{Trial: &record.Trial{Fingerprint: "print", Attempt: "d"}})
+	if !ta.OnTrial("print", "c") || ta.OnTrial("print", "d") {
+		t.Fatal("the first trial does not win")
+	}
+	expect("on trial", Pending)
+	apply(record.Envelope{Clear: &record.Clear{Fingerprint: "print", Attempt: "c"}})
+	expect("cleared", Free)
+	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-1", Attempt: "e"}})
+	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-2", Attempt: "f"}})
+	expect("two crashes", Blocked)
+	millis += Keep.Milliseconds() + time.Minute.Milliseconds()
+	apply(record.Envelope{})
+	expect("long ago", Free)
+}
+
+func TestFingerprint(t *testing.T) {
+	av := conf.AdapterVersion{Adapter: "a", Version: 1}
+	if Fingerprint(av, []byte("x")) == Fingerprint(av, []byte("y")) || Fingerprint(av, nil) == Fingerprint(conf.AdapterVersion{Adapter: "a", Version: 2}, nil) {
+		t.Fatal("different requests share a fingerprint")
+	}
+}
--- a/core/record/records.gen.go
+++ b/core/record/records.gen.go
@@ -56,6 +56,15 @@
 	Runner string `json:"runner" yaml:"runner"`
 }
 
+// Clear says that a trial ended without a crash.
+type Clear struct {
+	// Attempt is the attempt that ran apart.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Fingerprint is the hash of adapter and body.
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+}
+
 // Done keeps the answer of a claimed attempt.
 type Done struct {
 	// Attempt is the attempt that answered.
@@ -100,6 +109,9 @@
 	// Claim corresponds to the JSON schema field "claim".
 	Claim *Claim `json:"claim,omitempty,omitzero" yaml:"claim,omitempty"`
 
+	// Clear corresponds to the JSON schema field "clear".
+	Clear *Clear `json:"clear,omitempty,omitzero" yaml:"clear,omitempty"`
+
 	// Done corresponds to the JSON schema field "done".
 	Done *Done `json:"done,omitempty,omitzero" yaml:"done,omitempty"`
 
@@ -108,6 +120,12 @@
 
 	// Release corresponds to the JSON schema field "release".
 	Release *Release `json:"release,omitempty,omitzero" yaml:"release,omitempty"`
+
+	// Strike corresponds to the JSON schema field "strike".
+	Strike *Strike `json:"strike,omitempty,omitzero" yaml:"strike,omitempty"`
+
+	// Trial corresponds to the JSON schema field "trial".
+	Trial *Trial `json:"trial,omitempty,omitzero" yaml:"trial,omitempty"`
 }
 
 // Image is the whole state of the settings fold.
@@ -167,6 +185,18 @@
 	Key string `json:"key" yaml:"key"`
 }
 
+// Strike says that an engine crashed while it ran a request.
+type Strike struct {
+	// Attempt is the attempt that was running.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Crash identifies the crash by runner and engine boot.
+	Crash string `json:"crash" yaml:"crash"`
+
+	// Fingerprint is the hash of adapter and body.
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+}
+
 // Subtree is an accepted subtree with its origin.
 type Subtree struct {
 	// Author names the operator who set it.
@@ -184,3 +214,13 @@
 	// Revision is that of the change that set it.
 	Revision int64 `json:"revision" yaml:"revision"`
 }
+
+// Trial reserves the one run, apart from others, of a request that was running at
+// a crash.
+type Trial struct {
+	// Attempt is the attempt that runs apart.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Fingerprint is the hash of adapter and body.
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -42,7 +42,9 @@
 type Item struct {
 	Attempt string
 	// Adapter is the zero value for a plain service.
-	Adapter  conf.AdapterVersion
+	Adapter conf.AdapterVersion
+	// Alone keeps all other requests off the engine while this one runs.
+	Alone    bool
 	Urgency  int
 	Arrived  time.Time
 	Deadline time.Time
@@ -50,11 +52,13 @@
 
 // Scheduler is the state of one engine's slots and queue.
 type Scheduler struct {
-	boot     string
-	places   int
-	slots    []Slot
-	queue    []Item
-	running  map[string]string
+	boot    string
+	places  int
+	slots   []Slot
+	queue   []Item
+	running map[string]string
+	// alone is the attempt that runs apart from all others, or empty.
+	alone    string
 	popular  map[conf.AdapterVersion]popularity
 	failures map[conf.AdapterVersion]int
 	// strays are handles at the engine that belong to no slot; true once their unload was ordered.
@@ -135,6 +139,9 @@
 		return nil
 	}
 	delete(sc.running, attempt)
+	if sc.alone == attempt {
+		sc.alone = ""
+	}
 	if ix := sc.slotByHandle(handle); ix >= 0 && sc.slots[ix].Pins > 0 {
 		sc.slots[ix].Pins--
 		sc.slots[ix].lastUse = now
@@ -350,12 +357,18 @@
 // forward starts waiting requests in the order of their rank while there are batch places.
 func (sc *Scheduler) forward(now time.Time) []Action {
 	actions := make([]Action, 0)
-	for len(sc.running) < sc.places {
+	for len(sc.running) < sc.places && sc.alone == "" {
 		ix := sc.next(now)
 		if ix < 0 {
 			break
 		}
 		it := sc.queue[ix]
+		if it.Alone && len(sc.running) > 0 {
+			break
+		}
+		if it.Alone {
+			sc.alone = it.Attempt
+		}
 		sc.queue = slices.Delete(sc.queue, ix, ix+1)
 		handle := ""
 		if sx := sc.slotOf(it.Adapter); sx >= 0 {
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -38,6 +38,9 @@
 	// Adapter is the adapter's name, empty for a plain service.
 	Adapter string `json:"adapter" yaml:"adapter"`
 
+	// Alone asks to run the attempt apart from all others.
+	Alone bool `json:"alone" yaml:"alone"`
+
 	// Attempt identifies this attempt for ever.
 	Attempt string `json:"attempt" yaml:"attempt"`
 
@@ -99,6 +102,9 @@
 	// Count is the number of chunks sent.
 	Count uint64 `json:"count" yaml:"count"`
 
+	// Crash identifies the engine's crash that ended the answer, or is empty.
+	Crash string `json:"crash" yaml:"crash"`
+
 	// Reason tells why the answer is not whole.
 	Reason string `json:"reason" yaml:"reason"`
 
--- a/entry/internal/claims/doc.go
+++ b/entry/internal/claims/doc.go
@@ -1,2 +1,2 @@
-// Package claims appends claims to the log in groups and follows the claim streams.
+// Package claims claims keys in the log and tells who holds them.
 package claims
--- /dev/null
+++ b/entry/internal/guards/doc.go
@@ -0,0 +1,2 @@
+// Package guards shares the verdicts on requests that were running at an engine's crash.
+package guards
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -89,7 +89,7 @@
 		return errAgain
 	}
 	jo.tries++
-	rs := jo.attempt(ctx, ch, cl.Attempt, claimedAt)
+	rs := jo.attempt(ctx, ch, cl.Attempt, plan{claimedAt: claimedAt})
 	switch rs.kind {
 	case answered:
 		jo.keep(ctx, cl)
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -45,6 +45,8 @@
 	kind       kind
 	reason     string
 	retryAfter time.Duration
+	// crash identifies the engine's crash that ended the attempt, or is empty.
+	crash string
 }
 
 // reception takes the signals of one attempt.
@@ -226,7 +228,7 @@
 		if re.end.Reason == "deadline" {
 			return result{kind: timedOut, reason: re.end.Reason}, true
 		}
-		return result{kind: broken, reason: re.end.Reason}, true
+		return result{kind: broken, reason: re.end.Reason, crash: re.end.Crash}, true
 	}
 	if re.received < re.end.Count || re.head == nil {
 		re.timer.Reset(replayWait)
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -11,9 +11,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/guard"
+	"github.com/bambooladder/bambooladder/core/record"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/route"
 	"github.com/bambooladder/bambooladder/entry/internal/claims"
+	"github.com/bambooladder/bambooladder/entry/internal/guards"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
 
@@ -26,6 +29,7 @@
 type Relay struct {
 	ls *links.Links
 	cs *claims.Claims
+	gs *guards.Guards
 	lg zerolog.Logger
 
 	mu     sync.Mutex
@@ -33,8 +37,8 @@
 }
 
 // NewRelay returns a relay over the links.
-func NewRelay(ls *links.Links, cs *claims.Claims, lg zerolog.Logger) *Relay {
-	return &Relay{ls: ls, cs: cs, lg: lg}
+func NewRelay(ls *links.Links, cs *claims.Claims, gs *guards.Guards, lg zerolog.Logger) *Relay {
+	return &Relay{ls: ls, cs: cs, gs: gs, lg: lg}
 }
 
 // journey is one request on its way.
@@ -46,13 +50,23 @@
 	// unsure is set once an attempt may have run.
 	unsure bool
 	tries  int
+	// fingerprint identifies a model request over all its sends.
+	fingerprint string
 }
 
 // Run carries a request that may be repeated; the error is typed and tells whether the request ran.
 func (rl *Relay) Run(ctx context.Context, rq *Request, an Answer) error {
 	rl.refill(rq.RetryPercent)
 	jo := &journey{rl: rl, rq: rq, an: an}
+	if rq.Service == "" {
+		jo.fingerprint = guard.Fingerprint(rq.Adapter, rq.Body)
+	}
 	for {
+		id := uuid.Must(uuid.NewV7()).String()
+		alone, err := jo.admit(ctx, id)
+		if err != nil {
+			return err
+		}
 		ch, ok := rl.choose(rq, jo.exclude)
 		if !ok {
 			return jo.noRunner()
@@ -62,16 +76,43 @@
 			continue
 		}
 		jo.tries++
-		rs := jo.attempt(ctx, ch, uuid.Must(uuid.NewV7()).String(), 0)
+		rs := jo.attempt(ctx, ch, id, plan{alone: alone})
+		if alone && rs.crash == "" {
+			rl.gs.Clear(context.WithoutCancel(ctx), record.Clear{Fingerprint: jo.fingerprint, Attempt: id})
+		}
 		if rs.kind == answered {
 			return an.Finish()
 		}
+		if rs.crash != "" {
+			rl.gs.Strike(ctx, record.Strike{Fingerprint: jo.fingerprint, Crash: rs.crash, Attempt: id})
+		}
 		if err, final := jo.failed(ctx, ch.Runner, rs); final {
 			return err
 		}
 	}
 }
 
+// admit decides whether a request that was at a crash may run; it runs alone then.
+func (jo *journey) admit(ctx context.Context, id string) (bool, error) {
+	if jo.fingerprint == "" {
+		return false, nil
+	}
+	verdict := jo.rl.gs.Decide(jo.fingerprint)
+	if verdict == guard.Free {
+		return false, nil
+	}
+	jo.rl.lg.Info().Str("request", jo.rq.ID).Str("fingerprint", jo.fingerprint).Str("verdict", verdict.String()).Msg("suspect_decided")
+	if verdict == guard.Trial && jo.rl.gs.Trial(ctx, record.Trial{Fingerprint: jo.fingerprint, Attempt: id}) == nil {
+		return true, nil
+	}
+	if verdict == guard.Blocked || jo.rl.gs.Decide(jo.fingerprint) == guard.Blocked {
+		return false, fault.New(fault.Blocked, "engines crashed twice while they ran this request",
+			"change the request, or send it again once it is forgotten").WithOutcome(jo.outcome()).WithRetryAfter(guard.Keep)
+	}
+	return false, fault.New(fault.Overloaded, "an engine crashed while it ran this request, which is being tried apart from others",
+		"send the request again later").WithOutcome(jo.outcome()).WithRetryAfter(comeBack)
+}
+
 // refill adds to the budget of retries.
 func (rl *Relay) refill(percent int) {
 	rl.mu.Lock()
@@ -113,9 +154,19 @@
 	return strings.Join(parts, ",")
 }
 
+// plan is how an attempt is run.
+type plan struct {
+	// claimedAt is the log time of the claim in Unix milliseconds, zero without one.
+	claimedAt int64
+	// alone keeps other requests off the engine.
+	alone bool
+}
+
 // attempt runs the request once at a runner.
-func (jo *journey) attempt(ctx context.Context, ch route.Choice, id string, claimedAt int64) result {
+func (jo *journey) attempt(ctx context.Context, ch route.Choice, id string, pl plan) result {
+	claimedAt := pl.claimedAt
 	di := jo.rq.dispatch(id, ch.Boot, claimedAt, jo.an.Tokens())
+	di.Alone = pl.alone
 	at, err := jo.rl.ls.Dispatch(ctx, ch.Runner, di)
 	if err != nil {
 		return result{kind: notRun, reason: "no_link"}
--- a/stand/engine/batch.go
+++ b/stand/engine/batch.go
@@ -77,7 +77,7 @@
 	}
 	if en.op.CrashWord != "" && strings.Contains(pr.Text, en.op.CrashWord) {
 		en.crash()
-		return nil, ErrDown
+		return nil, errCrashed
 	}
 	model := lo.adapter + "@" + strconv.Itoa(lo.version)
 	sq := &sequence{
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -49,6 +49,7 @@
 	ErrNoHandle   = errors.New("engine: the handle is not loaded")
 	ErrStoreBusy  = errors.New("engine: the weight store has no room")
 	ErrLoadFailed = errors.New("engine: the weights could not be loaded")
+	errCrashed    = errors.New("engine: crashed on the request")
 	ErrDown       = errors.New("engine: starting up")
 )
 
--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -163,6 +163,9 @@
 		Request: rq.Header.Get(RequestHeader), Handle: co.Model, Text: co.text(),
 		Tokens: co.tokens(), Priority: priority, Resume: co.ResumeTokens,
 	})
+	if errors.Is(err, errCrashed) {
+		panic(http.ErrAbortHandler)
+	}
 	if err != nil {
 		fail(wr, err)
 		return
