--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -51,7 +51,7 @@
 		dr.answerOrder()
 	case 5:
 		dr.take(dr.sc.Tick(dr.now))
-		held := make([]Held, 0)
+		held := make([]Held, 0, len(dr.held))
 		for handle := range dr.held {
 			held = append(held, Held{Handle: handle, Running: dr.count(handle), Ready: true})
 		}
--- /dev/null
+++ b/proofs/hold_test.go
@@ -0,0 +1,355 @@
+package proofs
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bambooladder/bambooladder/core/admin"
+	"github.com/bambooladder/bambooladder/stand/logsvc"
+)
+
+// crashes counts the crashes of all engines.
+func (wo *world) crashes() int {
+	count := 0
+	for ix, en := range wo.engines {
+		boot := 0
+		_, _ = fmt.Sscanf(en.Boot(), engineName(ix)+"-%d", &boot)
+		count += boot - 1
+	}
+	return count
+}
+
+// TestCrashingRequestTakesDownTwoEngines sends a request that crashes engines again
+// and again through every entry node, beside innocent requests.
+func TestCrashingRequestTakesDownTwoEngines(t *testing.T) {
+	op := smallWorld()
+	op.engines, op.entries = 4, 3
+	inWorld(t, op, func(t *testing.T, wo *world) {
+		wg := sync.WaitGroup{}
+		for ix := range 12 {
+			wg.Go(func() {
+				prompt := fmt.Sprint("innocent ", ix)
+				mustAnswer(t, wo.ask("caller", entryName(ix%3), "cure@1", prompt, 100, ix%2 == 0, 19*time.Second), "cure@1", prompt, 100)
+			})
+		}
+		time.Sleep(600 * time.Millisecond)
+		for ix := range 9 {
+			re := wo.ask("caller", entryName(ix%3), "cure@1", crashWord, 10, false, 10*time.Second)
+			if re.status < http.StatusBadRequest || re.outcome == "" {
+				t.Errorf("send %d: status %d, error %v", ix, re.status, re.err)
+			}
+			if ix >= 2 && (re.kind != "blocked" || re.took > 50*time.Millisecond || re.header.Get("Retry-After") == "") {
+				t.Errorf("send %d: kind %s after %s", ix, re.kind, re.took)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		wg.Wait()
+		if got := wo.crashes(); got > 2 {
+			t.Errorf("the request crashed %d engines", got)
+		}
+	})
+}
+
+// TestSilentConnectionIsReplaced lets the connection to the runner fall silent under a stream and under a claimed call.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	op := smallWorld()
+	op.engines, op.callTime = 1, 2*time.Second
+	inWorld(t, op, func(t *testing.T, wo *world) {
+		wg := sync.WaitGroup{}
+		wg.Go(func() {
+			mustAnswer(t, wo.ask("caller", entryName(0), "cure@1", "long", 400, true, 19*time.Second), "cure@1", "long", 400)
+		})
+		wg.Go(func() {
+			if re := wo.call("caller", entryName(0), newKey(), `{"batch":1}`, 15*time.Second); re.status != http.StatusCreated {
+				t.Errorf("call: status %d, error %v, body %s", re.status, re.err, re.body)
+			}
+		})
+		time.Sleep(time.Second)
+		at := time.Now()
+		wo.net.silence(wo.current(entryName(0)).host, wo.current(runnerName(0)).host)
+		wo.net.silence(wo.current(entryName(0)).host, wo.current("ledger").host)
+		wo.await("a new connection", func() bool {
+			_, whole := wo.ask("caller", entryName(0), "cure@1", "probe", 1, false, 500*time.Millisecond).text()
+			return whole
+		})
+		if took := time.Since(at); took > 5*time.Second {
+			t.Errorf("the silent connection was replaced after %s", took)
+		}
+		wg.Wait()
+		if got := len(wo.plain.Releases()); got != 1 {
+			t.Errorf("%d releases instead of one", got)
+		}
+	})
+}
+
+// TestLeavingRunnerGetsNoNewWork stops an agent while requests queue for its engine
+// and the host list lags by a minute.
+func TestLeavingRunnerGetsNoNewWork(t *testing.T) {
+	op := smallWorld()
+	op.hostLag = time.Minute
+	op.places = 2
+	synctestWorld(t, op, time.Minute, func(t *testing.T, wo *world) {
+		wg := sync.WaitGroup{}
+		ask := func(ix int) {
+			prompt := fmt.Sprint("request ", ix)
+			mustAnswer(t, wo.ask("caller", entryName(ix%2), "cure@1", prompt, 60, ix%2 == 0, 19*time.Second), "cure@1", prompt, 60)
+		}
+		for ix := range 8 {
+			wg.Go(func() { ask(ix) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		left := time.Now()
+		wg.Go(func() { wo.stop(runnerName(0)) })
+		for ix := range 20 {
+			wg.Go(func() { ask(100 + ix) })
+			time.Sleep(300 * time.Millisecond)
+		}
+		wg.Wait()
+		for _, se := range wo.engines[0].Served() {
+			if se.Started.After(left.Add(3 * time.Second)) {
+				t.Errorf("the leaving engine was given %q %s after it began to leave", se.Prompt, se.Started.Sub(left))
+			}
+		}
+	})
+}
+
+// synctestWorld waits for a slow host list before it hands the world to the test.
+func synctestWorld(t *testing.T, op worldOptions, lag time.Duration, test func(t *testing.T, wo *world)) {
+	t.Helper()
+	op.hostLag = 0
+	inWorld(t, op, func(t *testing.T, wo *world) {
+		wo.hosts.SetLag(lag)
+		test(t, wo)
+	})
+}
+
+// TestHolderDiesAtAnyMoment kills the entry node that holds a claim after each of
+// many short times, then sends the call again through another one.
+func TestHolderDiesAtAnyMoment(t *testing.T) {
+	for after := time.Duration(0); after <= 60*time.Millisecond; after += 1500 * time.Microsecond {
+		op := smallWorld()
+		op.engines = 1
+		inWorld(t, op, func(t *testing.T, wo *world) {
+			key := newKey()
+			go func() { wo.call("caller", entryName(0), key, `{"batch":1}`, 5*time.Second) }()
+			time.Sleep(after)
+			wo.kill(entryName(0))
+			wo.await("the answer through another entry node", func() bool {
+				return wo.call("caller", entryName(1), key, `{"batch":1}`, 5*time.Second).status == http.StatusCreated
+			})
+			if got := len(wo.plain.Releases()); got != 1 {
+				t.Errorf("killed after %s: %d releases instead of one", after, got)
+			}
+		})
+	}
+}
+
+// TestAgentDiesAtAnyMoment kills the agent under a claimed call, so that its table
+// is gone; the call then ran at most once and its outcome is answered or unknown.
+func TestAgentDiesAtAnyMoment(t *testing.T) {
+	for after := time.Duration(0); after <= 60*time.Millisecond; after += 1500 * time.Microsecond {
+		op := smallWorld()
+		op.engines = 1
+		inWorld(t, op, func(t *testing.T, wo *world) {
+			key, answered, notRun := newKey(), false, true
+			note := func(re reply) {
+				answered = answered || re.status == http.StatusCreated
+				notRun = notRun && re.outcome == "not_run"
+			}
+			done := make(chan reply, 1)
+			go func() { done <- wo.call("caller", entryName(0), key, `{"batch":1}`, 3*time.Second) }()
+			time.Sleep(after)
+			wo.kill("ledger")
+			wo.startAgent("ledger")
+			note(<-done)
+			for ix := range 6 {
+				time.Sleep(time.Second)
+				note(wo.call("caller", entryName(ix%2), key, `{"batch":1}`, 3*time.Second))
+			}
+			ran := len(wo.plain.Releases())
+			if ran > 1 || answered && ran != 1 || notRun && ran != 0 {
+				t.Errorf("killed after %s: ran %d times, answered %t, not run %t", after, ran, answered, notRun)
+			}
+		})
+	}
+}
+
+// TestClaimsWhileTheLogFails makes calls while the log is down, silent, slow or loses its answers.
+func TestClaimsWhileTheLogFails(t *testing.T) {
+	for _, mode := range []logsvc.Mode{logsvc.Down, logsvc.Silent, logsvc.LoseAnswers} {
+		inWorld(t, smallWorld(), func(t *testing.T, wo *world) {
+			wo.log.SetMode(mode)
+			key := newKey()
+			for range 4 {
+				re := wo.call("caller", entryName(0), key, `{"batch":1}`, 10*time.Second)
+				if re.status != http.StatusCreated && (re.outcome == "" || re.header.Get("Retry-After") == "" || re.took > 3*time.Second) {
+					t.Errorf("log %s: status %d after %s: %s", mode, re.status, re.took, re.body)
+				}
+				if re.outcome == "not_run" && len(wo.plain.Releases()) > 0 {
+					t.Errorf("log %s: said not to have run, but ran", mode)
+				}
+			}
+			if mode == logsvc.Down {
+				time.Sleep(5 * time.Second)
+				if re := wo.call("caller", entryName(1), newKey(), `{"batch":2}`, 10*time.Second); re.took > 50*time.Millisecond || re.outcome != "not_run" {
+					t.Errorf("log down for long: %s after %s", re.outcome, re.took)
+				}
+			}
+			wo.log.SetMode(logsvc.Up)
+			wo.await("the answer once the log is back", func() bool {
+				return wo.call("caller", entryName(1), key, `{"batch":1}`, 5*time.Second).status == http.StatusCreated
+			})
+			if got := len(wo.plain.Releases()); got != 1 {
+				t.Errorf("log %s: %d releases instead of one", mode, got)
+			}
+		})
+	}
+}
+
+// TestKeysAfterQuietTime holds that a fresh key is taken after hours without a call,
+// that an old one is refused, and that a node which starts behind expired records refuses what it cannot judge.
+func TestKeysAfterQuietTime(t *testing.T) {
+	inWorld(t, smallWorld(), func(t *testing.T, wo *world) {
+		key := newKey()
+		if re := wo.call("caller", entryName(0), key, `{"batch":1}`, 5*time.Second); re.status != http.StatusCreated {
+			t.Fatalf("status %d: %s", re.status, re.body)
+		}
+		time.Sleep(3 * time.Hour)
+		if re := wo.call("caller", entryName(0), newKey(), `{"batch":2}`, 5*time.Second); re.status != http.StatusCreated {
+			t.Errorf("a fresh key after quiet hours: status %d: %s", re.status, re.body)
+		}
+		wo.kill(entryName(1))
+		wo.startEntry(entryName(1))
+		wo.await("the entry node", func() bool { return wo.ready(entryName(1)) })
+		for ix := range 2 {
+			re := wo.call("caller", entryName(ix), key, `{"batch":1}`, 5*time.Second)
+			if re.kind != "idempotency_key_expired" {
+				t.Errorf("an old key through %s: status %d: %s", entryName(ix), re.status, re.body)
+			}
+		}
+		if got := len(wo.plain.Releases()); got != 2 {
+			t.Errorf("%d releases instead of two", got)
+		}
+	})
+}
+
+// TestSettingsOutliveEveryHost replaces all entry nodes, one after another, while the log is away.
+func TestSettingsOutliveEveryHost(t *testing.T) {
+	op := smallWorld()
+	op.entries = 3
+	inWorld(t, op, func(t *testing.T, wo *world) {
+		oc, status := wo.propose(entryName(0), admin.Change{ID: "second", Edits: []admin.Edit{{Path: "models/other", Body: []byte(`{}`)}}})
+		if status != http.StatusOK {
+			t.Fatalf("status %d", status)
+		}
+		time.Sleep(time.Second)
+		wo.log.SetMode(logsvc.Down)
+		for ix := range 3 {
+			wo.kill(entryName(ix))
+			wo.startEntry(entryName(ix))
+			wo.await(entryName(ix)+" with the settings of its peers", func() bool {
+				no, ok := wo.node(entryName(ix))
+				return ok && no.Ready && no.Revision == oc.Revision
+			})
+			mustAnswer(t, wo.ask("caller", entryName(ix), "cure@1", "during the outage", 5, false, 10*time.Second), "cure@1", "during the outage", 5)
+		}
+		wo.log.SetMode(logsvc.Up)
+		third, status := wo.propose(entryName(1), admin.Change{ID: "third", Edits: []admin.Edit{{Path: "models/third", Body: []byte(`{}`)}}})
+		if status != http.StatusOK || third.Kind != "accepted" {
+			t.Fatalf("after the outage: status %d, outcome %+v", status, third)
+		}
+		at := time.Now()
+		for ix := range 3 {
+			wo.await("the change in force", func() bool { no, ok := wo.node(entryName(ix)); return ok && no.Revision == third.Revision })
+		}
+		if took := time.Since(at); took > inForceMax {
+			t.Errorf("the change was in force everywhere after %s", took)
+		}
+	})
+}
+
+// TestSettingsSurviveRetention lets the records expire and starts a node that has only a snapshot, beside a half-written one.
+func TestSettingsSurviveRetention(t *testing.T) {
+	inWorld(t, smallWorld(), func(t *testing.T, wo *world) {
+		time.Sleep(50 * time.Minute)
+		if _, err := wo.log.Append("settings-snapshots", [][]byte{{0xa1, 0x65, 'c', 'h', 'u', 'n', 'k'}}); err != nil {
+			t.Fatal(err)
+		}
+		wo.log.SetRetention(20 * time.Minute)
+		for ix := range 2 {
+			wo.kill(entryName(ix))
+		}
+		wo.startEntry(entryName(0))
+		wo.await("the settings out of the snapshot", func() bool { no, ok := wo.node(entryName(0)); return ok && no.Ready })
+		mustAnswer(t, wo.ask("caller", entryName(0), "cure@1", "after retention", 5, false, 10*time.Second), "cure@1", "after retention", 5)
+	})
+}
+
+// TestConflictingOperators races changes of the same subtree through two entry nodes; one is accepted, the other is told whose change moved the base.
+func TestConflictingOperators(t *testing.T) {
+	inWorld(t, smallWorld(), func(t *testing.T, wo *world) {
+		outcomes := make([]admin.Outcome, 2)
+		wg := sync.WaitGroup{}
+		for ix := range 2 {
+			wg.Go(func() {
+				outcomes[ix], _ = wo.propose(entryName(ix), admin.Change{
+					ID: fmt.Sprint("race-", ix), Edits: []admin.Edit{{Path: "models/race", Body: []byte(fmt.Sprintf(`{"description":"%d"}`, ix))}},
+				})
+			})
+		}
+		wg.Wait()
+		kinds := map[string]int{}
+		for _, oc := range outcomes {
+			kinds[oc.Kind]++
+		}
+		if kinds["accepted"] != 1 || kinds["conflict"] != 1 {
+			t.Errorf("outcomes %+v", outcomes)
+		}
+	})
+}
+
+// readyEntry returns one of the entry nodes that the balancer holds ready now.
+func (hi *history) readyEntry(pick int) string {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	return hi.ready[pick%len(hi.ready)]
+}
+
+// TestPlannedStopsCutOffNothing stops every entry node and every agent, one after another, under load.
+func TestPlannedStopsCutOffNothing(t *testing.T) {
+	op := smallWorld()
+	op.entries, op.engines = 3, 3
+	inWorld(t, op, func(t *testing.T, wo *world) {
+		end := time.Now().Add(30 * time.Second)
+		hi := &history{t: t, wo: wo, killed: map[string]time.Time{}}
+		done := make(chan struct{})
+		wg := sync.WaitGroup{}
+		wg.Go(func() { hi.balance(done) })
+		time.Sleep(200 * time.Millisecond)
+		callers := sync.WaitGroup{}
+		for ix := range 6 {
+			callers.Go(func() {
+				for count := 0; time.Now().Before(end); count++ {
+					prompt := fmt.Sprint("request ", ix, " ", count)
+					mustAnswer(t, wo.ask("caller", hi.readyEntry(ix+count), "cure@1", prompt, 80, ix%2 == 0, 15*time.Second), "cure@1", prompt, 80)
+					if re := wo.call("caller", hi.readyEntry(ix+count), newKey(), prompt, 10*time.Second); re.status != http.StatusCreated {
+						t.Errorf("call: status %d, error %v, body %s", re.status, re.err, re.body)
+					}
+				}
+			})
+		}
+		for ix := range 3 {
+			for _, name := range []string{entryName(ix), runnerName(ix)} {
+				wo.stop(name)
+				hi.startAgain(name)
+				time.Sleep(4 * time.Second)
+			}
+		}
+		callers.Wait()
+		close(done)
+		wg.Wait()
+	})
+}
--- a/stand/hostls/list.go
+++ b/stand/hostls/list.go
@@ -103,3 +103,10 @@
 	})
 	return mux
 }
+
+// SetLag changes how late changes show.
+func (li *List) SetLag(lag time.Duration) {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	li.lag = lag
+}
