--- a/proofs/world_test.go
+++ b/proofs/world_test.go
@@ -230,6 +230,8 @@
 	if err := ru.app.Stop(context.Background()); err != nil {
 		wo.tb.Errorf("planned stop of %s: %v", name, err)
 	}
+	// What the program wrote before its end is still delivered.
+	time.Sleep(20 * netLatency)
 	wo.net.kill(ru.host)
 }
 
