--- /dev/null
+++ b/core/conf/conf_test.go
@@ -0,0 +1,88 @@
+package conf
+
+import (
+	"errors"
+	"strings"
+	"testing"
+)
+
+const validTree = `deployment:
+  store_loads_per_second: 4
+  store_loads_in_flight: 8
+  request_timeout_ms: 30000
+  body_bytes: 1048576
+  retry_percent: 10
+models:
+  base: {}
+adapters:
+  batch-sheet: {model: base, versions: [3, 4]}
+services:
+  ledger:
+    calls: [{method: POST, path: /queries, repeatable: true}]
+teams:
+  recipe:
+    adapters: [batch-sheet@3]
+    services: [ledger]
+    urgency: urgent
+    limits: {requests_per_second: 1, burst: 1, in_flight: 1}
+    weights: {load_stall: 1, batch_efficiency: 1, queueing: 1, region_crossing: 1}
+    tokens: []
+`
+
+func TestParseTree(t *testing.T) {
+	cases := []struct {
+		name, old, put, place string
+	}{
+		{"unknown key", "urgency: urgent", "urgency: urgent\n    colour: red", ":19:"},
+		{"wrong type", "in_flight: 1}", "in_flight: many}", ":19:"},
+		{"dangling adapter", "[batch-sheet@3]", "[batch-sheet@9]", ":16:"},
+		{"dangling service", "services: [ledger]", "services: [payroll]", ":17:"},
+		{"dangling model", "model: base,", "model: other,", ":10:"},
+		{"no version", "[batch-sheet@3]", "[batch-sheet]", ":16:"},
+		{"unknown urgency", "urgency: urgent", "urgency: soon", ":18:"},
+		{"negative weight", "queueing: 1", "queueing: -1", ":20:"},
+		{"share above one", "retry_percent: 10", "retry_percent: 101", ":6:"},
+		{"method in small letters", "method: POST", "method: post", ":13:"},
+		{"not YAML", "models:", "models: [", ""},
+		{"empty", validTree, "", ":1:"},
+	}
+	if _, err := ParseTree("tree.yaml", []byte(validTree)); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := ParseTree("tree.yaml", []byte(strings.Replace(validTree, tc.old, tc.put, 1)))
+			pr := &ProblemError{}
+			if !errors.As(err, &pr) || pr.Remedy == "" || !strings.Contains(err.Error(), "tree.yaml"+tc.place) {
+				t.Fatalf("error %v", err)
+			}
+		})
+	}
+}
+
+func TestMayRepeat(t *testing.T) {
+	se := Service{Calls: []Call{{Method: "POST", Path: "/queries", Repeatable: true}, {Method: "GET", Path: "/draw", Repeatable: false}, {Method: "POST", Path: "/queries/book", Repeatable: false}}}
+	cases := []struct {
+		method, path string
+		want         bool
+	}{
+		{"GET", "/stock", true}, {"HEAD", "/stock", true}, {"POST", "/releases", false}, {"DELETE", "/x", false},
+		{"POST", "/queries/today", true}, {"POST", "/queries/book/1", false}, {"GET", "/draw/1", false},
+	}
+	for _, tc := range cases {
+		if got := se.MayRepeat(tc.method, tc.path); got != tc.want {
+			t.Errorf("%s %s: %t", tc.method, tc.path, got)
+		}
+	}
+}
+
+func FuzzParseTree(fu *testing.F) {
+	fu.Add([]byte(validTree))
+	fu.Add([]byte("teams: {a: {adapters: ['@']}}"))
+	fu.Fuzz(func(t *testing.T, data []byte) {
+		tr, err := ParseTree("tree.yaml", data)
+		if err == nil && tr.Check() != nil {
+			t.Fatal("a tree was taken that does not pass its own check")
+		}
+	})
+}
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -177,8 +177,7 @@
 // fetch takes the answer of an ended attempt from its agent and keeps it.
 func (rl *Relay) fetch(ctx context.Context, at *links.Attempt, ho *claim.Holder, an Answer) error {
 	at.Acknowledge(ctx, 0, true)
-	re := &reception{at: at, an: an, claimedAt: ho.At, resolve: claimResolveMax}
-	rs := re.run(ctx, time.Now().Add(verdictWait))
+	rs := newReception(at, an, ho.At).run(ctx, time.Now().Add(verdictWait))
 	if rs.kind != answered {
 		return unsure("the call ran, but its answer is lost (" + rs.reason + ")")
 	}
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -49,9 +49,23 @@
 	crash string
 }
 
+// controls steers an attempt at its agent.
+type controls interface {
+	// Acknowledge tells which chunks have arrived without a gap; with replay it asks for the rest again.
+	Acknowledge(ctx context.Context, received uint64, replay bool)
+	// Void asks the agent to make sure that the attempt never runs.
+	Void(ctx context.Context, claimedAt int64) bool
+	// Dropped tells once whether signals were lost.
+	Dropped() bool
+}
+
 // reception takes the signals of one attempt.
 type reception struct {
-	at        *links.Attempt
+	at      controls
+	signals <-chan links.Signal
+	// boot is the agent boot the attempt was sent to, sent when that was.
+	boot      string
+	sent      time.Time
 	an        Answer
 	claimedAt int64
 	resolve   time.Duration
@@ -67,6 +81,15 @@
 	timer *time.Timer
 }
 
+// newReception returns the reception of an attempt.
+func newReception(at *links.Attempt, an Answer, claimedAt int64) *reception {
+	re := &reception{at: at, signals: at.Signals, boot: at.Boot, sent: at.Sent, an: an, claimedAt: claimedAt, resolve: modelResolveMax}
+	if claimedAt > 0 {
+		re.resolve = claimResolveMax
+	}
+	return re
+}
+
 // run takes signals until the attempt has ended.
 func (re *reception) run(ctx context.Context, deadline time.Time) result {
 	limit := time.NewTimer(time.Until(deadline))
@@ -76,7 +99,7 @@
 	defer re.timer.Stop()
 	for {
 		select {
-		case si := <-re.at.Signals:
+		case si := <-re.signals:
 			if rs, ended := re.signal(ctx, si); ended {
 				return rs
 			}
@@ -135,7 +158,7 @@
 		re.timer.Reset(re.resolve)
 		return result{}, false
 	}
-	if ch.Boot != re.at.Boot {
+	if ch.Boot != re.boot {
 		return result{kind: broken, reason: "agent_restarted"}, true
 	}
 	re.detached = false
@@ -159,7 +182,7 @@
 func (re *reception) verdict(ctx context.Context, outcome wire.VerdictOutcome) (result, bool) {
 	switch outcome {
 	case wire.VerdictOutcomeVoided:
-		if re.claimedAt == 0 && time.Since(re.at.Sent) > voidTrust {
+		if re.claimedAt == 0 && time.Since(re.sent) > voidTrust {
 			return result{kind: broken, reason: "verdict_too_late"}, true
 		}
 		return result{kind: notRun, reason: "voided"}, true
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -172,11 +172,7 @@
 		return result{kind: notRun, reason: "no_link"}
 	}
 	defer at.Close()
-	re := &reception{at: at, an: jo.an, claimedAt: claimedAt, resolve: modelResolveMax}
-	if claimedAt > 0 {
-		re.resolve = claimResolveMax
-	}
-	rs := re.run(ctx, jo.rq.Deadline)
+	rs := newReception(at, jo.an, claimedAt).run(ctx, jo.rq.Deadline)
 	if claimedAt == 0 && (rs.kind == gone || rs.kind == timedOut || rs.kind == broken) {
 		at.Cancel(context.WithoutCancel(ctx))
 	}
