--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -101,8 +101,8 @@
 func (ne *network) connect(from, to string) (*conn, *conn) {
 	nearRead, nearFeed := net.Pipe()
 	farRead, farFeed := net.Pipe()
-	near := &conn{Conn: nearRead, ne: ne, hosts: pair(from, to), out: make(chan packet, queuedWrites), closed: make(chan struct{}), once: &sync.Once{}, silent: &atomic.Bool{}}
-	far := &conn{Conn: farRead, ne: ne, hosts: near.hosts, out: make(chan packet, queuedWrites), closed: near.closed, once: near.once, silent: near.silent}
+	near := &conn{Conn: nearRead, ne: ne, hosts: pair(from, to), out: make(chan packet, queuedWrites), done: make(chan struct{}), closed: make(chan struct{}), once: &sync.Once{}, silent: &atomic.Bool{}}
+	far := &conn{Conn: farRead, ne: ne, hosts: near.hosts, out: make(chan packet, queuedWrites), done: make(chan struct{}), closed: near.closed, once: near.once, silent: near.silent}
 	near.ends = []net.Conn{nearRead, nearFeed, farRead, farFeed}
 	far.ends = near.ends
 	ne.conns[near] = true
@@ -195,11 +195,14 @@
 	ends   []net.Conn
 	closed chan struct{}
 	once   *sync.Once
+	// done is closed, once, when this end was closed.
+	done  chan struct{}
+	local sync.Once
 	// silent is shared by both ends.
 	silent *atomic.Bool
 }
 
-// packet is data on its way, or the end of the connection where there is none.
+// packet is data on its way.
 type packet struct {
 	data []byte
 	due  time.Time
@@ -207,27 +210,28 @@
 
 // Write queues data for the other end.
 func (co *conn) Write(data []byte) (int, error) {
-	return len(data), co.push(packet{data: append([]byte(nil), data...), due: time.Now().Add(co.ne.latency)})
-}
-
-// push queues a packet.
-func (co *conn) push(pa packet) error {
 	select {
 	case <-co.closed:
-		return net.ErrClosed
+		return 0, net.ErrClosed
+	case <-co.done:
+		return 0, net.ErrClosed
 	default:
 	}
 	select {
-	case co.out <- pa:
-		return nil
+	case co.out <- packet{data: append([]byte(nil), data...), due: time.Now().Add(co.ne.latency)}:
+		return len(data), nil
 	case <-co.closed:
-		return net.ErrClosed
+	case <-co.done:
 	}
+	return 0, net.ErrClosed
 }
 
-// Close ends the connection after what was written has been delivered.
+// Close ends this end at once and the connection once what was written has been delivered.
 func (co *conn) Close() error {
-	go func() { _ = co.push(packet{due: time.Now().Add(co.ne.latency)}) }()
+	co.local.Do(func() {
+		close(co.done)
+		_ = co.Conn.Close()
+	})
 	return nil
 }
 
@@ -244,28 +248,44 @@
 	delete(co.ne.conns, co)
 }
 
-// pump delivers what was written.
+// pump delivers what was written, also after this end was closed.
 func (co *conn) pump(feed net.Conn) {
 	for {
 		select {
 		case <-co.closed:
 			return
 		case pa := <-co.out:
-			time.Sleep(time.Until(pa.due))
-			if pa.data == nil {
-				co.cut()
+			if !co.deliver(feed, pa) {
 				return
 			}
-			if co.silent.Load() {
-				continue
-			}
-			if _, err := feed.Write(pa.data); err != nil {
+			continue
+		default:
+		}
+		select {
+		case <-co.closed:
+			return
+		case pa := <-co.out:
+			if !co.deliver(feed, pa) {
 				return
 			}
+		case <-co.done:
+			time.Sleep(co.ne.latency)
+			co.cut()
+			return
 		}
 	}
 }
 
+// deliver hands a packet to the other end when it is due.
+func (co *conn) deliver(feed net.Conn, pa packet) bool {
+	time.Sleep(time.Until(pa.due))
+	if co.silent.Load() {
+		return true
+	}
+	_, err := feed.Write(pa.data)
+	return err == nil
+}
+
 // listener hands out the far ends of connections.
 type listener struct {
 	host    string
