--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +28,9 @@
 	keepAnswer = 10 * time.Minute
 )
 
+// metrics holds the counters of the agent.
+var metrics = expvar.NewMap("agent")
+
 // attempt is a request that the agent accepted.
 type attempt struct {
 	di     *wire.Dispatch
@@ -245,6 +249,26 @@
 	br.act(ctx, br.sc.Inspected(held, in.iv.Fence, now))
 }
 
+// measure publishes the counters of the engine's slots and batch.
+func (br *Broker) measure() {
+	st := br.sc.Stats()
+	metrics.Set("load_stall_ms", counter(st.LoadStall.Milliseconds()))
+	metrics.Set("batch_filled_ms", counter(st.Filled.Milliseconds()))
+	metrics.Set("batch_offered_ms", counter(st.Offered.Milliseconds()))
+	metrics.Set("loads", counter(int64(st.Loads)))
+	metrics.Set("evictions", counter(int64(st.Evictions)))
+	metrics.Set("forwarded", counter(int64(st.Forwarded)))
+	metrics.Set("running", counter(int64(br.sc.Running())))
+	metrics.Set("waiting", counter(int64(br.sc.Waiting())))
+}
+
+// counter returns a number in the form that metrics carry.
+func counter(value int64) *expvar.Int {
+	number := &expvar.Int{}
+	number.Set(value)
+	return number
+}
+
 // checkDrained ends the drain once every accepted request was answered.
 func (br *Broker) checkDrained() {
 	if br.drained == nil || br.sc.Running() > 0 || br.sc.Waiting() > 0 {
@@ -270,6 +294,7 @@
 	br.changed = false
 	br.reportAt = now.Add(reportPeriod)
 	br.sequence++
+	br.measure()
 	slots := br.slotReports()
 	for se, received := range br.sessions {
 		se.TrySend(&wire.Frame{Report: &wire.Report{
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -48,6 +48,8 @@
 	Urgency  int
 	Arrived  time.Time
 	Deadline time.Time
+	// stalled is true when the adapter was not ready at the arrival.
+	stalled bool
 }
 
 // Scheduler is the state of one engine's slots and queue.
@@ -70,6 +72,8 @@
 	leaving   bool
 	inspectAt time.Time
 	loadAt    time.Time
+	stats     Stats
+	countedAt time.Time
 }
 
 // New returns a scheduler that knows nothing of its engine yet.
@@ -104,6 +108,7 @@
 
 // Submit takes a request.
 func (sc *Scheduler) Submit(it Item, now time.Time) []Action {
+	sc.account(now)
 	switch {
 	case sc.leaving:
 		return []Action{refuse(it.Attempt, ReasonLeaving, 0)}
@@ -113,6 +118,7 @@
 		return []Action{refuse(it.Attempt, ReasonQueueFull, refusalWait)}
 	}
 	it.Arrived = now
+	it.stalled = it.Adapter != (conf.AdapterVersion{}) && !sc.runnable(&it)
 	if it.Adapter != (conf.AdapterVersion{}) {
 		po := sc.popular[it.Adapter]
 		sc.popular[it.Adapter] = popularity{count: po.decayed(now) + 1, at: now}
@@ -134,6 +140,7 @@
 
 // Ended takes a request off the engine; the pin goes only now.
 func (sc *Scheduler) Ended(attempt string, now time.Time) []Action {
+	sc.account(now)
 	handle, ok := sc.running[attempt]
 	if !ok {
 		return nil
@@ -181,6 +188,7 @@
 		sl.State = Ready
 		sl.lastUse = now
 		delete(sc.failures, av)
+		sc.stalled(av, now)
 		return sc.plan(now)
 	case Busy:
 		*sl = Slot{}
@@ -299,6 +307,7 @@
 
 // Tick refuses requests whose time has run out and plans anew.
 func (sc *Scheduler) Tick(now time.Time) []Action {
+	sc.account(now)
 	actions := make([]Action, 0)
 	kept := sc.queue[:0]
 	for _, it := range sc.queue {
@@ -339,6 +348,7 @@
 	}
 	actions := sc.forward(now)
 	actions = append(actions, sc.load(now)...)
+	sc.stats.count(actions)
 	if len(sc.strays) > 0 || sc.count(Doubtful) > 0 {
 		actions = append(actions, sc.inspect(now)...)
 	}
--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -28,6 +28,7 @@
 	conns     map[*conn]bool
 	apart     map[[2]string]bool
 	dead      map[string]bool
+	thaw      map[string]time.Time
 }
 
 // newNetwork returns a network without hosts.
@@ -35,6 +36,7 @@
 	return &network{
 		latency: latency, listeners: map[string]*listener{}, conns: map[*conn]bool{},
 		apart: map[[2]string]bool{}, dead: map[string]bool{},
+		thaw: map[string]time.Time{},
 	}
 }
 
@@ -137,6 +139,20 @@
 	delete(ne.apart, pair(aa, bb))
 }
 
+// freeze holds back all that a host sends and is sent, as if its process were paused.
+func (ne *network) freeze(host string, length time.Duration) {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	ne.thaw[host] = time.Now().Add(length)
+}
+
+// frozen returns how long a connection between two hosts is still held back.
+func (ne *network) frozen(hosts [2]string) time.Duration {
+	ne.mu.Lock()
+	defer ne.mu.Unlock()
+	return max(time.Until(ne.thaw[hosts[0]]), time.Until(ne.thaw[hosts[1]]))
+}
+
 // cut breaks the existing connections between two hosts.
 func (ne *network) cut(aa, bb string) {
 	for _, co := range ne.between(func(co *conn) bool { return co.hosts == pair(aa, bb) }) {
@@ -279,6 +295,9 @@
 // deliver hands a packet to the other end when it is due.
 func (co *conn) deliver(feed net.Conn, pa packet) bool {
 	time.Sleep(time.Until(pa.due))
+	for wait := co.ne.frozen(co.hosts); wait > 0; wait = co.ne.frozen(co.hosts) {
+		time.Sleep(wait)
+	}
 	if co.silent.Load() {
 		return true
 	}
--- a/proofs/world_test.go
+++ b/proofs/world_test.go
@@ -299,6 +299,12 @@
 	})
 }
 
+// jsonOf renders a value.
+func jsonOf(value any) []byte {
+	data, _ := json.Marshal(value)
+	return data
+}
+
 // propose sends a change to an entry node once and returns its outcome and the HTTP status.
 func (wo *world) propose(entry string, ch admin.Change) (admin.Outcome, int) {
 	data, _ := json.Marshal(ch)
