--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 PROGRAMS := entry agent ctl stand
 VERSION ?= development
 
-.PHONY: build run test lint format generate clean
+HISTORIES ?= 10000
+
+.PHONY: build run test proofs soak bench slopes lint format generate clean
 
 build:
 	@mkdir -p bin
@@ -17,6 +19,23 @@
 test: build
 	@scripts/test.sh $(MODULES)
 
+proofs: build
+	@cd proofs && go test -count=1 ./...
+	@cd core && go test -count=1 ./claim ./fold ./guard ./runs ./sched
+	@cd entry && go test -count=1 ./internal/relay
+
+soak:
+	@cd proofs && HISTORIES=$(HISTORIES) go test -count=1 -timeout 0 -run TestHistories .
+
+bench:
+	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
+	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
+	@cd proofs && go test -run xxx -bench OpenStreams -benchtime 1x .
+
+slopes:
+	@cd core && go test -run xxx -bench . -benchtime 200ms ./route ./fold
+	@cd core && go test -run xxx -bench . -benchtime 1x ./claim
+
 lint:
 	@for module in $(MODULES); do (cd $$module && golangci-lint run ./...) || exit 1; done
 
--- a/proofs/stream_test.go
+++ b/proofs/stream_test.go
@@ -57,6 +57,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		defer func() { _ = resp.Body.Close() }()
 		data, err := io.ReadAll(resp.Body)
 		if err != nil || strings.Count(string(data), "data: ") != 1502 {
 			t.Errorf("the slow caller has %d events, error %v", strings.Count(string(data), "data: "), err)
