Find the first runners for an adapter on a ring

Ruled out: one point a runner on the ring, whose shares are uneven; a cache of the order for each adapter, which each arrival or departure would empty. Change: sixteen points a runner, three probes; a report no longer touches the lookup by base model.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -14,6 +14,12 @@
 	candidatesMax = 3
 	// absentMax bounds the runners considered that do not hold the adapter.
 	absentMax = 3
+	// stepsMax bounds the points that a probe looks at once another has found a runner.
+	stepsMax = 64
+	// pointsEach is the number of points of a runner on the ring.
+	pointsEach = 16
+	// probeStep separates the probes of an adapter.
+	probeStep = 0x9e3779b97f4a7c15
 
 	loadSeconds      = 0.25
 	evictSeconds     = 0.25
@@ -94,28 +100,31 @@
 	return ch, ch.Count > 0
 }
 
-// preferred returns the runners that rank first for an adapter by rendezvous
-// hashing among those that do not hold it.
+// preferred returns runners that do not hold an adapter, by consistent hashing with
+// several probes: each probe takes the first runner from a place on the ring of
+// hashes, so that nodes which do not talk agree and a runner that comes or goes moves
+// few adapters.
 func (fl *Fleet) preferred(rq Request, now time.Time) [absentMax]*member {
-	best := [absentMax]*member{}
-	scores := [absentMax]uint64{}
+	found := [absentMax]*member{}
+	ring := fl.rings[rq.Model]
 	seed := xxh3.HashString(rq.Adapter.Adapter) + uint64(rq.Adapter.Version)
-	for _, me := range fl.models[rq.Model] {
-		if !me.eligible(rq, now) || me.hold(rq.Adapter) != nil {
-			continue
+	count := 0
+	for probe := range uint64(absentMax) {
+		start := firstFrom(ring, mix(seed+probe*probeStep))
+		steps := len(ring)
+		if count > 0 {
+			steps = min(steps, stepsMax)
 		}
-		score := mix(me.hash ^ seed)
-		for ix := range best {
-			if best[ix] == nil || score > scores[ix] {
-				best[ix], me = me, best[ix]
-				scores[ix], score = score, scores[ix]
-			}
-			if me == nil {
+		for step := range steps {
+			me := ring[(start+step)%len(ring)].me
+			if me.eligible(rq, now) && me.hold(rq.Adapter) == nil && !slices.Contains(found[:count], me) {
+				found[count] = me
+				count++
 				break
 			}
 		}
 	}
-	return best
+	return found
 }
 
 // mix spreads the bits of a hash.
--- a/core/route/choose_test.go
+++ b/core/route/choose_test.go
@@ -107,3 +107,37 @@
 		}
 	}
 }
+
+// TestPreferredSpreads holds that adapters spread over runners, that all nodes agree
+// and that a runner which leaves moves only its own adapters.
+func TestPreferredSpreads(t *testing.T) {
+	const adapters, runners = 3_000, 18
+	first, second, now := Fleet{}, Fleet{}, time.Unix(1000, 0)
+	for ix := range runners {
+		first.Put(runner(fmt.Sprint("runner-", ix), 0))
+		second.Put(runner(fmt.Sprint("runner-", runners-1-ix), 0))
+	}
+	shares, homes := map[string]int{}, map[int]string{}
+	for ix := range adapters {
+		rq := request(fmt.Sprint("adapter-", ix), even)
+		one, _ := first.Choose(rq, now)
+		two, _ := second.Choose(rq, now)
+		if one != two {
+			t.Fatalf("two nodes choose %s and %s", one.Runner, two.Runner)
+		}
+		shares[one.Runner]++
+		homes[ix] = one.Runner
+	}
+	for name, share := range shares {
+		if share > 2*adapters/runners {
+			t.Errorf("%s has %d of %d adapters", name, share, adapters)
+		}
+	}
+	first.Remove("runner-7")
+	for ix, home := range homes {
+		ch, _ := first.Choose(request(fmt.Sprint("adapter-", ix), even), now)
+		if home != "runner-7" && ch.Runner != home {
+			t.Fatalf("adapter-%d moved from %s to %s", ix, home, ch.Runner)
+		}
+	}
+}
--- a/core/route/fleet.go
+++ b/core/route/fleet.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -60,8 +61,9 @@
 
 // Fleet holds the runners an entry node can reach; its zero value is empty.
 type Fleet struct {
-	members  map[string]*member
-	models   map[string][]*member
+	members map[string]*member
+	// rings holds the points of the runners of each base model in the order of their hashes.
+	rings    map[string][]point
 	services map[string][]*member
 	holders  map[conf.AdapterVersion][]*member
 }
@@ -70,25 +72,33 @@
 func (fl *Fleet) Put(ru Runner) {
 	if fl.members == nil {
 		fl.members = map[string]*member{}
-		fl.models = map[string][]*member{}
+		fl.rings = map[string][]point{}
 		fl.services = map[string][]*member{}
 		fl.holders = map[conf.AdapterVersion][]*member{}
 	}
 	me := fl.members[ru.Name]
+	if me != nil && (me.Model != ru.Model || !slices.Equal(me.Services, ru.Services)) {
+		fl.Remove(ru.Name)
+		me = nil
+	}
 	if me == nil {
-		me = &member{hash: xxh3.HashString(ru.Name)}
+		me = &member{Runner: ru, hash: xxh3.HashString(ru.Name)}
 		fl.members[ru.Name] = me
+		fl.join(me)
 	} else {
-		fl.unindex(me)
+		fl.dropHolds(me)
 	}
 	me.Runner = ru
-	fl.index(me)
+	for _, ho := range me.Holds {
+		fl.holders[ho.Adapter] = insert(fl.holders[ho.Adapter], me)
+	}
 }
 
 // Remove forgets a runner.
 func (fl *Fleet) Remove(name string) {
 	if me := fl.members[name]; me != nil {
-		fl.unindex(me)
+		fl.dropHolds(me)
+		fl.leave(me)
 		delete(fl.members, name)
 	}
 }
@@ -118,27 +128,26 @@
 	}
 }
 
-// index enters a runner into the lookups.
-func (fl *Fleet) index(me *member) {
+// join enters a runner into the lookups by base model and service.
+func (fl *Fleet) join(me *member) {
 	if me.Model != "" {
-		fl.models[me.Model] = insert(fl.models[me.Model], me)
+		fl.rings[me.Model] = place(fl.rings[me.Model], me)
 	}
 	for _, service := range me.Services {
 		fl.services[service] = insert(fl.services[service], me)
 	}
-	for _, ho := range me.Holds {
-		fl.holders[ho.Adapter] = insert(fl.holders[ho.Adapter], me)
-	}
 }
 
-// unindex takes a runner out of the lookups.
-func (fl *Fleet) unindex(me *member) {
-	if me.Model != "" {
-		fl.models[me.Model] = without(fl.models[me.Model], me)
-	}
+// leave takes a runner out of the lookups by base model and service.
+func (fl *Fleet) leave(me *member) {
+	fl.rings[me.Model] = slices.DeleteFunc(fl.rings[me.Model], func(po point) bool { return po.me == me })
 	for _, service := range me.Services {
 		fl.services[service] = without(fl.services[service], me)
 	}
+}
+
+// dropHolds takes a runner out of the lookup by adapter.
+func (fl *Fleet) dropHolds(me *member) {
 	for _, ho := range me.Holds {
 		list := without(fl.holders[ho.Adapter], me)
 		if len(list) == 0 {
@@ -166,6 +175,27 @@
 	return slices.Insert(list, ix, me)
 }
 
+// point is one place of a runner on the ring of a base model.
+type point struct {
+	hash uint64
+	me   *member
+}
+
+// place puts a runner's points on a ring.
+func place(ring []point, me *member) []point {
+	for number := range uint64(pointsEach) {
+		hash := mix(me.hash + number*probeStep)
+		ring = slices.Insert(ring, firstFrom(ring, hash), point{hash: hash, me: me})
+	}
+	return ring
+}
+
+// firstFrom returns the index of the first point whose hash is at least a value.
+func firstFrom(ring []point, hash uint64) int {
+	ix, _ := slices.BinarySearchFunc(ring, hash, func(po point, target uint64) int { return cmp.Compare(po.hash, target) })
+	return ix
+}
+
 // without removes a runner from a list.
 func without(list []*member, me *member) []*member {
 	if ix := slices.Index(list, me); ix >= 0 {
