Measure the policy with the whole deployment in virtual time

Cause: nothing said how far routing is from what the users pay for. Runners report load stalls, batch use and loads; ctl status shows them.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 HISTORIES ?= 10000
 
-.PHONY: build run test proofs soak bench slopes lint format generate clean
+.PHONY: build run test proofs soak bench measure slopes lint format generate clean
 
 build:
 	@mkdir -p bin
@@ -32,6 +32,9 @@
 	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
 	@cd proofs && go test -run xxx -bench OpenStreams -benchtime 1x .
 
+measure:
+	@cd proofs && MEASURE=1 go test -v -count=1 -timeout 30m -run TestMeasure .
+
 slopes:
 	@cd core && go test -run xxx -bench . -benchtime 200ms ./route ./fold
 	@cd core && go test -run xxx -bench . -benchtime 1x ./claim
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -295,11 +295,13 @@
 	br.reportAt = now.Add(reportPeriod)
 	br.sequence++
 	br.measure()
-	slots := br.slotReports()
+	slots, st := br.slotReports(), br.sc.Stats()
 	for se, received := range br.sessions {
 		se.TrySend(&wire.Frame{Report: &wire.Report{
 			Sequence: br.sequence, Leaving: br.sc.Leaving(), Running: br.sc.Running(),
 			Waiting: br.sc.Waiting(), Received: received, Slots: slots,
+			LoadStallMs: st.LoadStall.Milliseconds(), BatchFilledMs: st.Filled.Milliseconds(),
+			BatchOfferedMs: st.Offered.Milliseconds(), Loads: int64(st.Loads),
 		}})
 	}
 }
--- a/core/admin/admin.gen.go
+++ b/core/admin/admin.gen.go
@@ -114,6 +114,13 @@
 	// Adapters lists the adapters it holds or loads.
 	Adapters []string `json:"adapters" yaml:"adapters"`
 
+	// BatchFilledMs is the time of batch places in use, in milliseconds.
+	BatchFilledMs int64 `json:"batch_filled_ms" yaml:"batch_filled_ms"`
+
+	// BatchOfferedMs is the time of all batch places while there was work, in
+	// milliseconds.
+	BatchOfferedMs int64 `json:"batch_offered_ms" yaml:"batch_offered_ms"`
+
 	// Boot identifies the run of the agent's process.
 	Boot string `json:"boot" yaml:"boot"`
 
@@ -123,6 +130,13 @@
 	// Load counts its requests.
 	Load int `json:"load" yaml:"load"`
 
+	// LoadStallMs is the time requests waited for loads since the boot, in
+	// milliseconds.
+	LoadStallMs int64 `json:"load_stall_ms" yaml:"load_stall_ms"`
+
+	// Loads counts the load orders since the boot.
+	Loads int64 `json:"loads" yaml:"loads"`
+
 	// Name is the host's name.
 	Name string `json:"name" yaml:"name"`
 
--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -84,6 +84,9 @@
 		}
 		return ch, ch.Count > 0
 	}
+	if fl.Policy != CheapestPolicy {
+		return fl.baseline(rq, now)
+	}
 	for _, me := range fl.holders[rq.Adapter] {
 		if me.Model == rq.Model && me.eligible(rq, now) {
 			reason, stall := me.stall(rq.Adapter)
@@ -107,7 +110,7 @@
 func (fl *Fleet) preferred(rq Request, now time.Time) [absentMax]*member {
 	found := [absentMax]*member{}
 	ring := fl.rings[rq.Model]
-	seed := xxh3.HashString(rq.Adapter.Adapter) + uint64(rq.Adapter.Version)
+	seed := adapterHash(rq.Adapter)
 	count := 0
 	for probe := range uint64(absentMax) {
 		start := firstFrom(ring, mix(seed+probe*probeStep))
@@ -127,6 +130,11 @@
 	return found
 }
 
+// adapterHash returns the hash of an adapter and version.
+func adapterHash(av conf.AdapterVersion) uint64 {
+	return xxh3.HashString(av.Adapter) + uint64(av.Version)
+}
+
 // mix spreads the bits of a hash.
 func mix(value uint64) uint64 {
 	value ^= value >> 33
--- a/core/route/fleet.go
+++ b/core/route/fleet.go
@@ -26,6 +26,14 @@
 	Pins    int
 }
 
+// Use is what a runner has counted since its boot.
+type Use struct {
+	LoadStall time.Duration
+	Filled    time.Duration
+	Offered   time.Duration
+	Loads     int64
+}
+
 // Runner is what an entry node knows of a backend server.
 type Runner struct {
 	Name     string
@@ -42,6 +50,7 @@
 	// Unseen counts dispatches that the last report had not received.
 	Unseen int
 	Holds  []Hold
+	Use    Use
 	// Connected is when the runner was connected, for slow start.
 	Connected time.Time
 }
@@ -59,8 +68,23 @@
 	ejectedUntil time.Time
 }
 
+// Policy is how a runner is chosen.
+type Policy string
+
+// Policies. All but the first are baselines that measurements compare with.
+const (
+	CheapestPolicy    Policy = ""
+	RandomPolicy      Policy = "random"
+	LeastLoadedPolicy Policy = "least_loaded"
+	HashedPolicy      Policy = "hashed"
+)
+
 // Fleet holds the runners an entry node can reach; its zero value is empty.
 type Fleet struct {
+	// Policy is how a runner is chosen.
+	Policy Policy
+	// turn counts random choices, so that they can be repeated.
+	turn    uint64
 	members map[string]*member
 	// rings holds the points of the runners of each base model in the order of their hashes.
 	rings    map[string][]point
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -198,9 +198,23 @@
 
 // Report describes the agent's slots and load.
 type Report struct {
+	// BatchFilledMs is the time of batch places in use, in milliseconds.
+	BatchFilledMs int64 `json:"batch_filled_ms" yaml:"batch_filled_ms"`
+
+	// BatchOfferedMs is the time of all batch places while there was work, in
+	// milliseconds.
+	BatchOfferedMs int64 `json:"batch_offered_ms" yaml:"batch_offered_ms"`
+
 	// Leaving is true once the backend server takes no new work.
 	Leaving bool `json:"leaving" yaml:"leaving"`
 
+	// LoadStallMs is the time requests of this boot waited for loads, in
+	// milliseconds.
+	LoadStallMs int64 `json:"load_stall_ms" yaml:"load_stall_ms"`
+
+	// Loads counts the load orders of this boot.
+	Loads int64 `json:"loads" yaml:"loads"`
+
 	// Received counts the dispatches that arrived on this connection.
 	Received uint64 `json:"received" yaml:"received"`
 
--- a/ctl/internal/launch/commands.go
+++ b/ctl/internal/launch/commands.go
@@ -25,6 +25,7 @@
 const (
 	tokenBytes = 24
 	tabWidth   = 2
+	percent    = 100
 
 	kindAccepted = "accepted"
 	kindConflict = "conflict"
@@ -161,16 +162,25 @@
 	}
 	_, _ = fmt.Fprintf(co.stdout, "revision %d is in force on %d of %d entry nodes\n", st.Revision, inForce, len(st.Nodes))
 	tw := tabwriter.NewWriter(co.stdout, 0, 0, tabWidth, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "ENTRY\tREACHABLE\tREADY\tREVISION\tRUNNER\tLEAVING\tLOAD\tADAPTERS")
+	_, _ = fmt.Fprintln(tw, "ENTRY\tREACHABLE\tREADY\tREVISION\tRUNNER\tLEAVING\tLOAD\tSTALLS\tBATCH\tADAPTERS")
 	for _, no := range st.Nodes {
-		_, _ = fmt.Fprintf(tw, "%s\t%t\t%t\t%d\t\t\t\t\n", no.Name, no.Reachable, no.Ready, no.Revision)
+		_, _ = fmt.Fprintf(tw, "%s\t%t\t%t\t%d\t\t\t\t\t\t\n", no.Name, no.Reachable, no.Ready, no.Revision)
 		for _, ru := range no.Runners {
-			_, _ = fmt.Fprintf(tw, "\t\t\t\t%s\t%t\t%d/%d\t%s\n", ru.Name, ru.Leaving, ru.Load, ru.Places, strings.Join(ru.Adapters, ","))
+			_, _ = fmt.Fprintf(tw, "\t\t\t\t%s\t%t\t%d/%d\t%s\t%s\t%s\n", ru.Name, ru.Leaving, ru.Load, ru.Places,
+				time.Duration(ru.LoadStallMs)*time.Millisecond, share(ru.BatchFilledMs, ru.BatchOfferedMs), strings.Join(ru.Adapters, ","))
 		}
 	}
 	return errors.Wrap(tw.Flush(), "launch: print status")
 }
 
+// share renders a part of a whole in percent.
+func share(part, whole int64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d%%", part*percent/whole)
+}
+
 // makeToken prints a new token with the hash that the settings keep.
 func (co *command) makeToken() error {
 	raw := make([]byte, tokenBytes)
--- a/entry/internal/admin/status.go
+++ b/entry/internal/admin/status.go
@@ -34,6 +34,8 @@
 	for _, ru := range ad.op.Fleet.Runners() {
 		ar := admin.Runner{
 			Name: ru.Name, Boot: ru.Boot, Leaving: ru.Leaving, Load: ru.Load(), Places: ru.Places, Adapters: []string{},
+			LoadStallMs: ru.Use.LoadStall.Milliseconds(), BatchFilledMs: ru.Use.Filled.Milliseconds(),
+			BatchOfferedMs: ru.Use.Offered.Milliseconds(), Loads: ru.Use.Loads,
 		}
 		for _, ho := range ru.Holds {
 			ar.Adapters = append(ar.Adapters, ho.Adapter.String())
--- a/entry/internal/links/links.go
+++ b/entry/internal/links/links.go
@@ -36,6 +36,7 @@
 	Dialer link.Dialer
 	// Random gives numbers from 0 to 1.
 	Random func() float64
+	Policy route.Policy
 	Logger zerolog.Logger
 }
 
@@ -67,7 +68,7 @@
 
 // NewLinks returns links without connections.
 func NewLinks(op Options) *Links {
-	return &Links{op: op, peers: map[string]*peer{}, attempts: map[string]*Attempt{}}
+	return &Links{op: op, fleet: route.Fleet{Policy: op.Policy}, peers: map[string]*peer{}, attempts: map[string]*Attempt{}}
 }
 
 // SetRevision sets the revision that heartbeats carry.
--- a/entry/internal/links/session.go
+++ b/entry/internal/links/session.go
@@ -1,6 +1,8 @@
 package links
 
 import (
+	"time"
+
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/route"
 	"github.com/bambooladder/bambooladder/core/wire"
@@ -47,6 +49,10 @@
 		Services: we.Services, Slots: we.Slots, Places: we.BatchPlaces, Leaving: re.Leaving,
 		Reported: re.Running + re.Waiting, Connected: se.pe.connected,
 		Holds: make([]route.Hold, 0, len(re.Slots)),
+		Use: route.Use{
+			LoadStall: time.Duration(re.LoadStallMs) * time.Millisecond, Filled: time.Duration(re.BatchFilledMs) * time.Millisecond,
+			Offered: time.Duration(re.BatchOfferedMs) * time.Millisecond, Loads: re.Loads,
+		},
 	}
 	for _, sr := range re.Slots {
 		state := route.Ready
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/link"
+	"github.com/bambooladder/bambooladder/core/route"
 	"github.com/bambooladder/bambooladder/entry/internal/admin"
 	"github.com/bambooladder/bambooladder/entry/internal/caller"
 	"github.com/bambooladder/bambooladder/entry/internal/claims"
@@ -49,6 +50,8 @@
 	Settings conf.EntrySettings
 	Network  Network
 	Logger   zerolog.Logger
+	// Policy is how runners are chosen; measurements compare others with the usual one.
+	Policy route.Policy
 	// Seed makes the node's random source repeatable.
 	Seed uint64
 }
@@ -118,7 +121,8 @@
 func newLinks(op Options, hc *http.Client, so *source) *links.Links {
 	return links.NewLinks(links.Options{
 		Place: op.Settings.Place, Boot: uuid.Must(uuid.NewV7()).String(),
-		Hosts: plat.NewHosts(hc, op.Settings.HostsURL), Dialer: op.Network, Random: so.Float64, Logger: op.Logger,
+		Hosts: plat.NewHosts(hc, op.Settings.HostsURL), Dialer: op.Network, Random: so.Float64,
+		Policy: op.Policy, Logger: op.Logger,
 	})
 }
 
--- a/proofs/world_test.go
+++ b/proofs/world_test.go
@@ -23,6 +23,7 @@
 	"github.com/bambooladder/bambooladder/core/admin"
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/logs"
+	"github.com/bambooladder/bambooladder/core/route"
 	entrynode "github.com/bambooladder/bambooladder/entry/node"
 	"github.com/bambooladder/bambooladder/stand/engine"
 	"github.com/bambooladder/bambooladder/stand/hostls"
@@ -51,6 +52,10 @@
 	adapters []string
 	callTime time.Duration
 	hostLag  time.Duration
+	// policy is how runners are chosen, storeLoads the store's loads a second, weights the team's.
+	policy     route.Policy
+	storeLoads float64
+	weights    conf.Weights
 }
 
 // world is a whole deployment in virtual time.
@@ -81,10 +86,16 @@
 // newWorld starts a deployment and waits until it is ready.
 func newWorld(tb testing.TB, op worldOptions) *world {
 	tb.Helper()
+	if op.storeLoads == 0 {
+		op.storeLoads = 20
+	}
+	if op.weights == (conf.Weights{}) {
+		op.weights = conf.Weights{LoadStall: 1, BatchEfficiency: 1, Queueing: 1, RegionCrossing: 1}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	wo := &world{
 		tb: tb, op: op, net: newNetwork(netLatency), log: logsvc.New(300, time.Hour), hosts: hostls.New(op.hostLag),
-		store: weight.New(20), plain: plain.New("ledger", op.callTime), apps: map[string]*running{},
+		store: weight.New(op.storeLoads), plain: plain.New("ledger", op.callTime), apps: map[string]*running{},
 		ctx: ctx, cancel: cancel, lg: zerolog.Nop(),
 	}
 	if os.Getenv("PROOF_LOG") != "" {
@@ -172,7 +183,7 @@
 	}
 	wo.hosts.Put(hostls.Host{Name: name, Role: "entry", Address: name + ":2", Region: "region-1", Zone: worldZone})
 	wo.start(name, host, entrynode.New(entrynode.Options{
-		Settings: se, Network: wo.net.on(host), Logger: wo.lg.With().Str("node", host).Logger(), Seed: wo.op.seed,
+		Settings: se, Network: wo.net.on(host), Logger: wo.lg.With().Str("node", host).Logger(), Seed: wo.op.seed, Policy: wo.op.policy,
 	}))
 }
 
@@ -280,7 +291,7 @@
 	}
 	adapters["teams/recipe"] = conf.Team{
 		Adapters: names, Services: []string{"ledger"}, Urgency: conf.TeamUrgencyUrgent,
-		Weights: conf.Weights{LoadStall: 1, BatchEfficiency: 1, Queueing: 1, RegionCrossing: 1},
+		Weights: wo.op.weights,
 		Tokens:  []conf.Token{{Name: "caller", Sha256: hashOf(callerToken), Role: conf.TokenRoleCaller}},
 	}
 	return adapters
