Load an adapter once more only where every holder's batch is full

Cause: with a weight of 3 for batch efficiency an idle holder costs 0.525 weighted seconds for its unfilled batch, more than a load at a busy runner, so adapters were loaded that a runner held ready. Ruled out: a larger estimate of a load alone, which would move the point where it happens, not remove it. Change: runners that do not hold the adapter are candidates only when no holder has a free batch place.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -74,6 +74,8 @@
 }
 
 // Choose returns the cheapest runner for a request, or false where none may take it.
+// An adapter is loaded once more only where the batch of every holder is full: the
+// store's rate is shared by all, so a load costs others more than it shows here.
 func (fl *Fleet) Choose(rq Request, now time.Time) (Choice, bool) {
 	ch := Choice{}
 	if rq.Service != "" {
@@ -87,12 +89,17 @@
 	if fl.Policy != CheapestPolicy {
 		return fl.baseline(rq, now)
 	}
+	room := false
 	for _, me := range fl.holders[rq.Adapter] {
 		if me.Model == rq.Model && me.eligible(rq, now) {
 			reason, stall := me.stall(rq.Adapter)
 			ch.consider(me, reason, rq.Weights.LoadStall*stall+me.loadCost(rq, now))
+			room = room || me.Load() < me.Places
 		}
 	}
+	if room {
+		return ch, true
+	}
 	for _, me := range fl.preferred(rq, now) {
 		if me == nil {
 			break
