Leave batch efficiency out of the choice where an adapter is loaded

Cause: the gain of a fuller batch drew loads to the busiest runners, which evicted what their own requests needed. Change: the cost of empty batch places counts among runners that hold the adapter and among services only.

--- a/core/route/choose.go
+++ b/core/route/choose.go
@@ -81,7 +81,7 @@
 	if rq.Service != "" {
 		for _, me := range fl.services[rq.Service] {
 			if me.eligible(rq, now) {
-				ch.consider(me, OffersService, me.loadCost(rq, now))
+				ch.consider(me, OffersService, me.queueCost(rq, now)+me.fillCost(rq))
 			}
 		}
 		return ch, ch.Count > 0
@@ -93,7 +93,7 @@
 	for _, me := range fl.holders[rq.Adapter] {
 		if me.Model == rq.Model && me.eligible(rq, now) {
 			reason, stall := me.stall(rq.Adapter)
-			ch.consider(me, reason, rq.Weights.LoadStall*stall+me.loadCost(rq, now))
+			ch.consider(me, reason, rq.Weights.LoadStall*stall+me.queueCost(rq, now)+me.fillCost(rq))
 			room = room || me.Load() < me.Places
 		}
 	}
@@ -105,7 +105,7 @@
 			break
 		}
 		reason, stall := me.stall(rq.Adapter)
-		ch.consider(me, reason, rq.Weights.LoadStall*stall+me.loadCost(rq, now))
+		ch.consider(me, reason, rq.Weights.LoadStall*stall+me.queueCost(rq, now))
 	}
 	return ch, ch.Count > 0
 }
@@ -185,16 +185,19 @@
 	return MustLoad, loadSeconds + pinnedSeconds
 }
 
-// loadCost returns the cost of queueing, of unfilled batches, of crossing a region and of a cold runner.
-func (me *member) loadCost(rq Request, now time.Time) float64 {
+// fillCost returns the cost of the batch places left empty. It does not count where
+// an adapter is loaded: a load at the busiest runner evicts what its requests need.
+func (me *member) fillCost(rq Request) float64 {
+	places := float64(max(1, me.Places))
+	empty := max(0, places-float64(me.Load()+1))
+	return rq.Weights.BatchEfficiency * fillSeconds * empty / places
+}
+
+// queueCost returns the cost of queueing, of crossing a region and of a cold runner.
+func (me *member) queueCost(rq Request, now time.Time) float64 {
 	places := float64(max(1, me.Places))
 	load := float64(me.Load() + 1)
-	cost := 0.0
-	if load > places {
-		cost += rq.Weights.Queueing * serviceSeconds * (load - places) / places
-	} else {
-		cost += rq.Weights.BatchEfficiency * fillSeconds * (places - load) / places
-	}
+	cost := rq.Weights.Queueing * serviceSeconds * max(0, load-places) / places
 	if rq.Region != "" && me.Region != rq.Region {
 		cost += rq.Weights.RegionCrossing * crossingSeconds
 	}
