Keep a load under way while the store has no room for it

Cause: a load that the store turned away freed its slot. Until the next try no report showed the adapter, so each request for it chose another runner, and the same adapter was ordered from a store that was already full. Change: the slot stays loading and orders again under a new handle, unless nobody waits any more.

--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -191,7 +191,8 @@
 		sc.stalled(av, now)
 		return sc.plan(now)
 	case Busy:
-		*sl = Slot{}
+		// The slot waits for the store's next turn, so that routing sees the load as under way.
+		sl.Handle = ""
 		sc.loadAt = now.Add(busyWait)
 		return sc.plan(now)
 	case Rejected:
@@ -426,6 +427,7 @@
 	if now.Before(sc.loadAt) {
 		return actions
 	}
+	actions = sc.loadAgain(actions, now)
 	for sc.loads() < loadsMax {
 		ix := sc.nextLoad(now)
 		if ix < 0 {
@@ -447,6 +449,23 @@
 	return actions
 }
 
+// loadAgain orders the loads that the store had no room for, or gives up those that nobody waits for.
+func (sc *Scheduler) loadAgain(actions []Action, now time.Time) []Action {
+	for ix := range sc.slots {
+		sl := &sc.slots[ix]
+		if sl.State != Loading || sl.Handle != "" {
+			continue
+		}
+		if !sc.wanted(sl.Adapter) {
+			*sl = Slot{}
+			continue
+		}
+		*sl = Slot{State: Loading, Adapter: sl.Adapter, Handle: sc.newHandle(sl.Adapter), lastUse: now}
+		actions = append(actions, Action{Load: &Load{Adapter: sl.Adapter, Handle: sl.Handle, Fence: sc.nextFence()}})
+	}
+	return actions
+}
+
 // nextLoad returns the waiting request of the highest rank whose adapter no slot holds or loads, or -1.
 func (sc *Scheduler) nextLoad(now time.Time) int {
 	best := -1
