--- a/agent/internal/launch/launch.go
+++ b/agent/internal/launch/launch.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"io"
 
-	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
-
 	"github.com/bambooladder/bambooladder/agent/node"
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/logs"
@@ -16,44 +13,26 @@
 // version is set when the program is built.
 var version = "development"
 
-const (
-	program = "agent"
-	about   = "An agent: gives one backend server its orders and forwards requests to it."
-)
-
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	app := kingpin.New(program, about)
-	app.UsageWriter(stdout)
-	app.ErrorWriter(stderr)
-	ended := false
-	app.Terminate(func(int) { ended = true })
-	app.Version(version)
-	file := app.Flag("settings", "Settings file, in YAML.").Required().String()
-	check := app.Flag("check", "Check the settings file and exit.").Bool()
-	level := app.Flag("log-level", "Lowest level that is logged.").Default("info").Enum("debug", "info", "warn", "error")
-	_, err := app.Parse(args)
+	pr := proc.Program{Name: "agent", About: "An agent: gives one backend server its orders and forwards requests to it.", Version: version}
+	fs, code, ended := pr.Parse(args, stdout, stderr)
 	if ended {
-		return proc.ExitOK
-	}
-	if err != nil {
-		_, _ = fmt.Fprintf(stderr, "%s: %v; see %s --help\n", program, err, program)
-		return proc.ExitUsage
+		return code
 	}
-	data, ok := proc.ReadSettings(*file, stderr)
+	data, ok := proc.ReadSettings(fs.File, stderr)
 	if !ok {
 		return proc.ExitSettings
 	}
-	se, err := conf.ParseAgent(*file, data)
+	se, err := conf.ParseAgent(fs.File, data)
 	if err != nil {
-		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", pr.Name, err)
 		return proc.ExitSettings
 	}
-	if *check {
-		_, _ = fmt.Fprintf(stdout, "%s: the settings are valid\n", *file)
+	if fs.Check {
+		_, _ = fmt.Fprintf(stdout, "%s: the settings are valid\n", fs.File)
 		return proc.ExitOK
 	}
-	lv, _ := zerolog.ParseLevel(*level)
-	lg := logs.New(stderr, lv, program, se.Place.Name)
+	lg := logs.New(stderr, fs.Level, pr.Name, se.Place.Name)
 	return proc.Serve(node.New(node.Options{Settings: se, Network: &proc.Network{}, Logger: lg}), lg)
 }
--- a/core/fold/subtree.go
+++ b/core/fold/subtree.go
@@ -16,57 +16,13 @@
 	case "deployment":
 		return withDeployment(tr, name, body)
 	case "models":
-		tr.Models = maps.Clone(tr.Models)
-		if tr.Models == nil {
-			tr.Models = conf.TreeModels{}
-		}
-		if len(body) == 0 {
-			delete(tr.Models, name)
-			return tr, nil
-		}
-		mo := conf.Model{}
-		err := conf.DecodeSubtree(body, &mo)
-		tr.Models[name] = mo
-		return tr, err
+		return withModel(tr, name, body)
 	case "adapters":
-		tr.Adapters = maps.Clone(tr.Adapters)
-		if tr.Adapters == nil {
-			tr.Adapters = conf.TreeAdapters{}
-		}
-		if len(body) == 0 {
-			delete(tr.Adapters, name)
-			return tr, nil
-		}
-		ad := conf.Adapter{}
-		err := conf.DecodeSubtree(body, &ad)
-		tr.Adapters[name] = ad
-		return tr, err
+		return withAdapter(tr, name, body)
 	case "services":
-		tr.Services = maps.Clone(tr.Services)
-		if tr.Services == nil {
-			tr.Services = conf.TreeServices{}
-		}
-		if len(body) == 0 {
-			delete(tr.Services, name)
-			return tr, nil
-		}
-		se := conf.Service{}
-		err := conf.DecodeSubtree(body, &se)
-		tr.Services[name] = se
-		return tr, err
+		return withService(tr, name, body)
 	case "teams":
-		tr.Teams = maps.Clone(tr.Teams)
-		if tr.Teams == nil {
-			tr.Teams = conf.TreeTeams{}
-		}
-		if len(body) == 0 {
-			delete(tr.Teams, name)
-			return tr, nil
-		}
-		te := conf.Team{}
-		err := conf.DecodeSubtree(body, &te)
-		tr.Teams[name] = te
-		return tr, err
+		return withTeam(tr, name, body)
 	}
 	return tr, errors.Newf("fold: path %q is unknown; use deployment, models, adapters, services or teams", path)
 }
@@ -76,12 +32,70 @@
 	if name != "" {
 		return tr, errors.Newf("fold: deployment has no subtree %q; use deployment alone", name)
 	}
+	tr.Deployment = nil
 	if len(body) == 0 {
-		tr.Deployment = nil
 		return tr, nil
 	}
-	de := &conf.Deployment{}
-	err := conf.DecodeSubtree(body, de)
-	tr.Deployment = de
+	tr.Deployment = &conf.Deployment{}
+	return tr, conf.DecodeSubtree(body, tr.Deployment)
+}
+
+// withModel returns the tree with a base model replaced or removed.
+func withModel(tr conf.Tree, name string, body []byte) (conf.Tree, error) {
+	models := conf.TreeModels{}
+	maps.Copy(models, tr.Models)
+	delete(models, name)
+	tr.Models = models
+	if len(body) == 0 {
+		return tr, nil
+	}
+	mo := conf.Model{}
+	err := conf.DecodeSubtree(body, &mo)
+	models[name] = mo
+	return tr, err
+}
+
+// withAdapter returns the tree with an adapter replaced or removed.
+func withAdapter(tr conf.Tree, name string, body []byte) (conf.Tree, error) {
+	adapters := conf.TreeAdapters{}
+	maps.Copy(adapters, tr.Adapters)
+	delete(adapters, name)
+	tr.Adapters = adapters
+	if len(body) == 0 {
+		return tr, nil
+	}
+	ad := conf.Adapter{}
+	err := conf.DecodeSubtree(body, &ad)
+	adapters[name] = ad
+	return tr, err
+}
+
+// withService returns the tree with a plain service replaced or removed.
+func withService(tr conf.Tree, name string, body []byte) (conf.Tree, error) {
+	services := conf.TreeServices{}
+	maps.Copy(services, tr.Services)
+	delete(services, name)
+	tr.Services = services
+	if len(body) == 0 {
+		return tr, nil
+	}
+	se := conf.Service{}
+	err := conf.DecodeSubtree(body, &se)
+	services[name] = se
+	return tr, err
+}
+
+// withTeam returns the tree with a team replaced or removed.
+func withTeam(tr conf.Tree, name string, body []byte) (conf.Tree, error) {
+	teams := conf.TreeTeams{}
+	maps.Copy(teams, tr.Teams)
+	delete(teams, name)
+	tr.Teams = teams
+	if len(body) == 0 {
+		return tr, nil
+	}
+	te := conf.Team{}
+	err := conf.DecodeSubtree(body, &te)
+	teams[name] = te
 	return tr, err
 }
--- a/entry/internal/launch/launch.go
+++ b/entry/internal/launch/launch.go
@@ -5,9 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
-
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/logs"
 	"github.com/bambooladder/bambooladder/core/proc"
@@ -17,44 +14,26 @@
 // version is set when the program is built.
 var version = "development"
 
-const (
-	program = "entry"
-	about   = "An entry node: callers' and operators' HTTP, routing, retries and claims."
-)
-
 // Main runs the program and returns its exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	app := kingpin.New(program, about)
-	app.UsageWriter(stdout)
-	app.ErrorWriter(stderr)
-	ended := false
-	app.Terminate(func(int) { ended = true })
-	app.Version(version)
-	file := app.Flag("settings", "Settings file, in YAML.").Required().String()
-	check := app.Flag("check", "Check the settings file and exit.").Bool()
-	level := app.Flag("log-level", "Lowest level that is logged.").Default("info").Enum("debug", "info", "warn", "error")
-	_, err := app.Parse(args)
+	pr := proc.Program{Name: "entry", About: "An entry node: callers' and operators' HTTP, routing, retries and claims.", Version: version}
+	fs, code, ended := pr.Parse(args, stdout, stderr)
 	if ended {
-		return proc.ExitOK
-	}
-	if err != nil {
-		_, _ = fmt.Fprintf(stderr, "%s: %v; see %s --help\n", program, err, program)
-		return proc.ExitUsage
+		return code
 	}
-	data, ok := proc.ReadSettings(*file, stderr)
+	data, ok := proc.ReadSettings(fs.File, stderr)
 	if !ok {
 		return proc.ExitSettings
 	}
-	se, err := conf.ParseEntry(*file, data)
+	se, err := conf.ParseEntry(fs.File, data)
 	if err != nil {
-		_, _ = fmt.Fprintf(stderr, "%s: %v\n", program, err)
+		_, _ = fmt.Fprintf(stderr, "%s: %v\n", pr.Name, err)
 		return proc.ExitSettings
 	}
-	if *check {
-		_, _ = fmt.Fprintf(stdout, "%s: the settings are valid\n", *file)
+	if fs.Check {
+		_, _ = fmt.Fprintf(stdout, "%s: the settings are valid\n", fs.File)
 		return proc.ExitOK
 	}
-	lv, _ := zerolog.ParseLevel(*level)
-	lg := logs.New(stderr, lv, program, se.Place.Name)
+	lg := logs.New(stderr, fs.Level, pr.Name, se.Place.Name)
 	return proc.Serve(node.New(node.Options{Settings: se, Network: &proc.Network{}, Logger: lg, Seed: uint64(time.Now().UnixNano())}), lg)
 }
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -113,7 +113,7 @@
 
 // release frees the key of an attempt that has not run, then tries again or gives up.
 func (jo *journey) release(ctx context.Context, cl record.Claim, runner string, rs result) error {
-	err, final := jo.failed(ctx, runner, rs)
+	final, err := jo.failed(ctx, runner, rs)
 	if released := jo.rl.cs.Release(ctx, record.Release{Key: cl.Key, Attempt: cl.Attempt}); released != nil {
 		return jo.gaveUp(rs)
 	}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -86,7 +86,7 @@
 		if rs.crash != "" {
 			rl.gs.Strike(ctx, record.Strike{Fingerprint: jo.fingerprint, Crash: rs.crash, Attempt: id})
 		}
-		if err, final := jo.failed(ctx, ch.Runner, rs); final {
+		if final, err := jo.failed(ctx, ch.Runner, rs); final {
 			return err
 		}
 	}
@@ -202,44 +202,49 @@
 	return strings.HasPrefix(reason, "engine_status_") || strings.HasPrefix(reason, "backend_") || reason == "load_failed"
 }
 
-// failed decides whether a request is tried again; the error is final where it is not.
-func (jo *journey) failed(ctx context.Context, runner string, rs result) (error, bool) {
+// failed decides whether a request is tried again, or returns true and its final error.
+func (jo *journey) failed(ctx context.Context, runner string, rs result) (bool, error) {
 	switch rs.kind {
 	case gone:
-		return fault.New(fault.Unavailable, "the caller went away", "send the request again").WithOutcome(fault.Unknown), true
+		return true, callerGone(fault.Unknown)
 	case timedOut:
-		return jo.timeout(), true
+		return true, jo.timeout()
 	case broken:
 		jo.unsure = true
 		if jo.an.Begun() && !jo.rq.Stream {
-			return jo.gaveUp(rs), true
+			return true, jo.gaveUp(rs)
 		}
 		jo.an.Reset()
 	case notRun, answered:
 	}
 	jo.exclude = append(jo.exclude, runner)
 	if jo.tries >= retry.AttemptsMax {
-		return jo.gaveUp(rs), true
+		return true, jo.gaveUp(rs)
 	}
 	if rs.reason != reasonLeaving && !jo.rl.takeRetry() {
 		jo.rl.lg.Info().Str("request", jo.rq.ID).Str("reason", "retry_budget_spent").Msg("retry_refused")
-		return jo.gaveUp(rs), true
+		return true, jo.gaveUp(rs)
 	}
 	wait := retry.Backoff(jo.tries, jo.rl.ls.Random())
 	if rs.reason == reasonLeaving {
 		wait = 0
 	}
 	if time.Until(jo.rq.Deadline) <= wait {
-		return jo.gaveUp(rs), true
+		return true, jo.gaveUp(rs)
 	}
 	select {
 	case <-time.After(wait):
-		return nil, false
+		return false, nil
 	case <-ctx.Done():
-		return fault.New(fault.Unavailable, "the caller went away", "send the request again").WithOutcome(jo.outcome()), true
+		return true, callerGone(jo.outcome())
 	}
 }
 
+// callerGone returns the error for a request whose caller went away.
+func callerGone(outcome fault.Outcome) error {
+	return fault.New(fault.Unavailable, "the caller went away", "send the request again").WithOutcome(outcome)
+}
+
 // outcome tells whether any attempt may have run.
 func (jo *journey) outcome() fault.Outcome {
 	if jo.unsure {
