Use the field's words for crash reports, probes and quarantine

Cause: a newcomer meets strikes, trials, suspects, journeys and rulings, which are this project's own words. Change: core/poison and entry/internal/crash with crash reports and probes; execution and decision in relay and runs; the log events follow.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 proofs: build
 	@cd proofs && go test -count=1 ./...
-	@cd core && go test -count=1 ./claim ./fold ./guard ./runs ./sched
+	@cd core && go test -count=1 ./claim ./fold ./poison ./runs ./sched
 	@cd entry && go test -count=1 ./internal/relay
 
 soak:
--- a/agent/internal/broker/act.go
+++ b/agent/internal/broker/act.go
@@ -116,7 +116,7 @@
 		br.ta.End(en.attempt, runs.Finished, now)
 	case notRun, noHandle:
 		if at != nil {
-			br.refused(ctx, at, en.reason, rulingWait, now)
+			br.refused(ctx, at, en.reason, decisionWait, now)
 		}
 	}
 	if en.how == noHandle || en.how == doubtful {
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -180,7 +180,7 @@
 	br.act(ctx, br.sc.Tick(now))
 	if br.as.Kind == conf.AgentSettingsKindEngine && !now.Before(br.checkAt) {
 		br.checkAt = now.Add(checkPeriod)
-		br.act(ctx, br.sc.Suspect(now))
+		br.act(ctx, br.sc.Reinspect(now))
 	}
 	for name, at := range br.attempts {
 		br.expire(name, at, now)
@@ -225,7 +225,7 @@
 // seeBoot asks for an inspection when an answer came from another boot of the engine.
 func (br *Broker) seeBoot(ctx context.Context, boot string, now time.Time) {
 	if boot != "" && boot != br.engineBoot {
-		br.act(ctx, br.sc.Suspect(now))
+		br.act(ctx, br.sc.Reinspect(now))
 	}
 }
 
--- a/agent/internal/broker/frames.go
+++ b/agent/internal/broker/frames.go
@@ -11,8 +11,8 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// rulingWait is when to come back after a dispatch that the table ruled out.
-const rulingWait = 100 * time.Millisecond
+// decisionWait is when to come back after a dispatch that the table refused.
+const decisionWait = 100 * time.Millisecond
 
 // frame handles a frame of an entry node.
 func (br *Broker) frame(ctx context.Context, se Session, fr *wire.Frame, now time.Time) {
@@ -33,14 +33,14 @@
 	if _, ok := br.sessions[se]; ok {
 		br.sessions[se]++
 	}
-	ruling := br.ta.Admit(di, now)
-	if ruling == runs.Duplicate {
+	decision := br.ta.Admit(di, now)
+	if decision == runs.Duplicate {
 		br.credit(ctx, se, &wire.Credit{Attempt: di.Attempt, Replay: true})
 		return
 	}
-	if ruling != runs.Accept {
-		br.lg.Info().Str("attempt", di.Attempt).Str("request", di.Request).Str("reason", string(ruling)).Msg("dispatch_refused")
-		br.sendRefusal(ctx, se, di.Attempt, string(ruling), rulingWait)
+	if decision != runs.Accept {
+		br.lg.Info().Str("attempt", di.Attempt).Str("request", di.Request).Str("reason", string(decision)).Msg("dispatch_refused")
+		br.sendRefusal(ctx, se, di.Attempt, string(decision), decisionWait)
 		return
 	}
 	br.changed = true
--- a/core/guard/table.go
+++ b/core/poison/table.go
@@ -1,4 +1,4 @@
-package guard
+package poison
 
 import (
 	"encoding/hex"
@@ -13,8 +13,8 @@
 const (
 	// Keep is how long a fingerprint is remembered after its last crash, in log time.
 	Keep = 10 * time.Minute
-	// trialMax is how long a trial keeps others from starting one, in log time.
-	trialMax = time.Minute
+	// probeMax is how long a probe keeps others from starting one, in log time.
+	probeMax = time.Minute
 	// crashesMax is the number of crashes that block a fingerprint.
 	crashesMax = 2
 )
@@ -26,15 +26,15 @@
 const (
 	// Free means that the request was at no crash.
 	Free Verdict = iota
-	// Trial means that the request may run once, apart from others, if its trial wins.
-	Trial
-	// Pending means that another attempt is on trial.
+	// Probe means that the request may run once, apart from others, if its probe wins.
+	Probe
+	// Pending means that another attempt is on probe.
 	Pending
 	// Blocked means that the request crashed engines and does not run.
 	Blocked
 )
 
-var verdictNames = [...]string{"free", "trial", "pending", "blocked"}
+var verdictNames = [...]string{"free", "probe", "pending", "blocked"}
 
 // String returns the verdict's name in logs.
 func (ve Verdict) String() string { return verdictNames[ve] }
@@ -48,19 +48,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// suspect is a fingerprint that was at a crash.
-type suspect struct {
+// quarantine is a fingerprint that was at a crash.
+type quarantine struct {
 	crashes map[string]bool
-	trial   string
-	trialAt int64
+	probe   string
+	probeAt int64
 	lastAt  int64
 }
 
 // Table is the fold of the stream; its zero value starts at offset zero.
 type Table struct {
-	suspects map[string]*suspect
-	next     int64
-	logTime  int64
+	entries map[string]*quarantine
+	next    int64
+	logTime int64
 }
 
 // Next returns the next offset to fold.
@@ -68,12 +68,12 @@
 
 // Restart begins again at an offset because the records before it have expired.
 func (ta *Table) Restart(first int64) {
-	ta.suspects = nil
+	ta.entries = nil
 	ta.next = first
 }
 
-// Size returns the number of suspects.
-func (ta *Table) Size() int { return len(ta.suspects) }
+// Size returns the number of fingerprints in quarantine.
+func (ta *Table) Size() int { return len(ta.entries) }
 
 // Apply folds one record and returns the stream's time in Unix milliseconds.
 func (ta *Table) Apply(en record.Entry) int64 {
@@ -85,70 +85,70 @@
 		return ta.logTime
 	}
 	switch {
-	case env.Strike != nil:
-		ta.Strike(env.Strike)
-	case env.Trial != nil:
-		ta.trial(env.Trial)
+	case env.CrashReport != nil:
+		ta.Report(env.CrashReport)
+	case env.Probe != nil:
+		ta.probe(env.Probe)
 	case env.Clear != nil:
-		if su := ta.suspects[env.Clear.Fingerprint]; su != nil && su.trial == env.Clear.Attempt && len(su.crashes) < crashesMax {
-			delete(ta.suspects, env.Clear.Fingerprint)
+		if qu := ta.entries[env.Clear.Fingerprint]; qu != nil && qu.probe == env.Clear.Attempt && len(qu.crashes) < crashesMax {
+			delete(ta.entries, env.Clear.Fingerprint)
 		}
 	}
 	return ta.logTime
 }
 
-// Strike counts a crash; the same crash counts once, however often it is reported.
-func (ta *Table) Strike(sr *record.Strike) {
-	if ta.suspects == nil {
-		ta.suspects = map[string]*suspect{}
+// Report counts a crash; the same crash counts once, however often it is reported.
+func (ta *Table) Report(cr *record.CrashReport) {
+	if ta.entries == nil {
+		ta.entries = map[string]*quarantine{}
 	}
-	su := ta.suspects[sr.Fingerprint]
-	if su == nil {
-		su = &suspect{crashes: map[string]bool{}}
-		ta.suspects[sr.Fingerprint] = su
+	qu := ta.entries[cr.Fingerprint]
+	if qu == nil {
+		qu = &quarantine{crashes: map[string]bool{}}
+		ta.entries[cr.Fingerprint] = qu
 	}
-	su.crashes[sr.Crash] = true
-	su.lastAt = ta.logTime
-	if su.trial == sr.Attempt {
-		su.trial = ""
+	qu.crashes[cr.Crash] = true
+	qu.lastAt = ta.logTime
+	if qu.probe == cr.Attempt {
+		qu.probe = ""
 	}
 }
 
-// trial lets the first trial win until it has ended or taken too long.
-func (ta *Table) trial(tr *record.Trial) {
-	su := ta.suspects[tr.Fingerprint]
-	if su == nil || su.trial != "" && ta.logTime-su.trialAt < trialMax.Milliseconds() {
+// probe lets the first probe win until it has ended or taken too long.
+func (ta *Table) probe(pb *record.Probe) {
+	qu := ta.entries[pb.Fingerprint]
+	if qu == nil || qu.probe != "" && ta.logTime-qu.probeAt < probeMax.Milliseconds() {
 		return
 	}
-	su.trial = tr.Attempt
-	su.trialAt = ta.logTime
+	qu.probe = pb.Attempt
+	qu.probeAt = ta.logTime
 }
 
-// OnTrial tells whether an attempt holds the trial of a fingerprint.
-func (ta *Table) OnTrial(fingerprint, attempt string) bool {
-	su := ta.suspects[fingerprint]
-	return su != nil && su.trial == attempt && len(su.crashes) < crashesMax
+// IsProbe tells whether an attempt holds the probe of a fingerprint.
+func (ta *Table) IsProbe(fingerprint, attempt string) bool {
+	qu := ta.entries[fingerprint]
+	return qu != nil && qu.probe == attempt && len(qu.crashes) < crashesMax
 }
 
 // Decide returns what may be done with a request.
 func (ta *Table) Decide(fingerprint string) Verdict {
-	su := ta.suspects[fingerprint]
+	qu := ta.entries[fingerprint]
 	switch {
-	case su == nil:
+	case qu == nil:
 		return Free
-	case len(su.crashes) >= crashesMax:
+	case len(qu.crashes) >= crashesMax:
 		return Blocked
-	case su.trial != "" && ta.logTime-su.trialAt < trialMax.Milliseconds():
+	case qu.probe != "" && ta.logTime-qu.probeAt < probeMax.Milliseconds():
 		return Pending
 	}
-	return Trial
+	return Probe
 }
 
 // expire forgets fingerprints whose last crash is long ago.
 func (ta *Table) expire() {
-	for fingerprint, su := range ta.suspects {
-		if ta.logTime-su.lastAt > Keep.Milliseconds() {
-			delete(ta.suspects, fingerprint)
+	for fingerprint, qu := range ta.entries {
+		if ta.logTime-qu.lastAt > Keep.Milliseconds() {
+			delete(ta.entries, fingerprint)
 		}
 	}
 }
--- a/core/guard/table_test.go
+++ b/core/poison/table_test.go
@@ -1,4 +1,4 @@
-package guard
+package poison
 
 import (
 	"testing"
@@ -8,7 +8,7 @@
 	"github.com/bambooladder/bambooladder/core/record"
 )
 
-func TestGuardVerdicts(t *testing.T) {
+func TestPoisonVerdicts(t *testing.T) {
 	ta, offset, millis := &Table{}, int64(0), int64(1_000_000)
 	apply := func(env record.Envelope) {
 		data, err := record.Encode(&env)
@@ -25,19 +25,19 @@
 		}
 	}
 	expect("unknown", Free)
-	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-1", Attempt: "a"}})
-	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-1", Attempt: "b"}})
-	expect("one crash reported twice", Trial)
-	apply(record.Envelope{Trial: &record.Trial{Fingerprint: "print", Attempt: "c"}})
-	apply(record.Envelope{Trial: &record.Trial{Fingerprint: "print", Attempt: "d"}})
-	if !ta.OnTrial("print", "c") || ta.OnTrial("print", "d") {
-		t.Fatal("the first trial does not win")
+	apply(record.Envelope{CrashReport: &record.CrashReport{Fingerprint: "print", Crash: "engine-1", Attempt: "a"}})
+	apply(record.Envelope{CrashReport: &record.CrashReport{Fingerprint: "print", Crash: "engine-1", Attempt: "b"}})
+	expect("one crash reported twice", Probe)
+	apply(record.Envelope{Probe: &record.Probe{Fingerprint: "print", Attempt: "c"}})
+	apply(record.Envelope{Probe: &record.Probe{Fingerprint: "print", Attempt: "d"}})
+	if !ta.IsProbe("print", "c") || ta.IsProbe("print", "d") {
+		t.Fatal("the first probe does not win")
 	}
-	expect("on trial", Pending)
+	expect("on probe", Pending)
 	apply(record.Envelope{Clear: &record.Clear{Fingerprint: "print", Attempt: "c"}})
 	expect("cleared", Free)
-	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-1", Attempt: "e"}})
-	apply(record.Envelope{Strike: &record.Strike{Fingerprint: "print", Crash: "engine-2", Attempt: "f"}})
+	apply(record.Envelope{CrashReport: &record.CrashReport{Fingerprint: "print", Crash: "engine-1", Attempt: "e"}})
+	apply(record.Envelope{CrashReport: &record.CrashReport{Fingerprint: "print", Crash: "engine-2", Attempt: "f"}})
 	expect("two crashes", Blocked)
 	millis += Keep.Milliseconds() + time.Minute.Milliseconds()
 	apply(record.Envelope{})
--- a/core/record/records.gen.go
+++ b/core/record/records.gen.go
@@ -56,7 +56,7 @@
 	Runner string `json:"runner" yaml:"runner"`
 }
 
-// Clear says that a trial ended without a crash.
+// Clear says that a probe ended without a crash.
 type Clear struct {
 	// Attempt is the attempt that ran apart.
 	Attempt string `json:"attempt" yaml:"attempt"`
@@ -65,6 +65,18 @@
 	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
 }
 
+// CrashReport says that an engine crashed while it ran a request.
+type CrashReport struct {
+	// Attempt is the attempt that was running.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Crash identifies the crash by runner and engine boot.
+	Crash string `json:"crash" yaml:"crash"`
+
+	// Fingerprint is the hash of adapter and body.
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+}
+
 // Done keeps the answer of a claimed attempt.
 type Done struct {
 	// Attempt is the attempt that answered.
@@ -112,20 +124,20 @@
 	// Clear corresponds to the JSON schema field "clear".
 	Clear *Clear `json:"clear,omitempty,omitzero" yaml:"clear,omitempty"`
 
+	// CrashReport corresponds to the JSON schema field "crash_report".
+	CrashReport *CrashReport `json:"crash_report,omitempty,omitzero" yaml:"crash_report,omitempty"`
+
 	// Done corresponds to the JSON schema field "done".
 	Done *Done `json:"done,omitempty,omitzero" yaml:"done,omitempty"`
 
 	// Image corresponds to the JSON schema field "image".
 	Image *Image `json:"image,omitempty,omitzero" yaml:"image,omitempty"`
 
+	// Probe corresponds to the JSON schema field "probe".
+	Probe *Probe `json:"probe,omitempty,omitzero" yaml:"probe,omitempty"`
+
 	// Release corresponds to the JSON schema field "release".
 	Release *Release `json:"release,omitempty,omitzero" yaml:"release,omitempty"`
-
-	// Strike corresponds to the JSON schema field "strike".
-	Strike *Strike `json:"strike,omitempty,omitzero" yaml:"strike,omitempty"`
-
-	// Trial corresponds to the JSON schema field "trial".
-	Trial *Trial `json:"trial,omitempty,omitzero" yaml:"trial,omitempty"`
 }
 
 // Image is the whole state of the settings fold.
@@ -176,6 +188,16 @@
 const OutcomeKindConflict OutcomeKind = "conflict"
 const OutcomeKindInvalid OutcomeKind = "invalid"
 
+// Probe reserves the one run, apart from others, of a request that was running at
+// a crash.
+type Probe struct {
+	// Attempt is the attempt that runs apart.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Fingerprint is the hash of adapter and body.
+	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
+}
+
 // Release frees a key whose attempt was voided.
 type Release struct {
 	// Attempt is the voided attempt.
@@ -185,18 +207,6 @@
 	Key string `json:"key" yaml:"key"`
 }
 
-// Strike says that an engine crashed while it ran a request.
-type Strike struct {
-	// Attempt is the attempt that was running.
-	Attempt string `json:"attempt" yaml:"attempt"`
-
-	// Crash identifies the crash by runner and engine boot.
-	Crash string `json:"crash" yaml:"crash"`
-
-	// Fingerprint is the hash of adapter and body.
-	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
-}
-
 // Subtree is an accepted subtree with its origin.
 type Subtree struct {
 	// Author names the operator who set it.
@@ -214,13 +224,3 @@
 	// Revision is that of the change that set it.
 	Revision int64 `json:"revision" yaml:"revision"`
 }
-
-// Trial reserves the one run, apart from others, of a request that was running at
-// a crash.
-type Trial struct {
-	// Attempt is the attempt that runs apart.
-	Attempt string `json:"attempt" yaml:"attempt"`
-
-	// Fingerprint is the hash of adapter and body.
-	Fingerprint string `json:"fingerprint" yaml:"fingerprint"`
-}
--- a/core/runs/table.go
+++ b/core/runs/table.go
@@ -30,16 +30,16 @@
 	Voided
 )
 
-// Ruling is the answer to a dispatch.
-type Ruling string
+// Decision is the answer to a dispatch.
+type Decision string
 
-// Rulings.
+// Decisions.
 const (
-	Accept    Ruling = "accept"
-	Duplicate Ruling = "duplicate"
-	WrongBoot Ruling = "wrong_boot"
-	WasVoided Ruling = "voided"
-	TooOld    Ruling = "claim_too_old"
+	Accept    Decision = "accept"
+	Duplicate Decision = "duplicate"
+	WrongBoot Decision = "wrong_boot"
+	WasVoided Decision = "voided"
+	TooOld    Decision = "claim_too_old"
 )
 
 // run is one attempt.
@@ -81,7 +81,7 @@
 func (ta *Table) Size() int { return len(ta.runs) }
 
 // Admit decides whether a dispatched attempt may run and remembers it.
-func (ta *Table) Admit(di *wire.Dispatch, now time.Time) Ruling {
+func (ta *Table) Admit(di *wire.Dispatch, now time.Time) Decision {
 	if di.Boot != ta.boot {
 		return WrongBoot
 	}
--- a/core/runs/table_test.go
+++ b/core/runs/table_test.go
@@ -62,13 +62,13 @@
 	properties.TestingRun(t)
 }
 
-func TestAdmitRulings(t *testing.T) {
+func TestAdmitDecisions(t *testing.T) {
 	ta, now := NewTable("boot"), time.Unix(0, 0)
 	ta.SeeLogTime(10 * ClaimAgeMax.Milliseconds())
 	cases := []struct {
 		name string
 		di   wire.Dispatch
-		want Ruling
+		want Decision
 	}{
 		{"another boot", wire.Dispatch{Attempt: "a", Boot: "earlier"}, WrongBoot},
 		{"old claim", wire.Dispatch{Attempt: "b", Boot: "boot", ClaimedAt: 1}, TooOld},
@@ -78,7 +78,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			if got := ta.Admit(&tc.di, now); got != tc.want {
-				t.Fatalf("ruling %s instead of %s", got, tc.want)
+				t.Fatalf("decision %s instead of %s", got, tc.want)
 			}
 		})
 	}
--- a/core/sched/events.go
+++ b/core/sched/events.go
@@ -73,8 +73,8 @@
 	return sc.inspect(now)
 }
 
-// Suspect asks for an inspection, as after an answer of another engine boot.
-func (sc *Scheduler) Suspect(now time.Time) []Action { return sc.inspect(now) }
+// Reinspect asks for an inspection, as after an answer of another engine boot.
+func (sc *Scheduler) Reinspect(now time.Time) []Action { return sc.inspect(now) }
 
 // Loaded takes the result of a load.
 func (sc *Scheduler) Loaded(handle string, re Result, now time.Time) []Action {
--- a/entry/internal/guards/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package guards shares the verdicts on requests that were running at an engine's crash.
-package guards
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -39,11 +39,11 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), rq.Deadline)
 	defer cancel()
 	rl.refill(rq.RetryPercent)
-	jo := &journey{rl: rl, rq: rq, an: an}
+	ex := &execution{rl: rl, rq: rq, an: an}
 	ca := claim.Call{Key: rq.Key, KeyTime: rq.KeyTime, BodyHash: rq.BodyHash}
 	for range roundsMax {
 		if time.Until(rq.Deadline) <= 0 {
-			return jo.timeout()
+			return ex.timeout()
 		}
 		verdict, ho, err := rl.cs.Decide(ca)
 		if err != nil {
@@ -56,7 +56,7 @@
 		case claim.Resolve:
 			err = rl.resolve(ctx, ho, an)
 		case claim.Append:
-			err = jo.claimAndRun(ctx, entry)
+			err = ex.claimAndRun(ctx, entry)
 		}
 		if !errors.Is(err, errAgain) {
 			return err
@@ -71,31 +71,31 @@
 var errAgain = errors.New("relay: another round is needed")
 
 // claimAndRun claims the key for a runner and runs the call there.
-func (jo *journey) claimAndRun(ctx context.Context, entry string) error {
-	ch, ok := jo.rl.choose(jo.rq, jo.exclude)
+func (ex *execution) claimAndRun(ctx context.Context, entry string) error {
+	ch, ok := ex.rl.choose(ex.rq, ex.exclude)
 	if !ok {
-		return jo.noRunner()
+		return ex.noRunner()
 	}
 	cl := record.Claim{
-		Key: jo.rq.Key, BodyHash: jo.rq.BodyHash, Attempt: uuid.Must(uuid.NewV7()).String(),
+		Key: ex.rq.Key, BodyHash: ex.rq.BodyHash, Attempt: uuid.Must(uuid.NewV7()).String(),
 		Entry: entry, Runner: ch.Runner, Boot: ch.Boot,
 	}
-	claimedAt, won, err := jo.rl.cs.Claim(ctx, cl)
+	claimedAt, won, err := ex.rl.cs.Claim(ctx, cl)
 	if err != nil {
 		return err
 	}
-	jo.rl.lg.Info().Str("request", jo.rq.ID).Str("attempt", cl.Attempt).Bool("won", won).Msg("claim_appended")
+	ex.rl.lg.Info().Str("request", ex.rq.ID).Str("attempt", cl.Attempt).Bool("won", won).Msg("claim_appended")
 	if !won {
 		return errAgain
 	}
-	jo.tries++
-	rs := jo.attempt(ctx, ch, cl.Attempt, plan{claimedAt: claimedAt})
+	ex.tries++
+	rs := ex.attempt(ctx, ch, cl.Attempt, plan{claimedAt: claimedAt})
 	switch rs.kind {
 	case answered:
-		jo.keep(ctx, cl)
-		return jo.an.Finish()
+		ex.keep(ctx, cl)
+		return ex.an.Finish()
 	case notRun:
-		return jo.release(ctx, cl, ch.Runner, rs)
+		return ex.release(ctx, cl, ch.Runner, rs)
 	case broken, timedOut, gone:
 	}
 	return fault.New(fault.OutcomeUnsure, "whether the call ran is not known ("+rs.reason+")",
@@ -103,19 +103,19 @@
 }
 
 // keep records the answer.
-func (jo *journey) keep(ctx context.Context, cl record.Claim) {
+func (ex *execution) keep(ctx context.Context, cl record.Claim) {
 	do := record.Done{Key: cl.Key, Attempt: cl.Attempt}
-	if ke, ok := jo.an.(Keeper); ok {
+	if ke, ok := ex.an.(Keeper); ok {
 		do.Status, do.ContentType, do.Body, do.Kept = ke.Kept(keepBytes)
 	}
-	jo.rl.cs.Done(context.WithoutCancel(ctx), do)
+	ex.rl.cs.Done(context.WithoutCancel(ctx), do)
 }
 
 // release frees the key of an attempt that has not run, then tries again or gives up.
-func (jo *journey) release(ctx context.Context, cl record.Claim, runner string, rs result) error {
-	final, err := jo.failed(ctx, runner, rs)
-	if released := jo.rl.cs.Release(ctx, record.Release{Key: cl.Key, Attempt: cl.Attempt}); released != nil {
-		return jo.gaveUp(rs)
+func (ex *execution) release(ctx context.Context, cl record.Claim, runner string, rs result) error {
+	final, err := ex.failed(ctx, runner, rs)
+	if released := ex.rl.cs.Release(ctx, record.Release{Key: cl.Key, Attempt: cl.Attempt}); released != nil {
+		return ex.gaveUp(rs)
 	}
 	if final {
 		return err
@@ -181,8 +181,8 @@
 	if rs.kind != answered {
 		return unsure("the call ran, but its answer is lost (" + rs.reason + ")")
 	}
-	jo := &journey{rl: rl, an: an}
-	jo.keep(ctx, ho.Claim)
+	ex := &execution{rl: rl, an: an}
+	ex.keep(ctx, ho.Claim)
 	return an.Finish()
 }
 
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -11,12 +11,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/fault"
-	"github.com/bambooladder/bambooladder/core/guard"
+	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/record"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/route"
 	"github.com/bambooladder/bambooladder/entry/internal/claims"
-	"github.com/bambooladder/bambooladder/entry/internal/guards"
+	"github.com/bambooladder/bambooladder/entry/internal/crash"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
 
@@ -29,7 +29,7 @@
 type Relay struct {
 	ls *links.Links
 	cs *claims.Claims
-	gs *guards.Guards
+	cr *crash.Reports
 	lg zerolog.Logger
 
 	mu     sync.Mutex
@@ -37,12 +37,12 @@
 }
 
 // NewRelay returns a relay over the links.
-func NewRelay(ls *links.Links, cs *claims.Claims, gs *guards.Guards, lg zerolog.Logger) *Relay {
-	return &Relay{ls: ls, cs: cs, gs: gs, lg: lg}
+func NewRelay(ls *links.Links, cs *claims.Claims, cr *crash.Reports, lg zerolog.Logger) *Relay {
+	return &Relay{ls: ls, cs: cs, cr: cr, lg: lg}
 }
 
-// journey is one request on its way.
-type journey struct {
+// execution is one request on its way.
+type execution struct {
 	rl      *Relay
 	rq      *Request
 	an      Answer
@@ -57,60 +57,60 @@
 // Run carries a request that may be repeated; the error is typed and tells whether the request ran.
 func (rl *Relay) Run(ctx context.Context, rq *Request, an Answer) error {
 	rl.refill(rq.RetryPercent)
-	jo := &journey{rl: rl, rq: rq, an: an}
+	ex := &execution{rl: rl, rq: rq, an: an}
 	if rq.Service == "" {
-		jo.fingerprint = guard.Fingerprint(rq.Adapter, rq.Body)
+		ex.fingerprint = poison.Fingerprint(rq.Adapter, rq.Body)
 	}
 	for {
 		id := uuid.Must(uuid.NewV7()).String()
-		alone, err := jo.admit(ctx, id)
+		alone, err := ex.admit(ctx, id)
 		if err != nil {
 			return err
 		}
-		ch, ok := rl.choose(rq, jo.exclude)
+		ch, ok := rl.choose(rq, ex.exclude)
 		if !ok {
-			return jo.noRunner()
+			return ex.noRunner()
 		}
 		if an.Begun() && !rl.ls.Resumes(ch.Runner) {
-			jo.exclude = append(jo.exclude, ch.Runner)
+			ex.exclude = append(ex.exclude, ch.Runner)
 			continue
 		}
-		jo.tries++
-		rs := jo.attempt(ctx, ch, id, plan{alone: alone})
+		ex.tries++
+		rs := ex.attempt(ctx, ch, id, plan{alone: alone})
 		if alone && rs.crash == "" {
-			rl.gs.Clear(context.WithoutCancel(ctx), record.Clear{Fingerprint: jo.fingerprint, Attempt: id})
+			rl.cr.Clear(context.WithoutCancel(ctx), record.Clear{Fingerprint: ex.fingerprint, Attempt: id})
 		}
 		if rs.kind == answered {
 			return an.Finish()
 		}
 		if rs.crash != "" {
-			rl.gs.Strike(ctx, record.Strike{Fingerprint: jo.fingerprint, Crash: rs.crash, Attempt: id})
+			rl.cr.Report(ctx, record.CrashReport{Fingerprint: ex.fingerprint, Crash: rs.crash, Attempt: id})
 		}
-		if final, err := jo.failed(ctx, ch.Runner, rs); final {
+		if final, err := ex.failed(ctx, ch.Runner, rs); final {
 			return err
 		}
 	}
 }
 
 // admit decides whether a request that was at a crash may run; it runs alone then.
-func (jo *journey) admit(ctx context.Context, id string) (bool, error) {
-	if jo.fingerprint == "" {
+func (ex *execution) admit(ctx context.Context, id string) (bool, error) {
+	if ex.fingerprint == "" {
 		return false, nil
 	}
-	verdict := jo.rl.gs.Decide(jo.fingerprint)
-	if verdict == guard.Free {
+	verdict := ex.rl.cr.Decide(ex.fingerprint)
+	if verdict == poison.Free {
 		return false, nil
 	}
-	jo.rl.lg.Info().Str("request", jo.rq.ID).Str("fingerprint", jo.fingerprint).Str("verdict", verdict.String()).Msg("suspect_decided")
-	if verdict == guard.Trial && jo.rl.gs.Trial(ctx, record.Trial{Fingerprint: jo.fingerprint, Attempt: id}) == nil {
+	ex.rl.lg.Info().Str("request", ex.rq.ID).Str("fingerprint", ex.fingerprint).Str("verdict", verdict.String()).Msg("quarantine_decided")
+	if verdict == poison.Probe && ex.rl.cr.Probe(ctx, record.Probe{Fingerprint: ex.fingerprint, Attempt: id}) == nil {
 		return true, nil
 	}
-	if verdict == guard.Blocked || jo.rl.gs.Decide(jo.fingerprint) == guard.Blocked {
+	if verdict == poison.Blocked || ex.rl.cr.Decide(ex.fingerprint) == poison.Blocked {
 		return false, fault.New(fault.Blocked, "engines crashed twice while they ran this request",
-			"change the request, or send it again once it is forgotten").WithOutcome(jo.outcome()).WithRetryAfter(guard.Keep)
+			"change the request, or send it again once it is forgotten").WithOutcome(ex.outcome()).WithRetryAfter(poison.Keep)
 	}
 	return false, fault.New(fault.Overloaded, "an engine crashed while it ran this request, which is being tried apart from others",
-		"send the request again later").WithOutcome(jo.outcome()).WithRetryAfter(comeBack)
+		"send the request again later").WithOutcome(ex.outcome()).WithRetryAfter(comeBack)
 }
 
 // refill adds to the budget of retries.
@@ -163,21 +163,21 @@
 }
 
 // attempt runs the request once at a runner.
-func (jo *journey) attempt(ctx context.Context, ch route.Choice, id string, pl plan) result {
+func (ex *execution) attempt(ctx context.Context, ch route.Choice, id string, pl plan) result {
 	claimedAt := pl.claimedAt
-	di := jo.rq.dispatch(id, ch.Boot, claimedAt, jo.an.Tokens())
+	di := ex.rq.dispatch(id, ch.Boot, claimedAt, ex.an.Tokens())
 	di.Alone = pl.alone
-	at, err := jo.rl.ls.Dispatch(ctx, ch.Runner, di)
+	at, err := ex.rl.ls.Dispatch(ctx, ch.Runner, di)
 	if err != nil {
 		return result{kind: notRun, reason: "no_link"}
 	}
 	defer at.Close()
-	rs := newReception(at, jo.an, claimedAt).run(ctx, jo.rq.Deadline)
+	rs := newReception(at, ex.an, claimedAt).run(ctx, ex.rq.Deadline)
 	if claimedAt == 0 && (rs.kind == gone || rs.kind == timedOut || rs.kind == broken) {
 		at.Cancel(context.WithoutCancel(ctx))
 	}
-	jo.rl.judge(ch.Runner, rs)
-	jo.rl.lg.Info().Str("request", jo.rq.ID).Str("attempt", id).Str("runner", ch.Runner).
+	ex.rl.judge(ch.Runner, rs)
+	ex.rl.lg.Info().Str("request", ex.rq.ID).Str("attempt", id).Str("runner", ch.Runner).
 		Str("outcome", rs.kind.String()).Str("reason", rs.reason).Msg("attempt_ended")
 	return rs
 }
@@ -203,40 +203,40 @@
 }
 
 // failed decides whether a request is tried again, or returns true and its final error.
-func (jo *journey) failed(ctx context.Context, runner string, rs result) (bool, error) {
+func (ex *execution) failed(ctx context.Context, runner string, rs result) (bool, error) {
 	switch rs.kind {
 	case gone:
 		return true, callerGone(fault.Unknown)
 	case timedOut:
-		return true, jo.timeout()
+		return true, ex.timeout()
 	case broken:
-		jo.unsure = true
-		if jo.an.Begun() && !jo.rq.Stream {
-			return true, jo.gaveUp(rs)
+		ex.unsure = true
+		if ex.an.Begun() && !ex.rq.Stream {
+			return true, ex.gaveUp(rs)
 		}
-		jo.an.Reset()
+		ex.an.Reset()
 	case notRun, answered:
 	}
-	jo.exclude = append(jo.exclude, runner)
-	if jo.tries >= retry.AttemptsMax {
-		return true, jo.gaveUp(rs)
+	ex.exclude = append(ex.exclude, runner)
+	if ex.tries >= retry.AttemptsMax {
+		return true, ex.gaveUp(rs)
 	}
-	if rs.reason != reasonLeaving && !jo.rl.takeRetry() {
-		jo.rl.lg.Info().Str("request", jo.rq.ID).Str("reason", "retry_budget_spent").Msg("retry_refused")
-		return true, jo.gaveUp(rs)
+	if rs.reason != reasonLeaving && !ex.rl.takeRetry() {
+		ex.rl.lg.Info().Str("request", ex.rq.ID).Str("reason", "retry_budget_spent").Msg("retry_refused")
+		return true, ex.gaveUp(rs)
 	}
-	wait := retry.Backoff(jo.tries, jo.rl.ls.Random())
+	wait := retry.Backoff(ex.tries, ex.rl.ls.Random())
 	if rs.reason == reasonLeaving {
 		wait = 0
 	}
-	if time.Until(jo.rq.Deadline) <= wait {
-		return true, jo.gaveUp(rs)
+	if time.Until(ex.rq.Deadline) <= wait {
+		return true, ex.gaveUp(rs)
 	}
 	select {
 	case <-time.After(wait):
 		return false, nil
 	case <-ctx.Done():
-		return true, callerGone(jo.outcome())
+		return true, callerGone(ex.outcome())
 	}
 }
 
@@ -246,36 +246,36 @@
 }
 
 // outcome tells whether any attempt may have run.
-func (jo *journey) outcome() fault.Outcome {
-	if jo.unsure {
+func (ex *execution) outcome() fault.Outcome {
+	if ex.unsure {
 		return fault.Unknown
 	}
 	return fault.NotRun
 }
 
 // gaveUp returns the final error after the last attempt.
-func (jo *journey) gaveUp(rs result) error {
+func (ex *execution) gaveUp(rs result) error {
 	kind := fault.Overloaded
-	if jo.unsure {
+	if ex.unsure {
 		kind = fault.OutcomeUnsure
 	}
 	wait := max(rs.retryAfter, comeBack)
 	return fault.New(kind, "no backend server could answer the request ("+rs.reason+")",
-		"send the request again later").WithOutcome(jo.outcome()).WithRetryAfter(wait)
+		"send the request again later").WithOutcome(ex.outcome()).WithRetryAfter(wait)
 }
 
 // timeout returns the error for a request whose time ran out after it was dispatched.
-func (jo *journey) timeout() error {
+func (ex *execution) timeout() error {
 	return fault.New(fault.Timeout, "the request was not answered in its time",
 		"allow more time or send it again later").WithOutcome(fault.Unknown).WithRetryAfter(comeBack)
 }
 
 // noRunner returns the error for a request that no runner may take.
-func (jo *journey) noRunner() error {
+func (ex *execution) noRunner() error {
 	kind := fault.Unavailable
-	if jo.unsure {
+	if ex.unsure {
 		kind = fault.OutcomeUnsure
 	}
 	return fault.New(kind, "no backend server can take the request now",
-		"send the request again later").WithOutcome(jo.outcome()).WithRetryAfter(comeBack)
+		"send the request again later").WithOutcome(ex.outcome()).WithRetryAfter(comeBack)
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -23,7 +23,7 @@
 	"github.com/bambooladder/bambooladder/entry/internal/caller"
 	"github.com/bambooladder/bambooladder/entry/internal/claims"
 	"github.com/bambooladder/bambooladder/entry/internal/config"
-	"github.com/bambooladder/bambooladder/entry/internal/guards"
+	"github.com/bambooladder/bambooladder/entry/internal/crash"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 	"github.com/bambooladder/bambooladder/entry/internal/peers"
 	"github.com/bambooladder/bambooladder/entry/internal/plat"
@@ -67,7 +67,7 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(op),
 		fx.Provide(
-			newLifetime, newHTTP, newRandom, newLog, newLinks, newPeers, newFollower, newClaims, newGuards,
+			newLifetime, newHTTP, newRandom, newLog, newLinks, newPeers, newFollower, newClaims, newReports,
 			newRelay, newCaller, newAdmin,
 		),
 		fx.Invoke(run),
@@ -141,14 +141,14 @@
 	return claims.NewClaims(lo, ls.SeeLogTime, so.Float64, op.Logger)
 }
 
-// newGuards returns the verdicts on requests that were at a crash.
-func newGuards(op Options, lo *plat.Log, ls *links.Links) *guards.Guards {
-	return guards.NewGuards(lo, ls.SeeLogTime, op.Logger)
+// newReports returns the reports of crashes.
+func newReports(op Options, lo *plat.Log, ls *links.Links) *crash.Reports {
+	return crash.NewReports(lo, ls.SeeLogTime, op.Logger)
 }
 
 // newRelay returns the relay of requests.
-func newRelay(op Options, ls *links.Links, cs *claims.Claims, gs *guards.Guards) *relay.Relay {
-	return relay.NewRelay(ls, cs, gs, op.Logger)
+func newRelay(op Options, ls *links.Links, cs *claims.Claims, cr *crash.Reports) *relay.Relay {
+	return relay.NewRelay(ls, cs, cr, op.Logger)
 }
 
 // newCaller returns the callers' interface.
@@ -179,7 +179,7 @@
 	Links    *links.Links
 	Follower *config.Follower
 	Claims   *claims.Claims
-	Guards   *guards.Guards
+	Reports  *crash.Reports
 	Caller   *caller.Caller
 	Admin    *admin.Admin
 }
@@ -212,7 +212,7 @@
 	go pa.Links.Run(pa.Lifetime.ctx)
 	go pa.Follower.Run(pa.Lifetime.ctx)
 	go pa.Claims.Run(pa.Lifetime.ctx)
-	go pa.Guards.Run(pa.Lifetime.ctx)
+	go pa.Reports.Run(pa.Lifetime.ctx)
 	go pa.watermarks()
 	pa.Options.Logger.Info().Str("callers", pa.Options.Settings.CallerAddress).
 		Str("operators", pa.Options.Settings.AdminAddress).Msg("entry_started")
