Keep a request in quarantine when its probe was not answered

Cause, found by reading: a probe that was refused, timed out or lost its caller cleared the request, with its count of crashes; and a probe was reserved before a runner was found, and kept others waiting where none was. Change: a probe that was not answered ends without clearing; the runner is chosen first.

--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -90,9 +90,7 @@
 	case env.Probe != nil:
 		ta.probe(env.Probe)
 	case env.Clear != nil:
-		if qu := ta.entries[env.Clear.Fingerprint]; qu != nil && qu.probe == env.Clear.Attempt && len(qu.crashes) < crashesMax {
-			delete(ta.entries, env.Clear.Fingerprint)
-		}
+		ta.clear(env.Clear)
 	}
 	return ta.logTime
 }
@@ -124,6 +122,18 @@
 	qu.probeAt = ta.logTime
 }
 
+// clear ends a probe; the fingerprint leaves quarantine only if the probe was answered.
+func (ta *Table) clear(cl *record.Clear) {
+	qu := ta.entries[cl.Fingerprint]
+	if qu == nil || qu.probe != cl.Attempt {
+		return
+	}
+	qu.probe = ""
+	if cl.Answered && len(qu.crashes) < crashesMax {
+		delete(ta.entries, cl.Fingerprint)
+	}
+}
+
 // IsProbe tells whether an attempt holds the probe of a fingerprint.
 func (ta *Table) IsProbe(fingerprint, attempt string) bool {
 	qu := ta.entries[fingerprint]
--- a/core/poison/table_test.go
+++ b/core/poison/table_test.go
@@ -35,6 +35,9 @@
 	}
 	expect("on probe", Pending)
 	apply(record.Envelope{Clear: &record.Clear{Fingerprint: "print", Attempt: "c"}})
+	expect("a probe that was not answered", Probe)
+	apply(record.Envelope{Probe: &record.Probe{Fingerprint: "print", Attempt: "d"}})
+	apply(record.Envelope{Clear: &record.Clear{Fingerprint: "print", Attempt: "d", Answered: true}})
 	expect("cleared", Free)
 	apply(record.Envelope{CrashReport: &record.CrashReport{Fingerprint: "print", Crash: "engine-1", Attempt: "e"}})
 	apply(record.Envelope{CrashReport: &record.CrashReport{Fingerprint: "print", Crash: "engine-2", Attempt: "f"}})
--- a/core/record/records.gen.go
+++ b/core/record/records.gen.go
@@ -58,6 +58,10 @@
 
 // Clear says that a probe ended without a crash.
 type Clear struct {
+	// Answered is true when the whole answer was made; otherwise another probe is
+	// needed.
+	Answered bool `json:"answered" yaml:"answered"`
+
 	// Attempt is the attempt that ran apart.
 	Attempt string `json:"attempt" yaml:"attempt"`
 
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -62,11 +62,6 @@
 		ex.fingerprint = poison.Fingerprint(rq.Adapter, rq.Body)
 	}
 	for {
-		id := uuid.Must(uuid.NewV7()).String()
-		alone, err := ex.admit(ctx, id)
-		if err != nil {
-			return err
-		}
 		ch, ok := rl.choose(rq, ex.exclude)
 		if !ok {
 			return ex.noRunner()
@@ -75,10 +70,15 @@
 			ex.exclude = append(ex.exclude, ch.Runner)
 			continue
 		}
+		id := uuid.Must(uuid.NewV7()).String()
+		alone, err := ex.admit(ctx, id)
+		if err != nil {
+			return err
+		}
 		ex.tries++
 		rs := ex.attempt(ctx, ch, id, plan{alone: alone})
 		if alone && rs.crash == "" {
-			rl.cr.Clear(context.WithoutCancel(ctx), record.Clear{Fingerprint: ex.fingerprint, Attempt: id})
+			rl.cr.Clear(context.WithoutCancel(ctx), record.Clear{Fingerprint: ex.fingerprint, Attempt: id, Answered: rs.kind == answered})
 		}
 		if rs.kind == answered {
 			return an.Finish()
--- a/proofs/hold_test.go
+++ b/proofs/hold_test.go
@@ -53,6 +53,30 @@
 	})
 }
 
+// TestCrashingRequestWhileProbesFail takes the store away after the first crash, so
+// that probes end without an answer; they must not clear the request.
+func TestCrashingRequestWhileProbesFail(t *testing.T) {
+	op := smallWorld()
+	op.engines = 4
+	inWorld(t, op, func(t *testing.T, wo *world) {
+		mustAnswer(t, wo.ask("caller", entryName(0), "cure@1", "warm up", 5, false, 10*time.Second), "cure@1", "warm up", 5)
+		wo.store.SetDown(true)
+		for ix := range 6 {
+			wo.ask("caller", entryName(ix%2), "cure@1", crashWord, 10, false, 3*time.Second)
+			time.Sleep(time.Second)
+		}
+		wo.store.SetDown(false)
+		kind := ""
+		for ix := range 8 {
+			kind = wo.ask("caller", entryName(ix%2), "cure@1", crashWord, 10, false, 10*time.Second).kind
+			time.Sleep(time.Second)
+		}
+		if got := wo.crashes(); got > 2 || kind != "blocked" {
+			t.Errorf("%d engines crashed, the last send is %s", got, kind)
+		}
+	})
+}
+
 // TestSilentConnectionIsReplaced lets the connection to the runner fall silent under a stream and under a claimed call.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	op := smallWorld()
