Hold the pages and the border of the decisions by tests

Cause: pages drift from the code, and nothing kept I/O out of the decisions. Change: tests that every setting, error and event stands on its page, and that the packages of decisions use no clock, network, file, goroutine or log. The settings named HTTP methods through the HTTP library; they are constants now.

--- a/core/conf/rules.go
+++ b/core/conf/rules.go
@@ -1,7 +1,6 @@
 package conf
 
 import (
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -29,9 +28,15 @@
 	return slices.Contains(te.Services, service)
 }
 
+// Methods whose calls may be repeated where a service's settings are silent.
+const (
+	methodGet  = "GET"
+	methodHead = "HEAD"
+)
+
 // MayRepeat tells whether a call of the service may run more than once; the longest matching path prefix decides.
 func (se Service) MayRepeat(method, path string) bool {
-	repeatable := method == http.MethodGet || method == http.MethodHead
+	repeatable := method == methodGet || method == methodHead
 	longest := -1
 	for _, ca := range se.Calls {
 		if ca.Method == method && strings.HasPrefix(path, ca.Path) && len(ca.Path) > longest {
--- /dev/null
+++ b/proofs/docs_test.go
@@ -0,0 +1,112 @@
+package proofs
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// read returns a file of the project.
+func read(t *testing.T, name string) string {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("..", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// sources returns all Go code of the programs that is not generated or a test.
+func sources(t *testing.T) string {
+	t.Helper()
+	all := strings.Builder{}
+	for _, module := range []string{"core", "entry", "agent", "ctl"} {
+		err := filepath.WalkDir(filepath.Join("..", module), func(path string, _ os.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, ".gen.go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			all.Write(data)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return all.String()
+}
+
+// TestSettingsPage holds that every setting of the schema stands on its page.
+func TestSettingsPage(t *testing.T) {
+	schema := struct {
+		Defs map[string]struct {
+			Properties map[string]json.RawMessage
+		} `json:"$defs"`
+	}{}
+	if err := json.Unmarshal([]byte(read(t, "core/schema/settings.json")), &schema); err != nil {
+		t.Fatal(err)
+	}
+	page := read(t, "docs/SETTINGS.md")
+	for name, def := range schema.Defs {
+		for key := range def.Properties {
+			if name != "root" && !strings.Contains(page, "| `"+key+"` |") {
+				t.Errorf("docs/SETTINGS.md does not tell of %s in %s", key, name)
+			}
+		}
+	}
+}
+
+// TestEventsPage holds that the events on the operators' page are those the programs log.
+func TestEventsPage(t *testing.T) {
+	_, table, _ := strings.Cut(read(t, "docs/OPERATORS.md"), "| event | program | meaning |")
+	table, _, _ = strings.Cut(table, "\n## ")
+	code := sources(t)
+	for _, row := range strings.Split(table, "\n") {
+		cells := strings.Split(row, "|")
+		if len(cells) < 2 {
+			continue
+		}
+		for _, event := range regexp.MustCompile("`([a-z_]+)`").FindAllStringSubmatch(cells[1], -1) {
+			if !strings.Contains(code, `Msg("`+event[1]+`")`) {
+				t.Errorf("no program logs %s", event[1])
+			}
+		}
+	}
+}
+
+// TestErrorsPage holds that every kind of error stands on the callers' page.
+func TestErrorsPage(t *testing.T) {
+	page := read(t, "docs/CALLERS.md")
+	for _, kind := range regexp.MustCompile(`Kind = "([a-z_]+)"`).FindAllStringSubmatch(read(t, "core/fault/fault.go"), -1) {
+		if !strings.Contains(page, "| `"+kind[1]+"` |") {
+			t.Errorf("docs/CALLERS.md does not tell of %s", kind[1])
+		}
+	}
+}
+
+// TestDecisionsArePure holds that the packages of decisions do no I/O, start no goroutine and log nothing.
+func TestDecisionsArePure(t *testing.T) {
+	for _, name := range []string{"claim", "conf", "fold", "limit", "member", "poison", "retry", "route", "runs", "sched"} {
+		files, err := filepath.Glob(filepath.Join("..", "core", name, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("no files in core/%s", name)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			data, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, word := range []string{`"os"`, `"net"`, `"net/http"`, `"log"`, "zerolog", "time.Now()", "time.Sleep", "\tgo "} {
+				if strings.Contains(string(data), word) {
+					t.Errorf("%s contains %s", file, word)
+				}
+			}
+		}
+	}
+}
