Read a claim back while its append is still unanswered

Cause: a claim waited for the answer of its append before it looked for itself in the log; where answers are lost it waited 2 s, though the record was there. Change: the append runs in the background, and a refusal by the log ends the wait. An append without an answer still holds up those queued behind it in the same stream for up to 2 s.

--- a/entry/internal/claims/claims.go
+++ b/entry/internal/claims/claims.go
@@ -88,9 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	st, fo := cs.of(cl.Key)
-	if err := st.Append(ctx, &record.Envelope{Claim: &cl}); errors.Is(err, plat.ErrNotAppended) {
-		return 0, false, unavailable()
-	}
+	appendOrCancel(ctx, cancel, st, &record.Envelope{Claim: &cl})
 	at, won := int64(0), false
 	var reason error
 	err := st.Await(ctx, func() bool {
@@ -104,14 +102,22 @@
 	return at, won, reason
 }
 
+// appendOrCancel appends in the background, so that a record whose answer is lost is
+// read back at once, and ends the wait where the log refuses it.
+func appendOrCancel(ctx context.Context, cancel context.CancelFunc, st *stream.Stream, en *record.Envelope) {
+	go func() {
+		if errors.Is(st.Append(ctx, en), plat.ErrNotAppended) {
+			cancel()
+		}
+	}()
+}
+
 // Release frees a key whose attempt has not run and will not run.
 func (cs *Claims) Release(ctx context.Context, re record.Release) error {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	st, fo := cs.of(re.Key)
-	if err := st.Append(ctx, &record.Envelope{Release: &re}); err != nil {
-		return unavailable()
-	}
+	appendOrCancel(ctx, cancel, st, &record.Envelope{Release: &re})
 	err := st.Await(ctx, func() bool {
 		ho := fo.table.Holder(re.Key)
 		return ho == nil || ho.Claim.Attempt != re.Attempt
