Go on appending while an answer of the log is outstanding

Ruled out: a looser bound in the test; the wait is the fault. Change: the next group waits 100 ms for the answer to the last one; at most eight appends of a stream are without an answer.

--- a/entry/internal/stream/stream.go
+++ b/entry/internal/stream/stream.go
@@ -17,6 +17,10 @@
 	retryWait  = 200 * time.Millisecond
 	groupMax   = 500
 	pendingMax = 4096
+	// answerWait is how long the next group waits for the answer to the last one.
+	answerWait = 100 * time.Millisecond
+	// flightMax bounds the appends without an answer.
+	flightMax = 8
 )
 
 // Log is the platform's log.
@@ -196,24 +200,41 @@
 	go func() { _ = st.Append(ctx, &record.Envelope{}) }()
 }
 
-// commit appends queued records in groups, one append at a time.
+// commit appends queued records in groups. The next group waits for the answer to
+// the last one, but not for long, so that a lost answer does not hold it up.
 func (st *Stream) commit(ctx context.Context) {
+	flight := make(chan struct{}, flightMax)
 	for {
 		group := st.group(ctx)
 		if len(group) == 0 {
 			return
 		}
-		data := make([][]byte, 0, len(group))
-		for _, pe := range group {
-			data = append(data, pe.data)
-		}
-		err := st.op.Log.Append(ctx, st.op.Name, data)
-		for _, pe := range group {
-			pe.result <- err
+		flight <- struct{}{}
+		done := make(chan struct{})
+		go func() {
+			defer func() { <-flight }()
+			defer close(done)
+			st.appendGroup(ctx, group)
+		}()
+		select {
+		case <-done:
+		case <-time.After(answerWait):
 		}
 	}
 }
 
+// appendGroup appends a group and hands each record its result.
+func (st *Stream) appendGroup(ctx context.Context, group []pending) {
+	data := make([][]byte, 0, len(group))
+	for _, pe := range group {
+		data = append(data, pe.data)
+	}
+	err := st.op.Log.Append(ctx, st.op.Name, data)
+	for _, pe := range group {
+		pe.result <- err
+	}
+}
+
 // group waits for one queued record and takes those queued behind it.
 func (st *Stream) group(ctx context.Context) []pending {
 	group := make([]pending, 0, 1)
