--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VERSION ?= development
 
 HISTORIES ?= 10000
+HISTORY_FROM ?= 0
 
 .PHONY: build run test proofs soak bench measure slopes lint format generate clean
 
@@ -25,7 +26,7 @@
 	@cd entry && go test -count=1 ./internal/relay
 
 soak:
-	@cd proofs && HISTORIES=$(HISTORIES) go test -count=1 -timeout 0 -run TestHistories .
+	@cd proofs && HISTORIES=$(HISTORIES) HISTORY_FROM=$(HISTORY_FROM) go test -count=1 -timeout 0 -run TestHistories .
 
 bench:
 	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
--- a/proofs/history_test.go
+++ b/proofs/history_test.go
@@ -628,7 +628,8 @@
 // failedSeeds are those beyond the usual number that have failed once.
 var failedSeeds = []uint64{1020, 2070, 2119}
 
-// TestHistories runs seeded histories; HISTORIES sets their number, HISTORY_SEED runs one of them.
+// TestHistories runs seeded histories; HISTORIES sets their number, HISTORY_FROM the
+// first seed, HISTORY_SEED runs one of them.
 func TestHistories(t *testing.T) {
 	if text := os.Getenv("HISTORY_SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
@@ -642,6 +643,7 @@
 	if text := os.Getenv("HISTORIES"); text != "" {
 		count, _ = strconv.Atoi(text)
 	}
+	from, _ := strconv.Atoi(os.Getenv("HISTORY_FROM"))
 	for _, seed := range failedSeeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
@@ -651,7 +653,7 @@
 	for shard := range historyShards {
 		t.Run(fmt.Sprintf("shard %d", shard), func(t *testing.T) {
 			t.Parallel()
-			for seed := shard; seed < count; seed += historyShards {
+			for seed := from + shard; seed < from+count; seed += historyShards {
 				runHistory(t, uint64(seed))
 				if t.Failed() {
 					t.Fatalf("history %d failed; run it alone with HISTORY_SEED=%d", seed, seed)
