Remove twins and dead state found on a last read

Cause: a read of the whole change: the queue was filtered and searched by two loops each, loads and unloads were started in two places each, quarantine spelled its two conditions out twice, the agent made eight numbers and read the counters twice for each report, a header had two names, and a flag and three getters had no reader. Change: one function or name for each; the metrics' numbers are made once. Behaviour, bounds and assertions are unchanged.

--- a/agent/internal/broker/act.go
+++ b/agent/internal/broker/act.go
@@ -94,7 +94,6 @@
 	br.lg.Debug().Str("attempt", fo.Attempt).Str("request", at.di.Request).Str("handle", fo.Handle).Msg("attempt_forwarded")
 	running, cancel := context.WithTimeout(ctx, time.Duration(at.di.Budget)*time.Millisecond)
 	at.cancel = cancel
-	at.running = true
 	fw := &forwarding{cl: br.cl, di: at.di, handle: fo.Handle, out: at.out, boot: br.engineBoot}
 	go func() {
 		defer cancel()
@@ -107,7 +106,6 @@
 	br.changed = true
 	at := br.attempts[en.attempt]
 	if at != nil {
-		at.running = false
 		at.endedAt = now
 		br.lg.Debug().Str("attempt", en.attempt).Str("request", at.di.Request).Str("reason", en.reason).Msg("attempt_ended")
 	}
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,16 +27,11 @@
 	keepAnswer = 10 * time.Minute
 )
 
-// metrics holds the counters of the agent.
-var metrics = expvar.NewMap("agent")
-
 // attempt is a request that the agent accepted.
 type attempt struct {
-	di     *wire.Dispatch
-	out    *output.Output
-	cancel context.CancelFunc
-	// running is true from the forward until the backend server is done with it.
-	running bool
+	di      *wire.Dispatch
+	out     *output.Output
+	cancel  context.CancelFunc
 	endedAt time.Time
 }
 
--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -24,7 +24,6 @@
 	pieceBytes    = 4 << 10
 	answerMax     = 16 << 20
 	readerBytes   = 4 << 10
-	bootHeader    = "X-Engine-Boot"
 	streamType    = "text/event-stream"
 	dataPrefix    = "data: "
 	doneEvent     = "[DONE]"
@@ -55,7 +54,7 @@
 		return fw.failed(running, ctx, en, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	en.boot = resp.Header.Get(bootHeader)
+	en.boot = resp.Header.Get(client.BootHeader)
 	if fw.handle != "" {
 		if how, ok := statusNotRun(resp.StatusCode); ok {
 			en.how = how
--- a/agent/internal/broker/report.go
+++ b/agent/internal/broker/report.go
@@ -8,6 +8,26 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
+// metrics holds the counters of the agent.
+var (
+	metrics            = expvar.NewMap("agent")
+	metricLoadStall    = metric("load_stall_ms")
+	metricBatchFilled  = metric("batch_filled_ms")
+	metricBatchOffered = metric("batch_offered_ms")
+	metricLoads        = metric("loads")
+	metricEvictions    = metric("evictions")
+	metricForwarded    = metric("forwarded")
+	metricRunning      = metric("running")
+	metricWaiting      = metric("waiting")
+)
+
+// metric adds a number to the counters.
+func metric(name string) *expvar.Int {
+	number := &expvar.Int{}
+	metrics.Set(name, number)
+	return number
+}
+
 // report sends slots and load to every entry node.
 func (br *Broker) report() {
 	now := time.Now()
@@ -17,8 +37,8 @@
 	br.changed = false
 	br.reportAt = now.Add(reportPeriod)
 	br.sequence++
-	br.measure()
 	slots, st := br.slotReports(), br.sc.Stats()
+	br.measure(st)
 	for se, received := range br.sessions {
 		se.TrySend(&wire.Frame{Report: &wire.Report{
 			Sequence: br.sequence, Leaving: br.sc.Leaving(), Running: br.sc.Running(),
@@ -45,21 +65,13 @@
 }
 
 // measure publishes the counters of the engine's slots and batch.
-func (br *Broker) measure() {
-	st := br.sc.Stats()
-	metrics.Set("load_stall_ms", counter(st.LoadStall.Milliseconds()))
-	metrics.Set("batch_filled_ms", counter(st.Filled.Milliseconds()))
-	metrics.Set("batch_offered_ms", counter(st.Offered.Milliseconds()))
-	metrics.Set("loads", counter(int64(st.Loads)))
-	metrics.Set("evictions", counter(int64(st.Evictions)))
-	metrics.Set("forwarded", counter(int64(st.Forwarded)))
-	metrics.Set("running", counter(int64(br.sc.Running())))
-	metrics.Set("waiting", counter(int64(br.sc.Waiting())))
-}
-
-// counter returns a number in the form that metrics carry.
-func counter(value int64) *expvar.Int {
-	number := &expvar.Int{}
-	number.Set(value)
-	return number
+func (br *Broker) measure(st sched.Stats) {
+	metricLoadStall.Set(st.LoadStall.Milliseconds())
+	metricBatchFilled.Set(st.Filled.Milliseconds())
+	metricBatchOffered.Set(st.Offered.Milliseconds())
+	metricLoads.Set(int64(st.Loads))
+	metricEvictions.Set(int64(st.Evictions))
+	metricForwarded.Set(int64(st.Forwarded))
+	metricRunning.Set(int64(br.sc.Running()))
+	metricWaiting.Set(int64(br.sc.Waiting()))
 }
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	bootHeader     = "X-Engine-Boot"
+	// BootHeader carries the engine's boot in each of its answers.
+	BootHeader     = "X-Engine-Boot"
 	requestHeader  = "X-Request-Id"
 	priorityHeader = "X-Priority"
 	keyHeader      = "Idempotency-Key"
@@ -107,7 +108,7 @@
 		return 0, "", errors.Wrap(err, "client: send order")
 	}
 	defer discard(resp)
-	return resp.StatusCode, resp.Header.Get(bootHeader), nil
+	return resp.StatusCode, resp.Header.Get(BootHeader), nil
 }
 
 // Inspect asks the engine what it holds.
@@ -145,7 +146,7 @@
 		return "", errors.Wrap(err, "client: cancel")
 	}
 	defer discard(resp)
-	boot := resp.Header.Get(bootHeader)
+	boot := resp.Header.Get(BootHeader)
 	if resp.StatusCode != http.StatusOK {
 		return boot, errors.Newf("client: cancel answered %d", resp.StatusCode)
 	}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -72,12 +73,7 @@
 			due = append(due, kn.Host)
 		}
 	}
-	slices.SortFunc(due, func(aa, bb Host) int {
-		if aa.Name < bb.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(due, func(aa, bb Host) int { return strings.Compare(aa.Name, bb.Name) })
 	return due
 }
 
--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -56,6 +56,14 @@
 	lastAt  int64
 }
 
+// blocked tells whether the fingerprint crashed too many engines.
+func (qu *quarantine) blocked() bool { return len(qu.crashes) >= crashesMax }
+
+// pending tells whether a probe is under way at a log time.
+func (qu *quarantine) pending(logTime int64) bool {
+	return qu.probe != "" && logTime-qu.probeAt < probeMax.Milliseconds()
+}
+
 // Table is the fold of the stream; its zero value starts at offset zero.
 type Table struct {
 	entries map[string]*quarantine
@@ -72,9 +80,6 @@
 	ta.next = first
 }
 
-// Size returns the number of fingerprints in quarantine.
-func (ta *Table) Size() int { return len(ta.entries) }
-
 // Apply folds one record and returns the stream's time in Unix milliseconds.
 func (ta *Table) Apply(en record.Entry) int64 {
 	ta.next = en.Offset + 1
@@ -115,7 +120,7 @@
 // probe lets the first probe win until it has ended or taken too long.
 func (ta *Table) probe(pb *record.Probe) {
 	qu := ta.entries[pb.Fingerprint]
-	if qu == nil || qu.probe != "" && ta.logTime-qu.probeAt < probeMax.Milliseconds() {
+	if qu == nil || qu.pending(ta.logTime) {
 		return
 	}
 	qu.probe = pb.Attempt
@@ -129,7 +134,7 @@
 		return
 	}
 	qu.probe = ""
-	if cl.Answered && len(qu.crashes) < crashesMax {
+	if cl.Answered && !qu.blocked() {
 		delete(ta.entries, cl.Fingerprint)
 	}
 }
@@ -137,7 +142,7 @@
 // IsProbe tells whether an attempt holds the probe of a fingerprint.
 func (ta *Table) IsProbe(fingerprint, attempt string) bool {
 	qu := ta.entries[fingerprint]
-	return qu != nil && qu.probe == attempt && len(qu.crashes) < crashesMax
+	return qu != nil && qu.probe == attempt && !qu.blocked()
 }
 
 // Decide returns what may be done with a request.
@@ -146,9 +151,9 @@
 	switch {
 	case qu == nil:
 		return Free
-	case len(qu.crashes) >= crashesMax:
+	case qu.blocked():
 		return Blocked
-	case qu.probe != "" && ta.logTime-qu.probeAt < probeMax.Milliseconds():
+	case qu.pending(ta.logTime):
 		return Pending
 	}
 	return Probe
--- a/core/route/fleet.go
+++ b/core/route/fleet.go
@@ -184,15 +184,7 @@
 
 // insert keeps a list ordered by name, so that ties are broken the same way on every run.
 func insert(list []*member, me *member) []*member {
-	ix, found := slices.BinarySearchFunc(list, me.Name, func(el *member, name string) int {
-		if el.Name < name {
-			return -1
-		}
-		if el.Name > name {
-			return 1
-		}
-		return 0
-	})
+	ix, found := slices.BinarySearchFunc(list, me.Name, func(el *member, name string) int { return cmp.Compare(el.Name, name) })
 	if found {
 		return list
 	}
--- a/core/runs/table.go
+++ b/core/runs/table.go
@@ -74,12 +74,6 @@
 	ta.logTime = max(ta.logTime, millis)
 }
 
-// LogTime returns the newest time seen, in Unix milliseconds.
-func (ta *Table) LogTime() int64 { return ta.logTime }
-
-// Size returns the number of attempts remembered.
-func (ta *Table) Size() int { return len(ta.runs) }
-
 // Admit decides whether a dispatched attempt may run and remembers it.
 func (ta *Table) Admit(di *wire.Dispatch, now time.Time) Decision {
 	if di.Boot != ta.boot {
--- a/core/sched/events.go
+++ b/core/sched/events.go
@@ -182,9 +182,7 @@
 		if he.Running > 0 || sl.Pins > 0 || !he.Ready {
 			return nil
 		}
-		sl.State = Unloading
-		sl.unloadOrdered = true
-		return []Action{{Unload: &Unload{Handle: sl.Handle, Fence: sc.nextFence()}}}
+		return []Action{sc.startUnload(ix)}
 	}
 	*sl = Slot{}
 	return nil
@@ -207,16 +205,7 @@
 // Tick refuses requests whose time has run out and plans anew.
 func (sc *Scheduler) Tick(now time.Time) []Action {
 	sc.account(now)
-	actions := make([]Action, 0)
-	kept := sc.queue[:0]
-	for _, it := range sc.queue {
-		if now.Before(it.Deadline) {
-			kept = append(kept, it)
-			continue
-		}
-		actions = append(actions, refuse(it.Attempt, ReasonDeadline, refusalWait))
-	}
-	sc.queue = kept
+	actions := sc.refuseWaiting(func(it *Item) bool { return !now.Before(it.Deadline) }, ReasonDeadline)
 	return append(actions, sc.plan(now)...)
 }
 
@@ -227,14 +216,19 @@
 		return nil
 	}
 	delete(sc.failures, av)
+	return sc.refuseWaiting(func(it *Item) bool { return it.Adapter == av }, ReasonLoadFailed)
+}
+
+// refuseWaiting takes the requests that match out of the queue and refuses them.
+func (sc *Scheduler) refuseWaiting(match func(it *Item) bool, reason string) []Action {
 	actions := make([]Action, 0)
 	kept := sc.queue[:0]
 	for _, it := range sc.queue {
-		if it.Adapter != av {
+		if !match(&it) {
 			kept = append(kept, it)
 			continue
 		}
-		actions = append(actions, refuse(it.Attempt, ReasonLoadFailed, refusalWait))
+		actions = append(actions, refuse(it.Attempt, reason, refusalWait))
 	}
 	sc.queue = kept
 	return actions
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -60,9 +60,14 @@
 
 // next returns the waiting request of the highest rank that can run now, or -1.
 func (sc *Scheduler) next(now time.Time) int {
+	return sc.first(now, sc.runnable)
+}
+
+// first returns the waiting request of the highest rank that matches, or -1.
+func (sc *Scheduler) first(now time.Time, match func(it *Item) bool) int {
 	best := -1
 	for ix := range sc.queue {
-		if !sc.runnable(&sc.queue[ix]) {
+		if !match(&sc.queue[ix]) {
 			continue
 		}
 		if best < 0 || sc.queue[ix].rank(now) > sc.queue[best].rank(now) {
@@ -102,14 +107,11 @@
 		sx := sc.emptySlot()
 		if sx < 0 {
 			if vi := sc.victim(now); vi >= 0 && sc.unloads() < loadsMax {
-				sc.slots[vi].State = Unloading
-				sc.slots[vi].unloadOrdered = true
-				actions = append(actions, Action{Unload: &Unload{Handle: sc.slots[vi].Handle, Fence: sc.nextFence()}})
+				actions = append(actions, sc.startUnload(vi))
 			}
 			break
 		}
-		sc.slots[sx] = Slot{State: Loading, Adapter: av, Handle: sc.newHandle(av), lastUse: now}
-		actions = append(actions, Action{Load: &Load{Adapter: av, Handle: sc.slots[sx].Handle, Fence: sc.nextFence()}})
+		actions = append(actions, sc.startLoad(sx, av, now))
 	}
 	return actions
 }
@@ -125,25 +127,29 @@
 			*sl = Slot{}
 			continue
 		}
-		*sl = Slot{State: Loading, Adapter: sl.Adapter, Handle: sc.newHandle(sl.Adapter), lastUse: now}
-		actions = append(actions, Action{Load: &Load{Adapter: sl.Adapter, Handle: sl.Handle, Fence: sc.nextFence()}})
+		actions = append(actions, sc.startLoad(ix, sl.Adapter, now))
 	}
 	return actions
 }
 
+// startLoad orders a load into a slot under a new handle.
+func (sc *Scheduler) startLoad(ix int, av conf.AdapterVersion, now time.Time) Action {
+	sc.slots[ix] = Slot{State: Loading, Adapter: av, Handle: sc.newHandle(av), lastUse: now}
+	return Action{Load: &Load{Adapter: av, Handle: sc.slots[ix].Handle, Fence: sc.nextFence()}}
+}
+
+// startUnload orders the engine to drop what a slot holds.
+func (sc *Scheduler) startUnload(ix int) Action {
+	sc.slots[ix].State = Unloading
+	sc.slots[ix].unloadOrdered = true
+	return Action{Unload: &Unload{Handle: sc.slots[ix].Handle, Fence: sc.nextFence()}}
+}
+
 // nextLoad returns the waiting request of the highest rank whose adapter no slot holds or loads, or -1.
 func (sc *Scheduler) nextLoad(now time.Time) int {
-	best := -1
-	for ix := range sc.queue {
-		it := &sc.queue[ix]
-		if it.Adapter == (conf.AdapterVersion{}) || sc.slotOf(it.Adapter) >= 0 {
-			continue
-		}
-		if best < 0 || it.rank(now) > sc.queue[best].rank(now) {
-			best = ix
-		}
-	}
-	return best
+	return sc.first(now, func(it *Item) bool {
+		return it.Adapter != (conf.AdapterVersion{}) && sc.slotOf(it.Adapter) < 0
+	})
 }
 
 // loads counts the loads under way.
--- a/proofs/path_test.go
+++ b/proofs/path_test.go
@@ -136,6 +136,18 @@
 	return resp.StatusCode, resp.Header, string(data)
 }
 
+// open posts a completion and returns the answer as it begins; the caller closes its body.
+func (de *deployment) open(tb testing.TB, body string) *http.Response {
+	tb.Helper()
+	rq, _ := http.NewRequest(http.MethodPost, de.callers[0]+"/v1/chat/completions", strings.NewReader(body))
+	rq.Header.Set("Authorization", "Bearer "+de.token)
+	resp, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return resp
+}
+
 // ctl runs the operators' command line and returns its output and exit code.
 func (de *deployment) ctl(tb testing.TB, args ...string) (string, int) {
 	tb.Helper()
@@ -199,12 +211,7 @@
 
 func testStreamFlows(t *testing.T, de *deployment) {
 	body := `{"model":"batch-sheet@3","stream":true,"max_tokens":200,"messages":[{"role":"user","content":"flow"}]}`
-	rq, _ := http.NewRequest(http.MethodPost, de.callers[0]+"/v1/chat/completions", strings.NewReader(body))
-	rq.Header.Set("Authorization", "Bearer "+de.token)
-	resp, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := de.open(t, body)
 	defer func() { _ = resp.Body.Close() }()
 	rd := bufio.NewReader(resp.Body)
 	if line, err := rd.ReadString('\n'); err != nil || !strings.HasPrefix(line, "data: ") {
@@ -413,12 +420,7 @@
 
 func testPlannedStop(t *testing.T, de *deployment) {
 	body := `{"model":"batch-sheet@3","stream":true,"max_tokens":100,"messages":[{"role":"user","content":"stop"}]}`
-	rq, _ := http.NewRequest(http.MethodPost, de.callers[0]+"/v1/chat/completions", strings.NewReader(body))
-	rq.Header.Set("Authorization", "Bearer "+de.token)
-	resp, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		t.Fatal(err)
-	}
+	resp := de.open(t, body)
 	defer func() { _ = resp.Body.Close() }()
 	for _, name := range []string{"entry-1", "runner-1", "runner-2", "runner-3"} {
 		signalProcess(t, de, name)
