--- /dev/null
+++ b/agent/direct/agent.go
@@ -0,0 +1,113 @@
+package direct
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/link"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	// drainMax bounds the drain of a planned stop; streams go on without the agent.
+	drainMax = 3 * time.Second
+)
+
+// Network is how the agent is reached.
+type Network interface {
+	Listen(address string) (net.Listener, error)
+}
+
+// Options builds an agent.
+type Options struct {
+	Settings conf.DirectAgentSettings
+	Network  Network
+	Engine   Engine
+	Logger   zerolog.Logger
+}
+
+// agent is what the start and the stop work on.
+type agent struct {
+	op     Options
+	br     *Broker
+	lg     zerolog.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// New returns an agent that serves once it is started and drains when it is stopped.
+func New(op Options) *fx.App {
+	return fx.New(
+		fx.StopTimeout(drainMax),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(op),
+		fx.Provide(newAgent),
+		fx.Invoke(run),
+	)
+}
+
+// newAgent returns the agent of this boot.
+func newAgent(op Options) *agent {
+	ctx, cancel := context.WithCancel(context.Background())
+	boot := uuid.Must(uuid.NewV7()).String()
+	return &agent{op: op, br: NewBroker(op.Engine, boot, op.Logger), lg: op.Logger, ctx: ctx, cancel: cancel}
+}
+
+// run hooks the agent's goroutines to its start and stop.
+func run(lc fx.Lifecycle, ag *agent) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+link.Path, ag.serveLink)
+	hs := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	ms := &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error { return ag.start(hs, ms) },
+		OnStop: func(ctx context.Context) error {
+			ag.lg.Info().Msg("agent_draining")
+			ag.br.Leave(ctx)
+			ag.cancel()
+			err := errors.CombineErrors(hs.Close(), ms.Close())
+			ag.lg.Info().Msg("agent_stopped")
+			return err
+		},
+	})
+}
+
+// start listens and starts a goroutine for each duty.
+func (ag *agent) start(hs, ms *http.Server) error {
+	if err := ag.serve(hs, ag.op.Settings.ListenAddress); err != nil {
+		return err
+	}
+	if ag.op.Settings.MetricsAddress != "" {
+		if err := ag.serve(ms, ag.op.Settings.MetricsAddress); err != nil {
+			return err
+		}
+	}
+	go ag.br.Run(ag.ctx)
+	ag.lg.Info().Str("address", ag.op.Settings.ListenAddress).Str("engine", ag.op.Settings.BackendAddress).
+		Str("boot", ag.br.boot).Msg("agent_started")
+	return nil
+}
+
+// serve accepts connections on an address.
+func (ag *agent) serve(hs *http.Server, address string) error {
+	ls, err := ag.op.Network.Listen(address)
+	if err != nil {
+		return errors.Wrapf(err, "direct: listen on %s", address)
+	}
+	go func() {
+		if err := hs.Serve(ls); !errors.Is(err, http.ErrServerClosed) {
+			ag.lg.Error().Str("address", address).Str("error", err.Error()).Msg("server_stopped")
+		}
+	}()
+	return nil
+}
--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -220,6 +220,54 @@
 	return checkURL("hosts_url", es.HostsURL)
 }
 
+// namedAddress is an address with its place in the settings.
+type namedAddress struct {
+	path    string
+	address string
+}
+
+// checkAddresses returns the first fault of addresses.
+func checkAddresses(list []namedAddress) *FindingError {
+	for _, na := range list {
+		if fi := checkAddress(na.path, na.address); fi != nil {
+			return fi
+		}
+	}
+	return nil
+}
+
+// check returns the first fault of the settings of an entry node that sends requests itself.
+func (de DirectEntrySettings) check() *FindingError {
+	if fi := de.Place.check(); fi != nil {
+		return fi
+	}
+	fi := checkAddresses([]namedAddress{
+		{"caller_address", de.CallerAddress}, {"ready_address", de.ReadyAddress}, {"peer_address", de.PeerAddress},
+		{"log_address", de.LogAddress},
+	})
+	switch {
+	case fi != nil:
+		return fi
+	case de.AgentPort < 1 || de.AgentPort > 65535:
+		return find("agent_port", "give the port that agents listen on", "%d is no port", de.AgentPort)
+	case de.StopMs < 1:
+		return find("stop_ms", "give the time until the kill", "%d is too short", de.StopMs)
+	case de.RetryWindowMs < 1:
+		return find("retry_window_ms", "give the time over which retries are counted", "%d is too short", de.RetryWindowMs)
+	case de.Regions[de.Place.Zone] == "":
+		return find("regions", "give the region of each availability zone", "zone %q has no region", de.Place.Zone)
+	}
+	return nil
+}
+
+// check returns the first fault of the settings of an agent that grants requests.
+func (da DirectAgentSettings) check() *FindingError {
+	if fi := da.Place.check(); fi != nil {
+		return fi
+	}
+	return checkAddresses([]namedAddress{{"listen_address", da.ListenAddress}, {"backend_address", da.BackendAddress}})
+}
+
 // check returns the first fault of an agent's settings.
 func (as AgentSettings) check() *FindingError {
 	if fi := as.Place.check(); fi != nil {
--- a/core/conf/parse.go
+++ b/core/conf/parse.go
@@ -62,6 +62,30 @@
 	return as, nil
 }
 
+// ParseDirectEntry reads the settings file of an entry node that sends requests itself; errors are of type *ProblemError.
+func ParseDirectEntry(file string, data []byte) (DirectEntrySettings, error) {
+	de := DirectEntrySettings{}
+	if err := parse(file, data, &de); err != nil {
+		return DirectEntrySettings{}, err
+	}
+	if fi := de.check(); fi != nil {
+		return DirectEntrySettings{}, locate(file, data, fi)
+	}
+	return de, nil
+}
+
+// ParseDirectAgent reads the settings file of an agent that grants requests; errors are of type *ProblemError.
+func ParseDirectAgent(file string, data []byte) (DirectAgentSettings, error) {
+	da := DirectAgentSettings{}
+	if err := parse(file, data, &da); err != nil {
+		return DirectAgentSettings{}, err
+	}
+	if fi := da.check(); fi != nil {
+		return DirectAgentSettings{}, locate(file, data, fi)
+	}
+	return da, nil
+}
+
 // ParseCtl reads the command line's settings file; errors are of type *ProblemError.
 func ParseCtl(file string, data []byte) (CtlSettings, error) {
 	cs := CtlSettings{}
--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -91,6 +91,84 @@
 	StoreLoadsPerSecond float64 `json:"store_loads_per_second" yaml:"store_loads_per_second"`
 }
 
+// DirectAgentSettings is the settings file of an agent whose engine receives
+// requests from the entry nodes.
+type DirectAgentSettings struct {
+	// BackendAddress is the engine, as IP:port.
+	BackendAddress string `json:"backend_address" yaml:"backend_address"`
+
+	// ListenAddress is where entry nodes connect, as IP:port.
+	ListenAddress string `json:"listen_address" yaml:"listen_address"`
+
+	// MemoryMb is the memory of the process, in megabytes.
+	MemoryMb int `json:"memory_mb" yaml:"memory_mb"`
+
+	// MetricsAddress serves counters and histograms, as IP:port; empty for none.
+	MetricsAddress string `json:"metrics_address" yaml:"metrics_address"`
+
+	// Place corresponds to the JSON schema field "place".
+	Place Place `json:"place" yaml:"place"`
+}
+
+// DirectEntrySettings is the settings file of an entry node that sends requests to
+// the backend servers itself.
+type DirectEntrySettings struct {
+	// AgentPort is the port of every agent, on the host of its backend server.
+	AgentPort int `json:"agent_port" yaml:"agent_port"`
+
+	// CallerAddress is where callers connect, as IP:port.
+	CallerAddress string `json:"caller_address" yaml:"caller_address"`
+
+	// LeaveMs is the time in which a leaving backend server must receive no more
+	// work, in milliseconds.
+	LeaveMs int `json:"leave_ms" yaml:"leave_ms"`
+
+	// LogAddress is the platform's log service, as IP:port.
+	LogAddress string `json:"log_address" yaml:"log_address"`
+
+	// MemoryMb is the memory of the process, in megabytes.
+	MemoryMb int `json:"memory_mb" yaml:"memory_mb"`
+
+	// MetricsAddress serves counters and histograms, as IP:port; empty for none.
+	MetricsAddress string `json:"metrics_address" yaml:"metrics_address"`
+
+	// PeerAddress is where other entry nodes ask for what this one knows, as IP:port.
+	PeerAddress string `json:"peer_address" yaml:"peer_address"`
+
+	// Peers lists the peer addresses of some entry nodes.
+	Peers []string `json:"peers" yaml:"peers"`
+
+	// Place corresponds to the JSON schema field "place".
+	Place Place `json:"place" yaml:"place"`
+
+	// ReadyAddress is where the balancer asks for readiness, as IP:port.
+	ReadyAddress string `json:"ready_address" yaml:"ready_address"`
+
+	// Regions maps each availability zone to its region.
+	Regions DirectEntrySettingsRegions `json:"regions" yaml:"regions"`
+
+	// RetryShare is the share of a service's requests that all entry nodes together
+	// may send again.
+	RetryShare float64 `json:"retry_share" yaml:"retry_share"`
+
+	// RetrySlack is the number of requests that all entry nodes together may send
+	// again above the share.
+	RetrySlack int `json:"retry_slack" yaml:"retry_slack"`
+
+	// RetryWindowMs is the time over which the share is counted, in milliseconds.
+	RetryWindowMs int `json:"retry_window_ms" yaml:"retry_window_ms"`
+
+	// StopMs is the time from the stop signal to the kill, in milliseconds.
+	StopMs int `json:"stop_ms" yaml:"stop_ms"`
+
+	// VersionMs is the time in which an announced adapter version must be in use, in
+	// milliseconds.
+	VersionMs int `json:"version_ms" yaml:"version_ms"`
+}
+
+// Regions maps each availability zone to its region.
+type DirectEntrySettingsRegions map[string]string
+
 // EntrySettings is the settings file of an entry node.
 type EntrySettings struct {
 	// AdminAddress is where operators connect, as IP:port.
@@ -154,6 +232,12 @@
 	// Ctl corresponds to the JSON schema field "ctl".
 	Ctl *CtlSettings `json:"ctl,omitempty,omitzero" yaml:"ctl,omitempty"`
 
+	// DirectAgent corresponds to the JSON schema field "direct_agent".
+	DirectAgent *DirectAgentSettings `json:"direct_agent,omitempty,omitzero" yaml:"direct_agent,omitempty"`
+
+	// DirectEntry corresponds to the JSON schema field "direct_entry".
+	DirectEntry *DirectEntrySettings `json:"direct_entry,omitempty,omitzero" yaml:"direct_entry,omitempty"`
+
 	// Entry corresponds to the JSON schema field "entry".
 	Entry *EntrySettings `json:"entry,omitempty,omitzero" yaml:"entry,omitempty"`
 
--- /dev/null
+++ b/core/grant/events.go
@@ -0,0 +1,259 @@
+package grant
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// refusalWait is when to come back after a refusal that tells nothing better.
+const refusalWait = 300 * time.Millisecond
+
+// Reserve takes a request for a grant.
+func (en *Engine) Reserve(it Item, now time.Time) []Action {
+	it.Arrived = now
+	switch {
+	case en.leaving:
+		return []Action{refuse(&it, ReasonLeaving, 0)}
+	case len(en.queue) >= queueMax:
+		return []Action{refuse(&it, ReasonQueueFull, refusalWait)}
+	case !now.Before(it.Deadline):
+		return []Action{refuse(&it, ReasonDeadline, refusalWait)}
+	}
+	if it.Key.Adapter != "" {
+		po := en.popular[it.Key]
+		en.popular[it.Key] = popularity{count: po.decayed(now) + 1, at: now}
+	}
+	en.queue = append(en.queue, it)
+	actions := en.plan(now)
+	if ix := en.queued(it.Attempt); ix >= 0 {
+		actions = append(actions, Action{Queue: &Queue{Attempt: it.Attempt, Entry: it.Entry, Reason: en.obstacle(&en.queue[ix])}})
+	}
+	return actions
+}
+
+// Adopt takes a grant of an earlier run or connection that an entry node still uses.
+func (en *Engine) Adopt(it Item, now time.Time) []Action {
+	if he := en.held[it.Attempt]; he != nil {
+		he.Entry, he.orphaned = it.Entry, time.Time{}
+		return nil
+	}
+	it.Arrived = now
+	en.held[it.Attempt] = &held{Item: it, version: it.Version}
+	return nil
+}
+
+// Release ends a grant, or takes a request out of the queue.
+func (en *Engine) Release(attempt string, now time.Time) []Action {
+	if ix := en.queued(attempt); ix >= 0 {
+		en.queue = slices.Delete(en.queue, ix, ix+1)
+		return nil
+	}
+	if en.held[attempt] == nil {
+		return nil
+	}
+	delete(en.held, attempt)
+	return en.plan(now)
+}
+
+// Missing records that the engine has not run a request because it lacks the adapter.
+func (en *Engine) Missing(attempt string, now time.Time) []Action {
+	if he := en.held[attempt]; he != nil {
+		delete(en.loaded, he.Key)
+	}
+	en.inspectAt = now
+	return en.Release(attempt, now)
+}
+
+// Disconnected takes the loss of an entry node's connection.
+func (en *Engine) Disconnected(entry string, now time.Time) {
+	en.queue = slices.DeleteFunc(en.queue, func(it Item) bool { return it.Entry == entry })
+	for _, he := range en.held {
+		if he.Entry == entry {
+			he.orphaned = now
+		}
+	}
+}
+
+// Prepare names the base model that the engine is to hold and its number of adapter slots.
+func (en *Engine) Prepare(model string, slots int, now time.Time) []Action {
+	en.wantedModel = model
+	en.slots = slots
+	return en.plan(now)
+}
+
+// Observed takes what the engine says of itself.
+func (en *Engine) Observed(ob Observation, now time.Time) []Action {
+	en.inspecting = false
+	if en.known && ob.Born == en.ob.Born && ob.Sequence < en.sequence && en.order == nil {
+		// The answer is older than an order that was counted since.
+		en.inspectAt = now.Add(inspectSoon)
+		return nil
+	}
+	if !en.known || ob.Born != en.ob.Born {
+		en.restarted()
+	}
+	en.known = true
+	en.ob = ob
+	en.takeHolds(ob, now)
+	en.sequence = ob.Sequence
+	if en.lost != nil && (ob.Sequence > en.lost.Sequence || ob.Born != en.lost.Born) {
+		en.lost = nil
+	}
+	if model := en.model(); model != "" {
+		en.wantedModel = model
+	}
+	return en.plan(now)
+}
+
+// Silent records that the engine did not answer an inspection.
+func (en *Engine) Silent(now time.Time) []Action {
+	en.inspecting = false
+	en.inspectAt = now.Add(inspectIdle)
+	en.known = false
+	return en.refuseWaiting(func(*Item) bool { return true }, ReasonUnknown)
+}
+
+// Ordered takes the result of the order under way.
+func (en *Engine) Ordered(re Result, now time.Time) []Action {
+	or := en.order
+	if or == nil {
+		return nil
+	}
+	en.order = nil
+	switch re {
+	case Accepted:
+		en.sequence = or.Sequence + 1
+		en.carriedOut(or, now)
+	case Holds:
+		// The engine answers an unload of an idle adapter like this, and counts it.
+		en.carriedOut(or, now)
+		en.inspectAt = now
+	case Conflict, Rejected:
+		delete(en.coming, or.Key)
+		en.orderAt = now.Add(conflictWait)
+		en.inspectAt = now
+	case Lost:
+		delete(en.coming, or.Key)
+		en.lost = or
+		en.orderAt = now.Add(conflictWait)
+		en.inspectAt = now
+	}
+	return en.plan(now)
+}
+
+// carriedOut enters the effect of an order.
+func (en *Engine) carriedOut(or *Order, now time.Time) {
+	switch or.Operation {
+	case LoadModel:
+		en.modelDue = now.Add(inspectIdle)
+	case LoadAdapter:
+		en.loads++
+		due := now.Add(loadTime)
+		if slices.Contains(en.recent, or.Key) {
+			due = now.Add(reloadTime)
+		}
+		en.coming[or.Key] = loading{version: or.Version, since: now, due: due}
+		en.remember(or.Key)
+	case UnloadAdapter:
+		en.evictions++
+		delete(en.loaded, or.Key)
+	}
+}
+
+// Tick advances time: it refuses requests whose time has run out, frees the grants of
+// lost entry nodes and plans anew.
+func (en *Engine) Tick(now time.Time) []Action {
+	for _, attempt := range slices.Sorted(maps.Keys(en.held)) {
+		he := en.held[attempt]
+		if !he.orphaned.IsZero() && now.Sub(he.orphaned) > orphanMax {
+			delete(en.held, attempt)
+		}
+	}
+	actions := en.refuseWaiting(func(it *Item) bool { return !now.Before(it.Deadline) }, ReasonDeadline)
+	return append(actions, en.plan(now)...)
+}
+
+// Leave stops new grants; those given are used up.
+func (en *Engine) Leave() []Action {
+	en.leaving = true
+	return en.refuseWaiting(func(*Item) bool { return true }, ReasonLeaving)
+}
+
+// Idle tells whether no grant is in use.
+func (en *Engine) Idle() bool { return len(en.held) == 0 }
+
+// Held lists the attempts granted, in order.
+func (en *Engine) Held() []string { return slices.Sorted(maps.Keys(en.held)) }
+
+// restarted forgets what an earlier run of the engine held.
+func (en *Engine) restarted() {
+	clear(en.loaded)
+	clear(en.coming)
+	en.recent = nil
+	en.order, en.lost = nil, nil
+	en.readBy = time.Time{}
+}
+
+// takeHolds takes the adapters that the engine holds or loads.
+func (en *Engine) takeHolds(ob Observation, now time.Time) {
+	clear(en.loaded)
+	for _, mo := range ob.Models {
+		for adapter, version := range mo.Adapters {
+			ke := Key{Model: mo.Name, Adapter: adapter}
+			en.loaded[ke] = version
+			en.remember(ke)
+		}
+	}
+	for ke, version := range ob.Coming {
+		if _, ok := en.coming[ke]; !ok {
+			en.coming[ke] = loading{version: version, since: now, due: now.Add(inspectSoon)}
+		}
+	}
+	for ke, lo := range en.coming {
+		if en.order != nil && en.order.Key == ke {
+			continue
+		}
+		loaded, ok := en.loaded[ke]
+		_, still := ob.Coming[ke]
+		failed := now.Sub(lo.since) > orphanMax || !ok && now.Sub(lo.since) > loadTime
+		if !still && (ok && loaded >= lo.version || failed) {
+			delete(en.coming, ke)
+		}
+	}
+}
+
+// remember puts an adapter first among those the engine's host has at hand.
+func (en *Engine) remember(ke Key) {
+	en.recent = slices.DeleteFunc(en.recent, func(other Key) bool { return other == ke })
+	en.recent = append(en.recent, ke)
+	if len(en.recent) > recentMax {
+		en.recent = en.recent[1:]
+	}
+}
+
+// queued returns the place of an attempt in the queue, or -1.
+func (en *Engine) queued(attempt string) int {
+	return slices.IndexFunc(en.queue, func(it Item) bool { return it.Attempt == attempt })
+}
+
+// refuseWaiting takes the requests that match out of the queue and refuses them.
+func (en *Engine) refuseWaiting(match func(it *Item) bool, reason string) []Action {
+	actions := make([]Action, 0)
+	kept := en.queue[:0]
+	for ix := range en.queue {
+		it := en.queue[ix]
+		if match(&it) {
+			actions = append(actions, refuse(&it, reason, refusalWait))
+			continue
+		}
+		kept = append(kept, it)
+	}
+	en.queue = kept
+	return actions
+}
+
+// refuse builds a refusal.
+func refuse(it *Item, reason string, wait time.Duration) Action {
+	return Action{Refuse: &Refuse{Attempt: it.Attempt, Entry: it.Entry, Reason: reason, RetryAfter: wait}}
+}
--- /dev/null
+++ b/core/grant/plan.go
@@ -0,0 +1,202 @@
+package grant
+
+import (
+	"slices"
+	"time"
+)
+
+// plan grants what can run, orders loads for what cannot and inspects the engine when that is due.
+func (en *Engine) plan(now time.Time) []Action {
+	actions := make([]Action, 0)
+	if en.known {
+		actions = en.grantReady(actions, now)
+		actions = en.planOrder(actions, now)
+	}
+	if en.inspectDue(now) {
+		en.inspecting = true
+		en.inspectAt = now.Add(inspectIdle)
+		actions = append(actions, Action{Inspect: &Inspect{}})
+	}
+	return actions
+}
+
+// inspectDue tells whether the engine is to be asked what it holds.
+func (en *Engine) inspectDue(now time.Time) bool {
+	if en.inspecting {
+		return false
+	}
+	if !now.Before(en.inspectAt) {
+		return true
+	}
+	for _, lo := range en.coming {
+		if !now.Before(lo.due) {
+			return true
+		}
+	}
+	return false
+}
+
+// NextAt returns when Tick has something to do at the latest.
+func (en *Engine) NextAt(now time.Time) time.Time {
+	next := now.Add(inspectIdle)
+	if !en.inspecting && en.inspectAt.Before(next) {
+		next = en.inspectAt
+	}
+	for _, lo := range en.coming {
+		if !en.inspecting && lo.due.Before(next) {
+			next = lo.due
+		}
+	}
+	if len(en.queue) > 0 && en.orderAt.After(now) && en.orderAt.Before(next) {
+		next = en.orderAt
+	}
+	return next
+}
+
+// grantReady grants the waiting requests that can run, in the order of their rank.
+func (en *Engine) grantReady(actions []Action, now time.Time) []Action {
+	for {
+		ix := en.first(now, en.runnable)
+		if ix < 0 {
+			return actions
+		}
+		it := en.queue[ix]
+		en.queue = slices.Delete(en.queue, ix, ix+1)
+		en.held[it.Attempt] = &held{Item: it, version: en.loaded[it.Key]}
+		if it.Key.Adapter != "" {
+			en.stall += now.Sub(it.Arrived)
+			en.remember(it.Key)
+		}
+		if en.readBy.Before(now) {
+			en.readBy = now
+		}
+		en.readBy = en.readBy.Add(ReadTime(it.PromptTokens))
+		actions = append(actions, Action{Grant: &Grant{Attempt: it.Attempt, Entry: it.Entry, Version: en.loaded[it.Key]}})
+	}
+}
+
+// runnable tells whether the engine can take a request now.
+func (en *Engine) runnable(it *Item) bool { return en.obstacle(it) == "" }
+
+// obstacle returns why a request must wait, or nothing.
+func (en *Engine) obstacle(it *Item) string {
+	if !en.known {
+		return ReasonUnknown
+	}
+	if !en.holdsModel(it.Key.Model) {
+		return ReasonModel
+	}
+	if it.Key.Adapter != "" {
+		version, ok := en.loaded[it.Key]
+		_, coming := en.coming[it.Key]
+		ordered := en.order != nil && en.order.Key == it.Key
+		if !ok || coming || ordered || version < it.Version && (it.Settled || en.pins(it.Key) == 0) {
+			return ReasonAdapter
+		}
+	}
+	if len(en.held) > 0 && en.ob.MemoryTotal > 0 && en.memoryFree() < it.PromptTokens+it.OutputTokens {
+		return ReasonMemory
+	}
+	return ""
+}
+
+// holdsModel tells whether the engine holds a base model.
+func (en *Engine) holdsModel(model string) bool {
+	return slices.ContainsFunc(en.ob.Models, func(mo Model) bool { return mo.Name == model })
+}
+
+// first returns the waiting request of the highest rank that matches, or -1.
+func (en *Engine) first(now time.Time, match func(it *Item) bool) int {
+	best := -1
+	for ix := range en.queue {
+		if !match(&en.queue[ix]) {
+			continue
+		}
+		if best < 0 || en.queue[ix].rank(now) > en.queue[best].rank(now) {
+			best = ix
+		}
+	}
+	return best
+}
+
+// planOrder gives the next order, one at a time.
+func (en *Engine) planOrder(actions []Action, now time.Time) []Action {
+	if en.order != nil || now.Before(en.orderAt) || en.ob.Busy {
+		return actions
+	}
+	if len(en.ob.Models) == 0 {
+		if en.wantedModel == "" || now.Before(en.modelDue) {
+			return actions
+		}
+		return en.give(actions, Order{Operation: LoadModel, Key: Key{Model: en.wantedModel}})
+	}
+	if len(en.coming) >= loadsMax {
+		return actions
+	}
+	ix := en.first(now, en.needsLoad)
+	if ix < 0 {
+		return actions
+	}
+	it := &en.queue[ix]
+	if _, replaces := en.loaded[it.Key]; replaces || en.taken() < en.slots {
+		return en.give(actions, Order{Operation: LoadAdapter, Key: it.Key, Version: it.Version})
+	}
+	if now.Sub(en.started) < settleMax {
+		return actions
+	}
+	if victim, ok := en.victim(now); ok {
+		return en.give(actions, Order{Operation: UnloadAdapter, Key: victim})
+	}
+	return actions
+}
+
+// needsLoad tells whether a request waits for an adapter that is not on its way.
+func (en *Engine) needsLoad(it *Item) bool {
+	if it.Key.Adapter == "" || !en.holdsModel(it.Key.Model) {
+		return false
+	}
+	if _, coming := en.coming[it.Key]; coming {
+		return false
+	}
+	version, ok := en.loaded[it.Key]
+	return !ok || version < it.Version
+}
+
+// taken counts the adapter slots in use; a lost load counts until it is known to be void.
+func (en *Engine) taken() int {
+	taken := len(en.loaded)
+	for ke := range en.coming {
+		if _, ok := en.loaded[ke]; !ok {
+			taken++
+		}
+	}
+	if en.lost != nil && en.lost.Operation == LoadAdapter {
+		if _, ok := en.loaded[en.lost.Key]; !ok {
+			taken++
+		}
+	}
+	return taken
+}
+
+// victim returns the least popular adapter that no request uses or waits for.
+func (en *Engine) victim(now time.Time) (Key, bool) {
+	best, least, found := Key{}, 0.0, false
+	for ke := range en.loaded {
+		if _, coming := en.coming[ke]; coming || en.pins(ke) > 0 || en.waitingFor(ke) > 0 {
+			continue
+		}
+		count := en.popular[ke].decayed(now)
+		if !found || count < least || count == least && ke.Adapter < best.Adapter {
+			best, least, found = ke, count, true
+		}
+	}
+	return best, found
+}
+
+// give records an order as under way.
+func (en *Engine) give(actions []Action, or Order) []Action {
+	or.Sequence = en.sequence
+	or.Born = en.ob.Born
+	en.order = &or
+	return append(actions, Action{Order: &or})
+}
--- a/core/logs/logs.go
+++ b/core/logs/logs.go
@@ -16,33 +16,38 @@
 
 // New returns a logger that writes lines of key=value pairs to wr, each naming the program and host.
 func New(wr io.Writer, level zerolog.Level, program, host string) zerolog.Logger {
+	return logger(&lineWriter{out: wr}, level, program, host)
+}
+
+// NewBounded returns a logger whose lines go through a sink that never blocks.
+func NewBounded(si *Sink, level zerolog.Level, program, host string) zerolog.Logger {
+	return logger(si, level, program, host)
+}
+
+// logger builds a logger on a writer that takes the library's JSON objects.
+func logger(wr io.Writer, level zerolog.Level, program, host string) zerolog.Logger {
 	globals.Do(func() {
 		zerolog.TimestampFunc = time.Now
 		zerolog.TimeFieldFormat = timeFormat
 	})
-	cw := zerolog.ConsoleWriter{
-		Out:        wr,
-		NoColor:    true,
-		TimeFormat: timeFormat,
-		PartsOrder: []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, zerolog.MessageFieldName},
-		FormatTimestamp: func(value any) string {
-			return "time=" + text(value)
-		},
-		FormatLevel: func(value any) string {
-			return "level=" + text(value)
-		},
-		FormatMessage: func(value any) string {
-			return "event=" + text(value)
-		},
-	}
-	return zerolog.New(cw).Level(level).With().Timestamp().
+	return zerolog.New(wr).Level(level).With().Timestamp().
 		Str("program", program).Str("host", host).Logger()
 }
 
-// text renders a log value that may be absent.
-func text(value any) string {
-	if st, ok := value.(string); ok {
-		return st
+// lineWriter writes each line at once.
+type lineWriter struct {
+	mu  sync.Mutex
+	out io.Writer
+	buf []byte
+}
+
+// Write renders one JSON object as a line.
+func (lw *lineWriter) Write(object []byte) (int, error) {
+	lw.mu.Lock()
+	defer lw.mu.Unlock()
+	lw.buf = appendLine(lw.buf[:0], object)
+	if _, err := lw.out.Write(lw.buf); err != nil {
+		return 0, err
 	}
-	return "none"
+	return len(object), nil
 }
--- /dev/null
+++ b/core/spread/experience.go
@@ -0,0 +1,58 @@
+package spread
+
+import "time"
+
+const (
+	// faultWeight is the weight of one more outcome in the share of failures.
+	faultWeight = 0.1
+	// paceWeight is the weight of one more measurement in a server's pace.
+	paceWeight = 0.15
+	paceMin    = 0.5
+	paceMax    = 8.0
+
+	// muteAfter is the number of failures in a row after which a server rests.
+	muteAfter = 3
+	muteFirst = 500 * time.Millisecond
+	muteMax   = 4 * time.Second
+	// unreachableMute is how long a server rests that refuses connections.
+	unreachableMute = time.Second
+)
+
+// Succeeded records a whole answer.
+func (fl *Fleet) Succeeded(id string) {
+	if me := fl.members[id]; me != nil {
+		me.failures = 0
+		me.faults -= faultWeight * me.faults
+	}
+}
+
+// Failed records an answer that was a failure, or none; a server that fails again and again rests.
+func (fl *Fleet) Failed(id string, now time.Time) {
+	me := fl.members[id]
+	if me == nil {
+		return
+	}
+	me.failures++
+	me.faults += faultWeight * (1 - me.faults)
+	if me.failures >= muteAfter {
+		me.mutedTill = now.Add(min(muteMax, muteFirst<<min(me.failures-muteAfter, 4)))
+	}
+}
+
+// Unreachable records that a server did not take a connection.
+func (fl *Fleet) Unreachable(id string, now time.Time) {
+	fl.Failed(id, now)
+	if me := fl.members[id]; me != nil {
+		me.mutedTill = now.Add(unreachableMute)
+	}
+}
+
+// Measured records the time to a first byte beside the expected one.
+func (fl *Fleet) Measured(id string, took, expected time.Duration) {
+	me := fl.members[id]
+	if me == nil || expected <= 0 {
+		return
+	}
+	ratio := min(paceMax, max(paceMin, took.Seconds()/expected.Seconds()))
+	me.pace += paceWeight * (ratio - me.pace)
+}
--- /dev/null
+++ b/core/spread/fleet.go
@@ -0,0 +1,182 @@
+package spread
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/bambooladder/bambooladder/core/grant"
+)
+
+// Hold is an adapter on an engine or on its way there.
+type Hold struct {
+	Adapter string
+	Version int
+	Ready   bool
+	// Users counts the requests that run on it or wait for it.
+	Users int
+}
+
+// Load is an engine's work as its agent last told.
+type Load struct {
+	// Known is false while the agent has no answer from its engine.
+	Known bool
+	// Model is the base model on the engine, empty for none.
+	Model string
+	Slots int
+	// Backlog is the time until the prompts already granted are read.
+	Backlog    time.Duration
+	Running    int
+	Waiting    int
+	MemoryFree int
+	Leaving    bool
+	// At is when the agent's message arrived.
+	At time.Time
+}
+
+// Server is a backend server that may be chosen.
+type Server struct {
+	ID      string
+	Service string
+	Zone    string
+	Region  string
+	// Places is the number of requests that run together.
+	Places  int
+	Leaving bool
+	// Engine is true for a model engine.
+	Engine bool
+	// Model and Holds of the last record serve while the agent is silent.
+	Model string
+	Holds []Hold
+}
+
+// member is a backend server with the entry node's own experience of it.
+type member struct {
+	Server
+	hash uint64
+	load Load
+	// told is true while an agent tells of the engine.
+	told  bool
+	holds []Hold
+	// sent counts this node's requests under way.
+	sent int
+	// added is the prompt time reserved since the agent's last message.
+	added time.Duration
+	// pace is the measured time to the first byte as a multiple of the expected one.
+	pace float64
+	// faults is the decayed share of failures.
+	faults    float64
+	failures  int
+	mutedTill time.Time
+	since     time.Time
+}
+
+// Fleet is what an entry node believes of the backend servers; its zero value is empty.
+type Fleet struct {
+	members map[string]*member
+	// groups holds the servers of each service in the order of their identities.
+	groups map[string][]*member
+}
+
+// Put adds a server or replaces what its record says.
+func (fl *Fleet) Put(se Server, now time.Time) {
+	if fl.members == nil {
+		fl.members = map[string]*member{}
+		fl.groups = map[string][]*member{}
+	}
+	me := fl.members[se.ID]
+	if me != nil && me.Service != se.Service {
+		fl.Remove(se.ID)
+		me = nil
+	}
+	if me == nil {
+		me = &member{hash: xxh3.HashString(se.ID), pace: 1, since: now}
+		fl.members[se.ID] = me
+		group := fl.groups[se.Service]
+		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
+		fl.groups[se.Service] = slices.Insert(group, ix, me)
+	}
+	me.Server = se
+}
+
+// Remove forgets a server.
+func (fl *Fleet) Remove(id string) {
+	me := fl.members[id]
+	if me == nil {
+		return
+	}
+	delete(fl.members, id)
+	fl.groups[me.Service] = slices.DeleteFunc(fl.groups[me.Service], func(other *member) bool { return other == me })
+}
+
+// Keep removes all servers that are not named.
+func (fl *Fleet) Keep(ids map[string]bool) {
+	for id := range fl.members {
+		if !ids[id] {
+			fl.Remove(id)
+		}
+	}
+}
+
+// Server returns what is known of a server.
+func (fl *Fleet) Server(id string) (Server, bool) {
+	if me := fl.members[id]; me != nil {
+		return me.Server, true
+	}
+	return Server{}, false
+}
+
+// Told takes an agent's message on its engine; holds is nil where it tells only the load.
+func (fl *Fleet) Told(id string, lo Load, holds []Hold) {
+	me := fl.members[id]
+	if me == nil {
+		return
+	}
+	// An agent that leaves gives no grants, but its engine goes on.
+	me.load, me.told, me.added = lo, !lo.Leaving, 0
+	if holds != nil {
+		me.holds = holds
+	}
+}
+
+// Untold records that the agent cannot be reached; what it last told serves on.
+func (fl *Fleet) Untold(id string) {
+	if me := fl.members[id]; me != nil {
+		me.told = false
+	}
+}
+
+// Retold records that an agent that was silent answers again.
+func (fl *Fleet) Retold(id string) {
+	if me := fl.members[id]; me != nil && !me.load.At.IsZero() {
+		me.told = true
+	}
+}
+
+// Sent counts a request that goes to a server and the prompt tokens it adds.
+func (fl *Fleet) Sent(id string, promptTokens int) {
+	if me := fl.members[id]; me != nil {
+		me.sent++
+		me.added += grant.ReadTime(promptTokens)
+	}
+}
+
+// Done counts a request off.
+func (fl *Fleet) Done(id string) {
+	if me := fl.members[id]; me != nil && me.sent > 0 {
+		me.sent--
+	}
+}
+
+// Count returns the number of servers of a service that may be chosen.
+func (fl *Fleet) Count(service string) int {
+	count := 0
+	for _, me := range fl.groups[service] {
+		if !me.Leaving {
+			count++
+		}
+	}
+	return count
+}
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -63,6 +63,7 @@
 		fr.Hello != nil, fr.Welcome != nil, fr.Heartbeat != nil, fr.Report != nil,
 		fr.Dispatch != nil, fr.Credit != nil, fr.Cancel != nil, fr.Void != nil,
 		fr.Verdict != nil, fr.Refusal != nil, fr.Head != nil, fr.Chunk != nil, fr.End != nil,
+		fr.Holdings != nil, fr.Reserve != nil, fr.Grant != nil, fr.Queued != nil, fr.Release != nil, fr.Prepare != nil,
 	} {
 		if present {
 			count++
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -112,6 +112,41 @@
 	Whole bool `json:"whole" yaml:"whole"`
 }
 
+// EngineLoad is the work of an engine to which entry nodes send requests
+// themselves.
+type EngineLoad struct {
+	// BacklogMs is the time until the prompts already granted are read, in
+	// milliseconds.
+	BacklogMs int64 `json:"backlog_ms" yaml:"backlog_ms"`
+
+	// Born identifies the run of the engine: its start in Unix milliseconds.
+	Born int64 `json:"born" yaml:"born"`
+
+	// Entries counts the entry nodes connected to the agent.
+	Entries int `json:"entries" yaml:"entries"`
+
+	// Known is false while the agent has no answer from its engine.
+	Known bool `json:"known" yaml:"known"`
+
+	// Leaving is true once the agent gives no more grants.
+	Leaving bool `json:"leaving" yaml:"leaving"`
+
+	// MemoryFree is the memory not yet granted, in tokens.
+	MemoryFree int `json:"memory_free" yaml:"memory_free"`
+
+	// Model is the base model that the engine holds, empty for none.
+	Model string `json:"model" yaml:"model"`
+
+	// Running counts granted requests.
+	Running int `json:"running" yaml:"running"`
+
+	// Slots is the number of adapter slots.
+	Slots int `json:"slots" yaml:"slots"`
+
+	// Waiting counts requests queued at the agent.
+	Waiting int `json:"waiting" yaml:"waiting"`
+}
+
 // Frame carries exactly one message between an entry node and an agent.
 type Frame struct {
 	// Cancel corresponds to the JSON schema field "cancel".
@@ -129,6 +164,9 @@
 	// End corresponds to the JSON schema field "end".
 	End *End `json:"end,omitempty,omitzero" yaml:"end,omitempty"`
 
+	// Grant corresponds to the JSON schema field "grant".
+	Grant *Grant `json:"grant,omitempty,omitzero" yaml:"grant,omitempty"`
+
 	// Head corresponds to the JSON schema field "head".
 	Head *Head `json:"head,omitempty,omitzero" yaml:"head,omitempty"`
 
@@ -138,12 +176,27 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty,omitzero" yaml:"hello,omitempty"`
 
+	// Holdings corresponds to the JSON schema field "holdings".
+	Holdings *Holdings `json:"holdings,omitempty,omitzero" yaml:"holdings,omitempty"`
+
+	// Prepare corresponds to the JSON schema field "prepare".
+	Prepare *Prepare `json:"prepare,omitempty,omitzero" yaml:"prepare,omitempty"`
+
+	// Queued corresponds to the JSON schema field "queued".
+	Queued *Queued `json:"queued,omitempty,omitzero" yaml:"queued,omitempty"`
+
 	// Refusal corresponds to the JSON schema field "refusal".
 	Refusal *Refusal `json:"refusal,omitempty,omitzero" yaml:"refusal,omitempty"`
 
+	// Release corresponds to the JSON schema field "release".
+	Release *Release `json:"release,omitempty,omitzero" yaml:"release,omitempty"`
+
 	// Report corresponds to the JSON schema field "report".
 	Report *Report `json:"report,omitempty,omitzero" yaml:"report,omitempty"`
 
+	// Reserve corresponds to the JSON schema field "reserve".
+	Reserve *Reserve `json:"reserve,omitempty,omitzero" yaml:"reserve,omitempty"`
+
 	// Verdict corresponds to the JSON schema field "verdict".
 	Verdict *Verdict `json:"verdict,omitempty,omitzero" yaml:"verdict,omitempty"`
 
@@ -154,6 +207,19 @@
 	Welcome *Welcome `json:"welcome,omitempty,omitzero" yaml:"welcome,omitempty"`
 }
 
+// Grant pins the adapter for an attempt until its Release; the entry node may send
+// it now.
+type Grant struct {
+	// Attempt identifies the attempt.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Load corresponds to the JSON schema field "load".
+	Load EngineLoad `json:"load" yaml:"load"`
+
+	// Version is the adapter's version on the engine.
+	Version int `json:"version" yaml:"version"`
+}
+
 // Head opens an answer with its status; its sequence is zero.
 type Head struct {
 	// Attempt identifies the attempt.
@@ -182,6 +248,40 @@
 
 	// EntryBoot identifies the run of the entry node's process.
 	EntryBoot string `json:"entry_boot" yaml:"entry_boot"`
+
+	// Zone is the entry node's availability zone.
+	Zone string `json:"zone" yaml:"zone"`
+}
+
+// Holdings describes the adapters and the work of an engine to which entry nodes
+// send requests themselves.
+type Holdings struct {
+	// Load corresponds to the JSON schema field "load".
+	Load EngineLoad `json:"load" yaml:"load"`
+
+	// Slots lists the occupied slots.
+	Slots []SlotReport `json:"slots" yaml:"slots"`
+}
+
+// Prepare tells the agent what its engine is to hold.
+type Prepare struct {
+	// Model is the base model to load where the engine holds none.
+	Model string `json:"model" yaml:"model"`
+
+	// Slots is the number of adapters the engine has room for.
+	Slots int `json:"slots" yaml:"slots"`
+}
+
+// Queued says that an attempt waits at the agent; Grant or Refusal follows.
+type Queued struct {
+	// Attempt identifies the attempt.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Load corresponds to the JSON schema field "load".
+	Load EngineLoad `json:"load" yaml:"load"`
+
+	// Reason is a short stable word.
+	Reason string `json:"reason" yaml:"reason"`
 }
 
 // Refusal says that the attempt has not run and will not run.
@@ -196,6 +296,22 @@
 	RetryAfter int64 `json:"retry_after" yaml:"retry_after"`
 }
 
+// Release ends an attempt that was granted or waits.
+type Release struct {
+	// Attempt identifies the attempt.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Ending tells how it ended at the engine.
+	Ending ReleaseEnding `json:"ending" yaml:"ending"`
+}
+
+type ReleaseEnding string
+
+const ReleaseEndingDone ReleaseEnding = "done"
+const ReleaseEndingLost ReleaseEnding = "lost"
+const ReleaseEndingMissing ReleaseEnding = "missing"
+const ReleaseEndingWithdrawn ReleaseEnding = "withdrawn"
+
 // Report describes the agent's slots and load.
 type Report struct {
 	// BatchFilledMs is the time of batch places in use, in milliseconds.
@@ -231,6 +347,44 @@
 	Waiting int `json:"waiting" yaml:"waiting"`
 }
 
+// Reserve asks the agent for an adapter and a place on its engine; the entry node
+// sends the request itself.
+type Reserve struct {
+	// Adapter is the adapter's name, empty for the base model alone.
+	Adapter string `json:"adapter" yaml:"adapter"`
+
+	// Attempt identifies this attempt for ever.
+	Attempt string `json:"attempt" yaml:"attempt"`
+
+	// Budget is the time for which the grant is of use, in milliseconds.
+	Budget int64 `json:"budget" yaml:"budget"`
+
+	// Held is true for an attempt that was granted on an earlier connection and still
+	// runs.
+	Held bool `json:"held" yaml:"held"`
+
+	// Model is the base model.
+	Model string `json:"model" yaml:"model"`
+
+	// OutputTokens bounds the tokens to produce.
+	OutputTokens int `json:"output_tokens" yaml:"output_tokens"`
+
+	// PromptTokens counts the tokens to read.
+	PromptTokens int `json:"prompt_tokens" yaml:"prompt_tokens"`
+
+	// Request identifies the caller's request over all its attempts.
+	Request string `json:"request" yaml:"request"`
+
+	// Settled is true once no older version may be used.
+	Settled bool `json:"settled" yaml:"settled"`
+
+	// Urgency orders requests; higher runs first.
+	Urgency int `json:"urgency" yaml:"urgency"`
+
+	// Version is the newest version announced, zero where none was.
+	Version int `json:"version" yaml:"version"`
+}
+
 // SlotReport describes one occupied slot.
 type SlotReport struct {
 	// Adapter is the adapter's name.
--- /dev/null
+++ b/entry/direct/agents.go
@@ -0,0 +1,314 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/link"
+	"github.com/bambooladder/bambooladder/core/member"
+	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+const (
+	duePeriod   = 100 * time.Millisecond
+	dialTimeout = 1500 * time.Millisecond
+	signalsMax  = 8
+	// answerMax is how long an agent may take to answer a reservation before it counts as silent.
+	answerMax = 200 * time.Millisecond
+)
+
+// agentLink is a connection to an agent; its server is known by identity.
+type agentLink struct {
+	co      *link.Conn
+	address string
+	boot    string
+	// entries is the number of entry nodes that the agent knows.
+	entries int
+	// silent is true after a reservation that was not answered, until anything arrives.
+	silent bool
+}
+
+// agents holds the connections to the agents, by the host of their engines.
+type agents struct {
+	no *Node
+
+	mu      sync.Mutex
+	members member.Members
+	links   map[string]*agentLink
+	// servers maps the hosts of agents to the servers beside them.
+	servers map[string]string
+	// waiting holds the attempts that wait for a grant, granted those that hold one.
+	waiting map[string]chan *wire.Frame
+	granted map[string]*reservation
+}
+
+// reservation is an attempt at an agent.
+type reservation struct {
+	host string
+	re   wire.Reserve
+}
+
+// newAgents returns no connections yet.
+func newAgents(no *Node) *agents {
+	return &agents{
+		no: no, links: map[string]*agentLink{}, servers: map[string]string{},
+		waiting: map[string]chan *wire.Frame{}, granted: map[string]*reservation{},
+	}
+}
+
+// hostOf returns the IP number of an address.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+// listed takes the believed servers; those that are engines have agents.
+func (as *agents) listed(servers []roster.Server, now time.Time) {
+	ta := as.no.be.table.Load()
+	if ta == nil {
+		return
+	}
+	hosts := make([]member.Host, 0, len(servers))
+	byHost := map[string]string{}
+	for ix := range servers {
+		se := &servers[ix]
+		host := hostOf(se.Address)
+		if !ta.Services[se.Service].Engine || host == "" {
+			continue
+		}
+		byHost[host] = se.ID
+		hosts = append(hosts, member.Host{
+			Name: host, Address: net.JoinHostPort(host, strconv.Itoa(as.no.op.Settings.AgentPort)), Zone: se.Zone,
+		})
+	}
+	as.mu.Lock()
+	as.members.Listed(hosts, now)
+	as.servers = byHost
+	as.mu.Unlock()
+}
+
+// run dials the agents that are due until the context ends.
+func (as *agents) run(ctx context.Context) {
+	tick := time.NewTicker(duePeriod)
+	defer tick.Stop()
+	for {
+		as.mu.Lock()
+		due := as.members.Due(time.Now())
+		as.mu.Unlock()
+		for _, ho := range due {
+			go as.connect(ctx, ho)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// connect carries one connection from its dial to its loss.
+func (as *agents) connect(ctx context.Context, ho member.Host) {
+	co, we, err := as.dial(ctx, ho)
+	if err != nil {
+		as.no.lg.Debug().Str("agent", ho.Name).Str("error", err.Error()).Msg("dial_failed")
+		as.lost(ho.Name, nil)
+		return
+	}
+	al := &agentLink{co: co, address: ho.Address, boot: we.Boot}
+	as.opened(ctx, ho.Name, al)
+	err = co.Run(ctx, &receiver{as: as, host: ho.Name, al: al})
+	as.no.lg.Info().Str("dependency", "agent").Str("agent", ho.Name).Str("reason", err.Error()).Msg("dependency_lost")
+	as.lost(ho.Name, al)
+}
+
+// dial opens a connection and exchanges the first frames.
+func (as *agents) dial(ctx context.Context, ho member.Host) (*link.Conn, *wire.Welcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	co, err := link.Dial(ctx, as.no.op.Network, ho.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	place := as.no.op.Settings.Place
+	err = co.WriteFrame(ctx, &wire.Frame{Hello: &wire.Hello{Entry: place.Name, EntryBoot: as.no.boot, Zone: place.Zone}})
+	if err != nil {
+		co.Abandon()
+		return nil, nil, err
+	}
+	first, err := co.ReadFrame(ctx)
+	if err != nil || first.Welcome == nil {
+		co.Abandon()
+		return nil, nil, errors.Newf("direct: %s did not welcome the connection; is it an agent?", ho.Address)
+	}
+	return co, first.Welcome, nil
+}
+
+// opened enters a connection and names the grants that are still in use.
+func (as *agents) opened(ctx context.Context, host string, al *agentLink) {
+	frames := []*wire.Frame(nil)
+	as.mu.Lock()
+	as.members.Connected(host)
+	as.links[host] = al
+	if fr := as.prepare(host); fr != nil {
+		frames = append(frames, fr)
+	}
+	for _, rs := range as.granted {
+		if rs.host == host {
+			re := rs.re
+			re.Held = true
+			frames = append(frames, &wire.Frame{Reserve: &re})
+		}
+	}
+	as.mu.Unlock()
+	as.no.lg.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", al.boot).Int("held", len(frames)).Msg("dependency_regained")
+	if len(frames) == 0 {
+		return
+	}
+	go func() {
+		if err := al.co.Send(ctx, frames...); err != nil {
+			as.no.lg.Debug().Str("agent", host).Str("error", err.Error()).Msg("frames_not_sent")
+		}
+	}()
+}
+
+// lost takes a connection out and ends the waits for grants over it.
+func (as *agents) lost(host string, al *agentLink) {
+	as.mu.Lock()
+	as.members.Lost(host, time.Now(), as.no.op.Random())
+	id := as.servers[host]
+	current := al != nil && as.links[host] == al
+	if current {
+		delete(as.links, host)
+	}
+	as.mu.Unlock()
+	if current {
+		as.no.untold(id)
+	}
+}
+
+// prepareAll tells every agent what its engine is to hold.
+func (as *agents) prepareAll() {
+	as.mu.Lock()
+	defer as.mu.Unlock()
+	for host, al := range as.links {
+		if fr := as.prepare(host); fr != nil {
+			al.co.TrySend(fr)
+		}
+	}
+}
+
+// prepare returns the frame that tells an agent what its engine is to hold, or nil.
+func (as *agents) prepare(host string) *wire.Frame {
+	ta := as.no.be.table.Load()
+	service, ok := as.no.serviceOf(as.servers[host])
+	if ta == nil || !ok || len(ta.Services[service].Models) == 0 {
+		return nil
+	}
+	sv := ta.Services[service]
+	return &wire.Frame{Prepare: &wire.Prepare{Model: sv.Models[0].Name, Slots: sv.AdapterSlots}}
+}
+
+// entries returns the number of entry nodes that share the retry budget.
+func (as *agents) entries() int {
+	as.mu.Lock()
+	defer as.mu.Unlock()
+	most := 1
+	for _, al := range as.links {
+		most = max(most, al.entries)
+	}
+	return most
+}
+
+// receiver takes the frames of one connection.
+type receiver struct {
+	as   *agents
+	host string
+	al   *agentLink
+}
+
+// Beat takes the agent's heartbeat; one that was silent is asked again.
+func (rc *receiver) Beat(*wire.Heartbeat) {
+	rc.as.mu.Lock()
+	id, silent := rc.as.servers[rc.host], rc.al.silent
+	rc.al.silent = false
+	rc.as.mu.Unlock()
+	if silent {
+		rc.as.no.retold(id)
+	}
+}
+
+// Heartbeat returns the entry node's heartbeat.
+func (rc *receiver) Heartbeat() wire.Heartbeat { return wire.Heartbeat{} }
+
+// Frame takes one frame of the agent.
+func (rc *receiver) Frame(fr *wire.Frame) {
+	as := rc.as
+	as.mu.Lock()
+	id := as.servers[rc.host]
+	rc.al.silent = false
+	attempt, lo := attemptOf(fr)
+	ch := as.waiting[attempt]
+	if lo != nil {
+		rc.al.entries = lo.Entries
+	}
+	as.mu.Unlock()
+	if lo != nil {
+		holds := []spread.Hold(nil)
+		if fr.Holdings != nil {
+			holds = holdsOf(fr.Holdings)
+		}
+		as.no.told(id, loadOf(lo, time.Now()), holds)
+	}
+	if ch == nil {
+		return
+	}
+	select {
+	case ch <- fr:
+	default:
+		as.no.lg.Warn().Str("attempt", attempt).Msg("frame_without_room")
+	}
+}
+
+// attemptOf returns the attempt that a frame belongs to and the engine's work in it.
+func attemptOf(fr *wire.Frame) (string, *wire.EngineLoad) {
+	switch {
+	case fr.Grant != nil:
+		return fr.Grant.Attempt, &fr.Grant.Load
+	case fr.Queued != nil:
+		return fr.Queued.Attempt, &fr.Queued.Load
+	case fr.Refusal != nil:
+		return fr.Refusal.Attempt, nil
+	case fr.Holdings != nil:
+		return "", &fr.Holdings.Load
+	}
+	return "", nil
+}
+
+// loadOf returns an engine's work as the choice sees it.
+func loadOf(lo *wire.EngineLoad, now time.Time) spread.Load {
+	return spread.Load{
+		Known: lo.Known, Model: lo.Model, Slots: lo.Slots, Backlog: time.Duration(lo.BacklogMs) * time.Millisecond,
+		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Leaving: lo.Leaving, At: now,
+	}
+}
+
+// holdsOf returns the adapters of an engine as the choice sees them.
+func holdsOf(ho *wire.Holdings) []spread.Hold {
+	list := make([]spread.Hold, 0, len(ho.Slots))
+	for _, sr := range ho.Slots {
+		list = append(list, spread.Hold{
+			Adapter: sr.Adapter, Version: sr.Version, Ready: sr.State == "ready", Users: sr.Pins + sr.Waiting,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/entry/direct/carry.go
@@ -0,0 +1,285 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/retry"
+	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/core/wire"
+	"github.com/bambooladder/bambooladder/entry/internal/pool"
+)
+
+const (
+	// notReadyWait is when to come back to a node that knows too little.
+	notReadyWait = 500 * time.Millisecond
+	// refusedWait is when to come back after a refusal for which nothing better is known.
+	refusedWait = 400 * time.Millisecond
+	// connectMax bounds the wait for a connection to a backend server.
+	connectMax = 500 * time.Millisecond
+	// connShare divides a server's connections among the nodes.
+	connShare = 3
+	// urgencyMax is the urgency of routes of rank zero.
+	urgencyMax = 9
+	// patienceMax is the expected wait above which a request is refused: callers give up
+	// a stream that brings no first event for about this long.
+	patienceMax = 3500 * time.Millisecond
+)
+
+// attempt is one try of a request at a server.
+type attempt struct {
+	id      string
+	server  string
+	address string
+	choice  spread.Choice
+	version int
+	granted bool
+	start   time.Time
+}
+
+// result is what became of an attempt that brought no answer for the caller.
+type result struct {
+	outcome retry.Outcome
+	reason  string
+	// wait is when the server, or the agent, says to come back.
+	wait time.Duration
+	// answer is the server's own failure, to be delivered where no other attempt follows.
+	answer *whole
+}
+
+// carry sends the request until an answer is delivered or no attempt is left.
+func (rq *request) carry(ctx context.Context) {
+	no := rq.no
+	st := retry.State{Repeatable: rq.ro.Repeatable(), RanMax: rq.ro.AttemptsMax}
+	no.countFirst(rq.service.Name)
+	exclude := []string(nil)
+	for number := 1; ; number++ {
+		at, err := rq.choose(number, exclude)
+		if err != nil {
+			if st.Ran > 0 {
+				err = unknownOutcome("no backend server is left after an attempt that may have run")
+			}
+			rq.fail(err)
+			return
+		}
+		re, done := rq.try(ctx, at)
+		if done {
+			return
+		}
+		st = st.After(re.outcome)
+		st.Left = time.Until(rq.until)
+		if ctx.Err() != nil {
+			st.Left = 0
+		}
+		step := retry.Next(st, re.outcome, func() bool { return no.takeRepeat(rq.service.Name) })
+		rq.log(at, "attempt_ended").Str("outcome", re.outcome.String()).Str("reason", re.reason).Int("ran", st.Ran).
+			Int("refused", st.Refused).Str("step", step.String()).Send()
+		switch step {
+		case retry.Again:
+			exclude = append(exclude, at.server)
+		case retry.Deliver:
+			rq.deliver(at, re.answer)
+			return
+		case retry.Refuse:
+			rq.fail(rq.refusal(ctx, re))
+			return
+		case retry.Fail:
+			rq.fail(unknownOutcome(re.reason))
+			return
+		}
+	}
+}
+
+// refusal returns the error for a request that has not run.
+func (rq *request) refusal(ctx context.Context, re result) error {
+	wait := re.wait
+	if wait <= 0 {
+		wait = refusedWait
+	}
+	kind := fault.Overloaded
+	if ctx.Err() != nil {
+		kind = fault.Unavailable
+	}
+	return fault.New(kind, "no backend server has run the request: "+re.reason, "send it again").WithRetryAfter(wait)
+}
+
+// unknownOutcome returns the error for a request that may have run.
+func unknownOutcome(reason string) error {
+	return fault.New(fault.OutcomeUnsure, "the backend server's answer was lost: "+reason,
+		"ask whether it took effect before it is sent again").WithOutcome(fault.Unknown)
+}
+
+// choose picks a server, or fails with a refusal where none can answer in time.
+func (rq *request) choose(number int, exclude []string) (*attempt, error) {
+	no := rq.no
+	now := time.Now()
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	sr := rq.spread(now, exclude)
+	ch, ok := no.fleet.Choose(sr, now)
+	if !ok {
+		return nil, fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
+			WithRetryAfter(refusedWait)
+	}
+	expected := time.Duration(ch.Cost * float64(time.Second))
+	if patience := min(patienceMax, rq.until.Sub(now)); expected > patience {
+		return nil, fault.New(fault.Overloaded, "the shortest wait of "+expected.Round(time.Millisecond).String()+" is too long", "send it again").
+			WithRetryAfter(expected - patience + refusedWait)
+	}
+	at := &attempt{
+		id: rq.call.ID + "-" + strconv.Itoa(number) + "-" + no.boot[len(no.boot)-4:], server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
+	}
+	rq.log(at, "route_chosen").Str("adapter", rq.call.Adapter).Int("version", sr.Version).Str("reason", string(ch.Reason)).
+		Float64("cost", ch.Cost).Dur("age", ch.Age).Str("candidates", candidates(&ch)).Int64("routes_version", rq.table).Send()
+	no.fleet.Sent(ch.ID, rq.call.PromptTokens)
+	return at, nil
+}
+
+// candidates renders the candidates of a choice.
+func candidates(ch *spread.Choice) string {
+	text := make([]byte, 0, 64)
+	for ix := range ch.Count {
+		if ix > 0 {
+			text = append(text, ',')
+		}
+		text = append(text, ch.Candidates[ix].ID...)
+		text = append(text, ':')
+		text = strconv.AppendFloat(text, ch.Candidates[ix].Cost, 'f', 3, 64)
+	}
+	return string(text)
+}
+
+// log opens a line on an attempt.
+func (rq *request) log(at *attempt, event string) *zerolog.Event {
+	return rq.no.lg.Info().Str(zerolog.MessageFieldName, event).Str("request", rq.call.ID).Str("attempt", at.id).Str("server", at.server)
+}
+
+// try makes one attempt and tells whether an answer was delivered.
+func (rq *request) try(ctx context.Context, at *attempt) (result, bool) {
+	defer rq.no.done(at.server)
+	if at.choice.Reason != spread.Plain && at.choice.Reason != spread.Direct {
+		if re, ok := rq.reserve(ctx, at); !ok {
+			return re, false
+		}
+	}
+	re, done := rq.send(ctx, at)
+	rq.release(at, re)
+	return re, done
+}
+
+// reserve gets a grant for the attempt.
+func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
+	_, settled := rq.no.be.version(rq.call.keyOf(), rq.no.settleTime(), time.Now())
+	budget := min(patienceMax, time.Until(rq.until))
+	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
+		Attempt: at.id, Request: rq.call.ID, Model: rq.call.Model, Adapter: rq.call.Adapter, Version: at.version, Settled: settled,
+		Urgency: urgencyMax - rq.ro.Rank, PromptTokens: rq.call.PromptTokens, OutputTokens: rq.call.OutputTokens,
+		Budget: budget.Milliseconds(),
+	})
+	if !gr.granted {
+		return result{outcome: retry.Unsent, reason: gr.reason, wait: gr.retryAfter}, false
+	}
+	histogram(histogramGrant).record(gr.took)
+	at.granted = true
+	at.version = gr.version
+	return result{}, true
+}
+
+// release returns the grant.
+func (rq *request) release(at *attempt, re result) {
+	if !at.granted {
+		return
+	}
+	ending := wire.ReleaseEndingDone
+	switch {
+	case re.outcome == retry.NotRun && re.reason == Misdirected.String():
+		ending = wire.ReleaseEndingMissing
+	case re.outcome == retry.Unknown:
+		ending = wire.ReleaseEndingLost
+	}
+	rq.no.agents.release(at.id, ending)
+}
+
+// send sends the request to the server of the attempt and delivers its answer.
+func (rq *request) send(ctx context.Context, at *attempt) (result, bool) {
+	no := rq.no
+	co, err := rq.connect(ctx, at)
+	if err != nil {
+		reason := "connection_failed"
+		if errors.Is(err, pool.ErrFull) {
+			reason = "connections_used_up"
+		} else if ctx.Err() == nil {
+			no.unreachable(at.server)
+		}
+		return result{outcome: retry.Unsent, reason: reason}, false
+	}
+	left := time.Until(rq.until)
+	se := &Sending{Server: at.server, Left: left, Rank: rq.ro.Rank, LastEvent: rq.lastEvent()}
+	if rq.call.Adapter != "" {
+		se.Version = at.version
+	}
+	an, err := co.Do(ctx, &pool.Request{
+		Method: rq.method, Target: rq.target, Host: rq.host, Body: rq.body,
+		Header: no.op.Protocol.Header(rq.header, &rq.call, se),
+	}, func(hd http.Header) bool { return no.op.Protocol.Belongs(hd, &rq.call) })
+	if err != nil {
+		return rq.sendFailed(ctx, at, err), false
+	}
+	defer an.Close()
+	return rq.judge(ctx, at, an)
+}
+
+// connect returns a connection; a request that must not repeat takes none that may be closing.
+func (rq *request) connect(ctx context.Context, at *attempt) (*pool.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectMax)
+	defer cancel()
+	limit := 0
+	if rq.service.ConnsMax > 0 {
+		limit = max(1, rq.service.ConnsMax/connShare)
+	}
+	return rq.no.pool.Get(ctx, at.address, !rq.ro.Repeatable(), limit)
+}
+
+// sendFailed decides what a failed exchange means.
+func (rq *request) sendFailed(ctx context.Context, at *attempt, err error) result {
+	se := &pool.SendError{}
+	outcome := retry.Unknown
+	if errors.As(err, &se) && !se.Written {
+		outcome = retry.Unsent
+	}
+	reason := "connection_lost"
+	if ctx.Err() != nil {
+		reason = "time_over"
+	}
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		rq.no.failed(at.server)
+	}
+	rq.log(at, "exchange_failed").Str("error", err.Error()).Send()
+	return result{outcome: outcome, reason: reason}
+}
+
+// judge decides what an answer's head means and passes the answer on.
+func (rq *request) judge(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
+	no := rq.no
+	verdict := no.op.Protocol.Verdict(an.Status, an.Header)
+	switch verdict {
+	case NotRun, Misdirected:
+		drop(an)
+		return result{outcome: retry.NotRun, reason: verdict.String()}, false
+	case Foreign:
+		no.failed(at.server)
+		return result{outcome: retry.Unknown, reason: verdict.String()}, false
+	case Genuine:
+	}
+	if rq.ro.Kind == paths.Stream && an.Status < http.StatusMultipleChoices {
+		return rq.passStream(ctx, at, an)
+	}
+	return rq.passWhole(ctx, at, an)
+}
--- /dev/null
+++ b/entry/direct/follow.go
@@ -0,0 +1,173 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/roster"
+)
+
+const (
+	// operatorsWait is how long a read waits at the log for a change by an operator.
+	operatorsWait = 20 * time.Second
+	// serversPeriod is the time between reads of the servers' records; a leaving server
+	// must be noticed within leave_ms, and each read is paid.
+	serversPeriod = 900 * time.Millisecond
+	// readTimeout bounds a read beyond the time it waits at the log.
+	readTimeout = 1500 * time.Millisecond
+	// retryWait is the time before a failed read is made again.
+	retryWait = 250 * time.Millisecond
+	retryMax  = time.Second
+	// peersAfter is the number of failed reads after which a node that knows nothing asks its peers.
+	peersAfter = 1
+)
+
+// follower reads one topic for ever.
+type follower struct {
+	no   *Node
+	to   Topic
+	next int64
+	// listed is true once the newest record of each key was read.
+	listed bool
+	lost   bool
+	fails  int
+}
+
+// run reads until the context ends.
+func (fo *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := fo.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			fo.regained()
+			fo.pause(ctx, fo.period())
+			continue
+		}
+		if errors.Is(err, ErrExpired) {
+			fo.no.lg.Warn().Str("topic", fo.to.String()).Int64("offset", fo.next).Msg("log_records_expired")
+			fo.listed = false
+			continue
+		}
+		fo.failed(ctx, err)
+	}
+}
+
+// period returns the pause after a read that succeeded.
+func (fo *follower) period() time.Duration {
+	if fo.to == Servers {
+		return serversPeriod
+	}
+	return 0
+}
+
+// failed records a failed read.
+func (fo *follower) failed(ctx context.Context, err error) {
+	fo.fails++
+	if !fo.lost {
+		fo.lost = true
+		fo.no.lg.Warn().Str("dependency", "log").Str("topic", fo.to.String()).Int64("offset", fo.next).
+			Str("error", err.Error()).Msg("dependency_lost")
+	}
+	if fo.to == Servers {
+		fo.no.be.roster(func(ro *roster.Roster) { ro.Disturbed() })
+	}
+	if fo.fails >= peersAfter && !fo.no.be.ready() {
+		fo.no.askPeers(ctx)
+	}
+	fo.pause(ctx, min(retryMax, retryWait*time.Duration(fo.fails)))
+}
+
+// regained records a read that succeeded.
+func (fo *follower) regained() {
+	if fo.lost {
+		fo.no.lg.Info().Str("dependency", "log").Str("topic", fo.to.String()).Int64("offset", fo.next).
+			Int("failures", fo.fails).Msg("dependency_regained")
+	}
+	fo.lost = false
+	fo.fails = 0
+	if fo.to == Servers {
+		now := time.Now()
+		fo.no.be.roster(func(ro *roster.Roster) {
+			ro.Undisturbed(now)
+			ro.Expire(now)
+		})
+		fo.no.refresh(now)
+	}
+}
+
+// pause waits.
+func (fo *follower) pause(ctx context.Context, period time.Duration) {
+	if period <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(period):
+	}
+}
+
+// read reads the next part of the topic.
+func (fo *follower) read(ctx context.Context) error {
+	if !fo.listed {
+		return fo.list(ctx)
+	}
+	wait := time.Duration(0)
+	if fo.to == Operators {
+		wait = operatorsWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	ba, err := fo.no.op.Source.After(ctx, fo.to, fo.next, wait)
+	if err != nil {
+		return err
+	}
+	fo.apply(ba, false)
+	return nil
+}
+
+// list reads the newest record of each key.
+func (fo *follower) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	ba, err := fo.no.op.Source.Newest(ctx, fo.to)
+	if err != nil {
+		return err
+	}
+	first := fo.next == 0
+	if ba.End >= fo.next {
+		fo.listed = true
+		fo.missing(ba)
+	}
+	fo.apply(ba, first)
+	if fo.to == Servers {
+		fo.no.be.setListed()
+	}
+	return nil
+}
+
+// missing removes the servers that a listing lacks.
+func (fo *follower) missing(ba Batch) {
+	if fo.to != Servers {
+		return
+	}
+	present := map[string]bool{}
+	for _, ch := range ba.Changes {
+		if ch.Server != nil {
+			present[ch.Server.ID] = true
+		}
+	}
+	fo.no.be.roster(func(ro *roster.Roster) { ro.Listed(present, ba.End, time.Now()) })
+}
+
+// apply takes the records of a batch; a batch that is older than what was read changes nothing.
+func (fo *follower) apply(ba Batch, listed bool) {
+	now := time.Now()
+	for ix := range ba.Changes {
+		fo.no.take(&ba.Changes[ix], listed, now)
+	}
+	fo.next = max(fo.next, ba.End)
+}
--- a/entry/internal/links/dial.go
+++ b/entry/internal/links/dial.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	err = co.WriteFrame(ctx, &wire.Frame{Hello: &wire.Hello{Entry: ls.op.Place.Name, EntryBoot: ls.op.Boot}})
+	err = co.WriteFrame(ctx, &wire.Frame{Hello: &wire.Hello{Entry: ls.op.Place.Name, EntryBoot: ls.op.Boot, Zone: ls.op.Place.Zone}})
 	if err != nil {
 		co.Abandon()
 		return nil, nil, err
