--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -175,9 +175,9 @@
 		br.born = ob.ob.Born
 		br.changed()
 	}
-	before := br.en.Holds()
+	before, model := br.en.Holds(), br.en.Load(now).Model
 	br.act(ctx, br.en.Observed(ob.ob, now))
-	if !sameHolds(before, br.en.Holds()) {
+	if model != br.en.Load(now).Model || !sameHolds(before, br.en.Holds()) {
 		br.changed()
 	}
 }
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -97,12 +97,14 @@
 	known   bool
 	started time.Time
 
-	loaded  map[Key]int
-	coming  map[Key]loading
-	recent  []Key
-	popular map[Key]popularity
-	queue   []Item
-	held    map[string]*held
+	loaded map[Key]int
+	coming map[Key]loading
+	// doubtful holds adapters that the engine did not find when a request named them.
+	doubtful map[Key]bool
+	recent   []Key
+	popular  map[Key]popularity
+	queue    []Item
+	held     map[string]*held
 	// wantedModel is the base model that entry nodes ask for.
 	wantedModel string
 	// slots is the number of adapters that the engine has room for.
@@ -128,7 +130,7 @@
 // New returns the state of an agent that starts now.
 func New(now time.Time) *Engine {
 	return &Engine{
-		started: now, loaded: map[Key]int{}, coming: map[Key]loading{},
+		started: now, loaded: map[Key]int{}, coming: map[Key]loading{}, doubtful: map[Key]bool{},
 		popular: map[Key]popularity{}, held: map[string]*held{},
 	}
 }
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -57,9 +57,10 @@
 }
 
 // Missing records that the engine has not run a request because it lacks the adapter.
+// The adapter keeps its slot and gets no grants until the engine has been asked.
 func (en *Engine) Missing(attempt string, now time.Time) []Action {
 	if he := en.held[attempt]; he != nil {
-		delete(en.loaded, he.Key)
+		en.doubtful[he.Key] = true
 	}
 	en.inspectAt = now
 	return en.Release(attempt, now)
@@ -202,6 +203,7 @@
 // takeHolds takes the adapters that the engine holds or loads.
 func (en *Engine) takeHolds(ob Observation, now time.Time) {
 	clear(en.loaded)
+	clear(en.doubtful)
 	for _, mo := range ob.Models {
 		for adapter, version := range mo.Adapters {
 			ke := Key{Model: mo.Name, Adapter: adapter}
@@ -223,6 +225,11 @@
 		failed := now.Sub(lo.since) > orphanMax || !ok && now.Sub(lo.since) > loadTime
 		if !still && (ok && loaded >= lo.version || failed) {
 			delete(en.coming, ke)
+			continue
+		}
+		if soon := now.Add(inspectSoon); lo.due.Before(soon) {
+			lo.due = soon
+			en.coming[ke] = lo
 		}
 	}
 }
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -90,7 +90,7 @@
 		version, ok := en.loaded[it.Key]
 		_, coming := en.coming[it.Key]
 		ordered := en.order != nil && en.order.Key == it.Key
-		if !ok || coming || ordered || version < it.Version && (it.Settled || en.pins(it.Key) == 0) {
+		if !ok || coming || ordered || en.doubtful[it.Key] || version < it.Version && (it.Settled || en.pins(it.Key) == 0) {
 			return ReasonAdapter
 		}
 	}
@@ -138,7 +138,10 @@
 		return actions
 	}
 	it := &en.queue[ix]
-	if _, replaces := en.loaded[it.Key]; replaces || en.taken() < en.slots {
+	if _, replaces := en.loaded[it.Key]; replaces && en.pins(it.Key) == 0 {
+		return en.give(actions, Order{Operation: UnloadAdapter, Key: it.Key})
+	}
+	if en.taken() < en.slots {
 		return en.give(actions, Order{Operation: LoadAdapter, Key: it.Key, Version: it.Version})
 	}
 	if now.Sub(en.started) < settleMax {
@@ -155,25 +158,19 @@
 	if it.Key.Adapter == "" || !en.holdsModel(it.Key.Model) {
 		return false
 	}
-	if _, coming := en.coming[it.Key]; coming {
+	if _, coming := en.coming[it.Key]; coming || en.doubtful[it.Key] {
 		return false
 	}
 	version, ok := en.loaded[it.Key]
 	return !ok || version < it.Version
 }
 
-// taken counts the adapter slots in use; a lost load counts until it is known to be void.
+// taken counts the adapter slots in use. An adapter on its way takes one beside the
+// version that it replaces, and a lost load one until it is known to be void.
 func (en *Engine) taken() int {
-	taken := len(en.loaded)
-	for ke := range en.coming {
-		if _, ok := en.loaded[ke]; !ok {
-			taken++
-		}
-	}
+	taken := len(en.loaded) + len(en.coming)
 	if en.lost != nil && en.lost.Operation == LoadAdapter {
-		if _, ok := en.loaded[en.lost.Key]; !ok {
-			taken++
-		}
+		taken++
 	}
 	return taken
 }
--- a/core/proc/proc.go
+++ b/core/proc/proc.go
@@ -62,7 +62,10 @@
 		lg.Error().Str("error", err.Error()).Msg("start_failed")
 		return ExitError
 	}
-	lg.Info().Str("signal", (<-signals).String()).Msg("stop_requested")
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	lg.Info().Str("signal", awaitStop(signals, reloads, lg).String()).Msg("stop_requested")
 	go func() {
 		for si := range signals {
 			lg.Warn().Str("signal", si.String()).Msg("already_stopping")
@@ -77,6 +80,19 @@
 	return ExitOK
 }
 
+// awaitStop waits for a signal to stop. A signal to reload is logged: settings are in
+// force for the life of a process, what operators change comes through the log.
+func awaitStop(signals, reloads <-chan os.Signal, lg zerolog.Logger) os.Signal {
+	for {
+		select {
+		case si := <-signals:
+			return si
+		case <-reloads:
+			lg.Info().Msg("reload_requested")
+		}
+	}
+}
+
 // ReadSettings reads a settings file, or prints why it cannot be read and returns false.
 func ReadSettings(file string, stderr io.Writer) ([]byte, bool) {
 	data, err := os.ReadFile(file)
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -17,6 +17,8 @@
 	serversPeriod = 900 * time.Millisecond
 	// readTimeout bounds a read beyond the time it waits at the log.
 	readTimeout = 1500 * time.Millisecond
+	// firstTimeout bounds a read while the node knows nothing: peers may know more.
+	firstTimeout = 700 * time.Millisecond
 	// retryWait is the time before a failed read is made again.
 	retryWait = 250 * time.Millisecond
 	retryMax  = time.Second
@@ -131,7 +133,11 @@
 
 // list reads the newest record of each key.
 func (fo *follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	timeout := readTimeout
+	if !fo.no.be.ready() && fo.fails%2 == 0 {
+		timeout = firstTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ba, err := fo.no.op.Source.Newest(ctx, fo.to)
 	if err != nil {
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -32,8 +32,7 @@
 	stopMargin = 700 * time.Millisecond
 	// noticeTime is how long new connections still come after readiness failed: the
 	// balancer takes a node out after two questions, one a second.
-	noticeTime = 2300 * time.Millisecond
-	drainPoll  = 20 * time.Millisecond
+	noticeTime = 2500 * time.Millisecond
 )
 
 // Options builds an entry node.
@@ -181,11 +180,9 @@
 	no.lg.Info().Int64("in_flight", no.inFlight.Load()).Msg("entry_draining")
 	deadline := time.Now().Add(time.Duration(no.op.Settings.StopMs)*time.Millisecond - stopMargin)
 	no.pause(ctx, noticeTime)
-	for no.inFlight.Load() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		no.pause(ctx, drainPoll)
-	}
 	left, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	// Idle connections are closed now: a request that came late on one would be cut.
 	err := sv.callers.Shutdown(left)
 	no.cancel()
 	err = errors.CombineErrors(err, errors.CombineErrors(sv.ready.Close(), errors.CombineErrors(sv.peers.Close(), sv.metrics.Close())))
