Address orders to a run of the engine, refuse those who wait at one that leaves

Change: orders name the run they are meant for, a lost load keeps its slot over a restart until it is void; agents and entry nodes end the waits at engines that leave. Tests: TestALostLoadMayReachTheNextRunOfTheEngine, TestADrainingEngineRefusesThoseWhoWait.

--- a/agent/direct/act.go
+++ b/agent/direct/act.go
@@ -55,7 +55,7 @@
 		start := time.Now()
 		result := br.eg.Order(ctx, or)
 		br.lg.Info().Str("operation", or.Operation.String()).Str("model", or.Key.Model).Str("adapter", or.Key.Adapter).
-			Int("version", or.Version).Int64("sequence", or.Sequence).Int64("born", or.Born).Int("waiting", st.Waiting).
+			Int("version", or.Version).Int64("sequence", or.Sequence).Int64("born", or.Born).Str("server", or.Server).Int("waiting", st.Waiting).
 			Str("result", result.String()).Dur("took", time.Since(start)).Msg("order_given")
 		br.post(ctx, event{ordered: &result})
 	}()
@@ -100,6 +100,7 @@
 	return wire.EngineLoad{
 		Known: lo.Known, Model: lo.Model, Born: lo.Born, Slots: lo.Slots, BacklogMs: lo.Backlog.Milliseconds(),
 		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Entries: len(br.sessions), Leaving: lo.Leaving,
+		Draining: lo.Draining,
 	}
 }
 
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -175,9 +175,10 @@
 		br.born = ob.ob.Born
 		br.changed()
 	}
-	before, model := br.en.Holds(), br.en.Load(now).Model
+	holds, load := br.en.Holds(), br.en.Load(now)
 	br.act(ctx, br.en.Observed(ob.ob, now))
-	if model != br.en.Load(now).Model || !sameHolds(before, br.en.Holds()) {
+	after := br.en.Load(now)
+	if load.Model != after.Model || load.Draining != after.Draining || !sameHolds(holds, br.en.Holds()) {
 		br.changed()
 	}
 }
@@ -199,7 +200,9 @@
 	case fr.Release != nil:
 		br.release(ctx, fr.Release, now)
 	case fr.Prepare != nil:
-		br.act(ctx, br.en.Prepare(fr.Prepare.Model, fr.Prepare.Slots, now))
+		br.act(ctx, br.en.Prepare(grant.Wanted{
+			Model: fr.Prepare.Model, Slots: fr.Prepare.Slots, Server: fr.Prepare.Server, Born: fr.Prepare.Born,
+		}, now))
 	}
 	br.changed()
 }
--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -59,6 +59,8 @@
 	Sequence int64
 	// Born is the run of the engine that the order is meant for.
 	Born int64
+	// Server is the identity of that run, empty where it is not known.
+	Server string
 }
 
 // Inspect asks the engine what it holds.
@@ -100,6 +102,8 @@
 	Models []Model
 	// Coming maps the adapters on their way to their versions.
 	Coming map[Key]int
+	// Draining is true once the engine leaves.
+	Draining bool
 	// Busy is true while an order for a base model is under way.
 	Busy        bool
 	Sequence    int64
@@ -118,4 +122,5 @@
 	ReasonMemory    = "memory_full"
 	ReasonUnknown   = "engine_silent"
 	ReasonModel     = "model_loading"
+	ReasonDraining  = "engine_draining"
 )
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -19,6 +19,8 @@
 	popularityHalfLife = 15 * time.Second
 	// recentMax is the number of adapters an engine's host keeps at hand.
 	recentMax = 36
+	// lostMax is how long an order without an answer may still be carried out.
+	lostMax = 13 * time.Second
 	// orphanMax is how long a grant outlives the connection of its entry node.
 	orphanMax = 10 * time.Second
 	// settleMax is how long after its start an agent evicts nothing, because entry
@@ -79,6 +81,12 @@
 	due     time.Time
 }
 
+// lostOrder is a load that had no answer and may be carried out late.
+type lostOrder struct {
+	Order
+	at time.Time
+}
+
 // popularity is a count of requests that decays over time.
 type popularity struct {
 	count float64
@@ -107,6 +115,9 @@
 	held     map[string]*held
 	// wantedModel is the base model that entry nodes ask for.
 	wantedModel string
+	// server is the engine's identity and serverBorn the run that has it.
+	server     string
+	serverBorn int64
 	// slots is the number of adapters that the engine has room for.
 	slots     int
 	modelDue  time.Time
@@ -117,7 +128,7 @@
 	// sequence is the engine's count of orders as far as it is known.
 	sequence  int64
 	order     *Order
-	lost      *Order
+	lost      []lostOrder
 	orderAt   time.Time
 	inspectAt time.Time
 	// inspecting is true while the engine is asked.
@@ -145,7 +156,9 @@
 	Running    int
 	Waiting    int
 	MemoryFree int
-	Leaving    bool
+	// Leaving is true once the agent gives no more grants, Draining once the engine leaves.
+	Leaving  bool
+	Draining bool
 }
 
 // Load returns the engine's work at a time.
@@ -156,7 +169,7 @@
 	}
 	return Load{
 		Known: en.known, Model: en.model(), Born: en.ob.Born, Slots: en.slots, Backlog: backlog,
-		Running: len(en.held), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving,
+		Running: len(en.held), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.ob.Draining,
 	}
 }
 
--- a/core/grant/engine_test.go
+++ b/core/grant/engine_test.go
@@ -12,6 +12,7 @@
 
 // driver feeds an engine's state and keeps what it ordered.
 type driver struct {
+	born    int64
 	t       *testing.T
 	en      *Engine
 	now     time.Time
@@ -25,11 +26,11 @@
 
 // newDriver returns an engine with the base model, a number of slots and adapters loaded.
 func newDriver(t *testing.T, slots int, adapters ...string) *driver {
-	dr := &driver{t: t, en: New(begin), now: begin.Add(time.Minute), loaded: map[string]int{}, coming: map[string]int{}}
+	dr := &driver{t: t, born: 1, en: New(begin), now: begin.Add(time.Minute), loaded: map[string]int{}, coming: map[string]int{}}
 	for _, adapter := range adapters {
 		dr.loaded[adapter] = 1
 	}
-	dr.take(dr.en.Prepare(base, slots, dr.now))
+	dr.take(dr.en.Prepare(Wanted{Model: base, Slots: slots, Server: "s1", Born: 1}, dr.now))
 	dr.observe()
 	return dr
 }
@@ -54,7 +55,7 @@
 // observe tells what the engine holds.
 func (dr *driver) observe() {
 	ob := Observation{
-		Born: 1, Sequence: dr.seq, MemoryTotal: 100_000, Coming: map[Key]int{}, Models: []Model{{Name: base, Adapters: map[string]int{}}},
+		Born: dr.born, Sequence: dr.seq, MemoryTotal: 100_000, Coming: map[Key]int{}, Models: []Model{{Name: base, Adapters: map[string]int{}}},
 	}
 	for adapter, version := range dr.loaded {
 		ob.Models[0].Adapters[adapter] = version
@@ -229,3 +230,31 @@
 		t.Error("the grant lives on without its entry node")
 	}
 }
+
+func TestALostLoadMayReachTheNextRunOfTheEngine(t *testing.T) {
+	dr := newDriver(t, 1)
+	dr.reserve("a", "x", 0, false)
+	dr.order = nil
+	dr.take(dr.en.Ordered(Lost, dr.now))
+	dr.born = 2
+	dr.now = dr.now.Add(time.Second)
+	dr.observe()
+	if dr.order != nil {
+		t.Fatalf("ordered %+v beside a load that may reach this run", dr.order)
+	}
+	dr.take(dr.en.Prepare(Wanted{Model: base, Slots: 1, Server: "s2", Born: 2}, dr.now))
+	dr.observe()
+	if dr.order == nil || dr.order.Server != "s2" {
+		t.Fatalf("the run has another identity and gets no order: %+v", dr.order)
+	}
+}
+
+func TestADrainingEngineRefusesThoseWhoWait(t *testing.T) {
+	dr := newDriver(t, 1, "x")
+	dr.reserve("a", "x", 0, false)
+	dr.reserve("b", "y", 0, false)
+	dr.take(dr.en.Observed(Observation{Born: 1, Draining: true, Models: []Model{{Name: base, Adapters: map[string]int{"x": 1}}}}, dr.now))
+	if fmt.Sprint(dr.refused) != "[b]" {
+		t.Errorf("refused %v", dr.refused)
+	}
+}
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -15,6 +15,8 @@
 	switch {
 	case en.leaving:
 		return []Action{refuse(&it, ReasonLeaving, 0)}
+	case en.ob.Draining:
+		return []Action{refuse(&it, ReasonDraining, 0)}
 	case len(en.queue) >= queueMax:
 		return []Action{refuse(&it, ReasonQueueFull, refusalWait)}
 	case !now.Before(it.Deadline):
@@ -76,10 +78,24 @@
 	}
 }
 
-// Prepare names the base model that the engine is to hold and its number of adapter slots.
-func (en *Engine) Prepare(model string, slots int, now time.Time) []Action {
-	en.wantedModel = model
-	en.slots = slots
+// Wanted is what entry nodes know of the engine.
+type Wanted struct {
+	// Model is the base model to load where the engine holds none.
+	Model string
+	// Slots is the number of adapters that the engine has room for.
+	Slots int
+	// Server is the identity of the run that began at Born.
+	Server string
+	Born   int64
+}
+
+// Prepare takes what the engine is to hold and its identity.
+func (en *Engine) Prepare(wa Wanted, now time.Time) []Action {
+	en.wantedModel = wa.Model
+	en.slots = wa.Slots
+	if wa.Born >= en.serverBorn {
+		en.server, en.serverBorn = wa.Server, wa.Born
+	}
 	return en.plan(now)
 }
 
@@ -98,8 +114,9 @@
 	en.ob = ob
 	en.takeHolds(ob, now)
 	en.sequence = ob.Sequence
-	if en.lost != nil && (ob.Sequence > en.lost.Sequence || ob.Born != en.lost.Born) {
-		en.lost = nil
+	en.lost = slices.DeleteFunc(en.lost, func(lo lostOrder) bool { return en.void(&lo, now) })
+	if ob.Draining {
+		return en.refuseWaiting(func(*Item) bool { return true }, ReasonDraining)
 	}
 	if model := en.model(); model != "" {
 		en.wantedModel = model
@@ -140,7 +157,9 @@
 		en.inspectAt = now
 	case Lost:
 		delete(en.coming, or.Key)
-		en.lost = or
+		if or.Operation == LoadAdapter {
+			en.lost = append(en.lost, lostOrder{Order: *or, at: now})
+		}
 		en.orderAt = now.Add(conflictWait)
 		en.inspectAt = now
 	}
@@ -196,10 +215,25 @@
 	clear(en.loaded)
 	clear(en.coming)
 	en.recent = nil
-	en.order, en.lost = nil, nil
+	en.order = nil
 	en.readBy = time.Time{}
 }
 
+// void tells whether a lost order can no longer be carried out: a later one has been
+// counted, it was addressed to another run, or its time is over.
+func (en *Engine) void(lo *lostOrder, now time.Time) bool {
+	otherRun := lo.Born != en.ob.Born && lo.Server != "" && en.identity() != "" && lo.Server != en.identity()
+	return en.ob.Sequence > lo.Sequence || otherRun || now.Sub(lo.at) > lostMax
+}
+
+// identity returns the engine's identity, or nothing where its present run's is not known.
+func (en *Engine) identity() string {
+	if en.serverBorn != en.ob.Born {
+		return ""
+	}
+	return en.server
+}
+
 // takeHolds takes the adapters that the engine holds or loads.
 func (en *Engine) takeHolds(ob Observation, now time.Time) {
 	clear(en.loaded)
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -169,7 +169,8 @@
 // version that it replaces, and a lost load one until it is known to be void.
 func (en *Engine) taken() int {
 	taken := len(en.loaded) + len(en.coming)
-	if en.lost != nil && en.lost.Operation == LoadAdapter {
+	if len(en.lost) > 0 {
+		// All expect the same count, so that one at most is carried out.
 		taken++
 	}
 	return taken
@@ -194,6 +195,7 @@
 func (en *Engine) give(actions []Action, or Order) []Action {
 	or.Sequence = en.sequence
 	or.Born = en.ob.Born
+	or.Server = en.identity()
 	en.order = &or
 	return append(actions, Action{Order: &or})
 }
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -120,7 +120,7 @@
 	for _, pass := range passes {
 		for _, me := range group {
 			excluded := slices.Contains(rq.Exclude, me.ID)
-			if me.Leaving || excluded && !pass.excluded || now.Before(me.mutedTill) && !pass.muted {
+			if me.Leaving || me.load.Draining || excluded && !pass.excluded || now.Before(me.mutedTill) && !pass.muted {
 				continue
 			}
 			es := me.estimate(&rq, home, now)
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -31,7 +31,9 @@
 	Running    int
 	Waiting    int
 	MemoryFree int
-	Leaving    bool
+	// Leaving is true once the agent gives no more grants, Draining once the engine leaves.
+	Leaving  bool
+	Draining bool
 	// At is when the agent's message arrived.
 	At time.Time
 }
@@ -42,6 +44,8 @@
 	Service string
 	Zone    string
 	Region  string
+	// Born identifies the server's run: its start in Unix milliseconds.
+	Born int64
 	// Places is the number of requests that run together.
 	Places  int
 	Leaving bool
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -122,13 +122,16 @@
 	// Born identifies the run of the engine: its start in Unix milliseconds.
 	Born int64 `json:"born" yaml:"born"`
 
+	// Draining is true once the engine itself leaves.
+	Draining bool `json:"draining" yaml:"draining"`
+
 	// Entries counts the entry nodes connected to the agent.
 	Entries int `json:"entries" yaml:"entries"`
 
 	// Known is false while the agent has no answer from its engine.
 	Known bool `json:"known" yaml:"known"`
 
-	// Leaving is true once the agent gives no more grants.
+	// Leaving is true once the agent gives no more grants; its engine goes on.
 	Leaving bool `json:"leaving" yaml:"leaving"`
 
 	// MemoryFree is the memory not yet granted, in tokens.
@@ -265,9 +268,16 @@
 
 // Prepare tells the agent what its engine is to hold.
 type Prepare struct {
+	// Born is the run of the engine that has this identity, its start in Unix
+	// milliseconds.
+	Born int64 `json:"born" yaml:"born"`
+
 	// Model is the base model to load where the engine holds none.
 	Model string `json:"model" yaml:"model"`
 
+	// Server is the engine's identity in the platform's list.
+	Server string `json:"server" yaml:"server"`
+
 	// Slots is the number of adapters the engine has room for.
 	Slots int `json:"slots" yaml:"slots"`
 }
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -45,10 +45,26 @@
 	// servers maps the hosts of agents to the servers beside them.
 	servers map[string]string
 	// waiting holds the attempts that wait for a grant, granted those that hold one.
-	waiting map[string]chan *wire.Frame
+	waiting map[string]*wait
 	granted map[string]*reservation
 }
 
+// wait is an attempt that waits for a grant at an agent.
+type wait struct {
+	server string
+	frames chan *wire.Frame
+}
+
+// deliver hands a frame over without waiting and tells whether there was room.
+func (wa *wait) deliver(fr *wire.Frame) bool {
+	select {
+	case wa.frames <- fr:
+		return true
+	default:
+		return false
+	}
+}
+
 // reservation is an attempt at an agent.
 type reservation struct {
 	host string
@@ -59,7 +75,7 @@
 func newAgents(no *Node) *agents {
 	return &agents{
 		no: no, links: map[string]*agentLink{}, servers: map[string]string{},
-		waiting: map[string]chan *wire.Frame{}, granted: map[string]*reservation{},
+		waiting: map[string]*wait{}, granted: map[string]*reservation{},
 	}
 }
 
@@ -92,9 +108,32 @@
 		})
 	}
 	as.mu.Lock()
+	defer as.mu.Unlock()
 	as.members.Listed(hosts, now)
+	changed := as.servers
 	as.servers = byHost
-	as.mu.Unlock()
+	for host, al := range as.links {
+		if changed[host] == byHost[host] {
+			continue
+		}
+		if fr := as.prepare(host); fr != nil {
+			al.co.TrySend(fr)
+		}
+	}
+	as.abandon(servers)
+}
+
+// abandon ends the waits for grants at servers that leave or are gone.
+func (as *agents) abandon(servers []roster.Server) {
+	staying := map[string]bool{}
+	for ix := range servers {
+		staying[servers[ix].ID] = !servers[ix].Leaving
+	}
+	for attempt, wa := range as.waiting {
+		if !staying[wa.server] {
+			wa.deliver(&wire.Frame{Refusal: &wire.Refusal{Attempt: attempt, Reason: reasonLeaving}})
+		}
+	}
 }
 
 // run dials the agents that are due until the context ends.
@@ -215,7 +254,10 @@
 		return nil
 	}
 	sv := ta.Services[service]
-	return &wire.Frame{Prepare: &wire.Prepare{Model: sv.Models[0].Name, Slots: sv.AdapterSlots}}
+	id := as.servers[host]
+	return &wire.Frame{Prepare: &wire.Prepare{
+		Model: sv.Models[0].Name, Slots: sv.AdapterSlots, Server: id, Born: as.no.bornOf(id),
+	}}
 }
 
 // entries returns the number of entry nodes that share the retry budget.
@@ -257,7 +299,7 @@
 	id := as.servers[rc.host]
 	rc.al.silent = false
 	attempt, lo := attemptOf(fr)
-	ch := as.waiting[attempt]
+	wa := as.waiting[attempt]
 	if lo != nil {
 		rc.al.entries = lo.Entries
 	}
@@ -269,12 +311,7 @@
 		}
 		as.no.told(id, loadOf(lo, time.Now()), holds)
 	}
-	if ch == nil {
-		return
-	}
-	select {
-	case ch <- fr:
-	default:
+	if wa != nil && !wa.deliver(fr) {
 		as.no.lg.Warn().Str("attempt", attempt).Msg("frame_without_room")
 	}
 }
@@ -298,7 +335,7 @@
 func loadOf(lo *wire.EngineLoad, now time.Time) spread.Load {
 	return spread.Load{
 		Known: lo.Known, Model: lo.Model, Slots: lo.Slots, Backlog: time.Duration(lo.BacklogMs) * time.Millisecond,
-		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Leaving: lo.Leaving, At: now,
+		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Leaving: lo.Leaving, Draining: lo.Draining, At: now,
 	}
 }
 
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -198,6 +198,10 @@
 	histogram(histogramGrant).record(gr.took)
 	at.granted = true
 	at.version = gr.version
+	if !rq.no.takes(at.server) {
+		rq.no.agents.release(at.id, wire.ReleaseEndingWithdrawn)
+		return result{outcome: retry.Unsent, reason: reasonLeaving}, false
+	}
 	return result{}, true
 }
 
--- a/entry/direct/experience.go
+++ b/entry/direct/experience.go
@@ -85,3 +85,11 @@
 		Period: time.Duration(se.RetryWindowMs) * time.Millisecond, Nodes: no.agents.entries(),
 	}
 }
+
+// takes tells whether a server still takes requests.
+func (no *Node) takes(id string) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	se, ok := no.fleet.Server(id)
+	return ok && !se.Leaving
+}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -235,3 +235,11 @@
 	se, ok := no.fleet.Server(id)
 	return se.Service, ok
 }
+
+// bornOf returns the run of a server.
+func (no *Node) bornOf(id string) int64 {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	se, _ := no.fleet.Server(id)
+	return se.Born
+}
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -14,6 +14,7 @@
 	reasonSilent  = "agent_silent"
 	reasonLate    = "grant_late"
 	reasonGone    = "caller_gone"
+	reasonLeaving = "server_leaving"
 )
 
 // granting is what became of a reservation.
@@ -36,12 +37,12 @@
 		as.mu.Unlock()
 		return granting{reason: reasonNoAgent}
 	}
-	ch := make(chan *wire.Frame, signalsMax)
-	as.waiting[re.Attempt] = ch
+	wa := &wait{server: id, frames: make(chan *wire.Frame, signalsMax)}
+	as.waiting[re.Attempt] = wa
 	as.mu.Unlock()
 	gr := granting{reason: reasonSilent}
 	if al.co.TrySend(&wire.Frame{Reserve: &re}) {
-		gr = as.await(ctx, ch, time.Duration(re.Budget)*time.Millisecond)
+		gr = as.await(ctx, wa.frames, time.Duration(re.Budget)*time.Millisecond)
 	}
 	gr.took = time.Since(start)
 	as.mu.Lock()
--- a/entry/direct/take.go
+++ b/entry/direct/take.go
@@ -71,7 +71,7 @@
 		holds = append(holds, spread.Hold{Adapter: ad.Name, Version: ad.Version, Ready: true})
 	}
 	ca := spread.Server{
-		ID: se.ID, Service: se.Service, Zone: se.Zone, Region: no.op.Settings.Regions[se.Zone], Places: se.Places,
+		ID: se.ID, Service: se.Service, Zone: se.Zone, Region: no.op.Settings.Regions[se.Zone], Places: se.Places, Born: se.Born,
 		Leaving: se.Leaving, Model: se.Model, Holds: holds,
 	}
 	if ta := no.be.table.Load(); ta != nil {
