Prefer engines whose host has the adapter at hand, and count a wait within the target little

Change: entry nodes keep the adapters each engine held of late; a load from the host's own copy costs 30 ms and no fetch. A wait below half a second weighs 0.4.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -14,6 +14,8 @@
 	stepSeconds = 0.004
 	// loadSeconds is the time of an adapter's load at full speed.
 	loadSeconds = 0.25
+	// reloadSeconds is the time of a load that the engine's host has at hand.
+	reloadSeconds = 0.03
 	// evictSeconds is the price of an eviction: another request may want the adapter.
 	evictSeconds = 0.05
 	// fullSeconds is the wait where every adapter is in use.
@@ -39,6 +41,12 @@
 	// silentSeconds is the cost of an engine whose agent is silent.
 	silentSeconds = 0.15
 
+	// waitFree is the wait that still leaves the first byte on time, in seconds.
+	waitFree = 0.5
+	// waitWeight weighs a wait within waitFree, lateWeight what is beyond it.
+	waitWeight = 0.4
+	lateWeight = 1.2
+
 	// candidatesMax bounds the candidates kept for the log.
 	candidatesMax = 3
 )
@@ -86,8 +94,11 @@
 	reason Reason
 }
 
-// cost returns the sum that the choice compares.
-func (es estimate) cost() float64 { return es.wait + es.price }
+// cost returns the sum that the choice compares. A wait that leaves the first byte on
+// time counts little beside the price; one that does not counts more than in full.
+func (es estimate) cost() float64 {
+	return es.wait*waitWeight + max(0, es.wait-waitFree)*lateWeight + es.price
+}
 
 // Candidate is a server with its cost in seconds.
 type Candidate struct {
@@ -198,8 +209,13 @@
 		}
 		used++
 	}
-	es.wait += loadSeconds
-	if me.hash != home {
+	switch {
+	case me.recent.has(rq.Adapter, rq.Version):
+		es.wait += reloadSeconds
+	case me.hash == home:
+		es.wait += loadSeconds
+	default:
+		es.wait += loadSeconds
 		es.price += fetchSeconds
 	}
 	switch {
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -64,6 +64,8 @@
 	// told is true while an agent tells of the engine.
 	told  bool
 	holds []Hold
+	// recent holds the adapters that the engine's host still has at hand.
+	recent recent
 	// sent counts this node's requests under way.
 	sent int
 	// added is the prompt time reserved since the agent's last message.
@@ -102,6 +104,9 @@
 		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
 		fl.groups[se.Service] = slices.Insert(group, ix, me)
 	}
+	if me.Born != se.Born {
+		me.recent = recent{}
+	}
 	me.Server = se
 }
 
@@ -140,8 +145,14 @@
 	}
 	// An agent that leaves gives no grants, but its engine goes on.
 	me.load, me.told, me.added = lo, !lo.Leaving, 0
-	if holds != nil {
-		me.holds = holds
+	if holds == nil {
+		return
+	}
+	me.holds = holds
+	for ix := range holds {
+		if holds[ix].Ready {
+			me.recent.add(holds[ix].Adapter, holds[ix].Version)
+		}
 	}
 }
 
