Leave servers that fall silent, forget replaced ones, divide the retry slack by all nodes seen

Change: an engine at work without a sign of life for 0.7 s is left, resumable streams go on elsewhere; a 421 of another server removes the old one from belief.

--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -10,7 +10,7 @@
 const (
 	// loadsMax bounds the adapters on their way to one engine, so that one engine
 	// does not take the weight store from the others.
-	loadsMax = 3
+	loadsMax = 2
 	// ageingStep is the time a request waits to gain one rank of urgency.
 	ageingStep = 2 * time.Second
 	// queueMax bounds the requests that wait for one engine.
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -131,7 +131,7 @@
 	for _, pass := range passes {
 		for _, me := range group {
 			excluded := slices.Contains(rq.Exclude, me.ID)
-			if me.Leaving || me.load.Draining || excluded && !pass.excluded || now.Before(me.mutedTill) && !pass.muted {
+			if me.Leaving || me.load.Draining || excluded && !pass.excluded || me.rests(now) && !pass.muted {
 				continue
 			}
 			es := me.estimate(&rq, home, now)
@@ -150,6 +150,9 @@
 	return ch, false
 }
 
+// rests tells whether a server is left out while another can be had.
+func (me *member) rests(now time.Time) bool { return now.Before(me.mutedTill) || me.silent(now) }
+
 // estimate returns what the server would cost.
 func (me *member) estimate(rq *Request, home uint64, now time.Time) estimate {
 	es := estimate{price: me.faults * faultSeconds, reason: Plain}
--- a/core/spread/experience.go
+++ b/core/spread/experience.go
@@ -14,6 +14,9 @@
 	muteAfter = 3
 	muteFirst = 500 * time.Millisecond
 	muteMax   = 4 * time.Second
+	// silenceMax is the longest time without a sign of life from an engine at work: its
+	// streams bring events several times as often.
+	silenceMax = 700 * time.Millisecond
 	// unreachableMute is how long a server rests that refuses connections.
 	unreachableMute = time.Second
 )
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -70,6 +70,8 @@
 	sent int
 	// added is the prompt time reserved since the agent's last message.
 	added time.Duration
+	// heard is when anything last came from the server, its agent or its answers.
+	heard time.Time
 	// pace is the measured time to the first byte as a multiple of the expected one.
 	pace float64
 	// faults is the decayed share of failures.
@@ -145,6 +147,7 @@
 	}
 	// An agent that leaves gives no grants, but its engine goes on.
 	me.load, me.told, me.added = lo, !lo.Leaving, 0
+	me.heard = lo.At
 	if holds == nil {
 		return
 	}
@@ -171,13 +174,47 @@
 }
 
 // Sent counts a request that goes to a server and the prompt tokens it adds.
-func (fl *Fleet) Sent(id string, promptTokens int) {
+func (fl *Fleet) Sent(id string, promptTokens int, now time.Time) {
 	if me := fl.members[id]; me != nil {
+		if me.sent == 0 {
+			// The wait for a first sign of life begins now.
+			me.heard = now
+		}
 		me.sent++
 		me.added += grant.ReadTime(promptTokens)
 	}
 }
 
+// Heard records a sign of life of a server.
+func (fl *Fleet) Heard(id string, now time.Time) {
+	if me := fl.members[id]; me != nil {
+		me.heard = now
+	}
+}
+
+// Silent tells whether a server at work has given no sign of life for too long, as one
+// whose host is frozen or cut off.
+func (fl *Fleet) Silent(id string, now time.Time) bool {
+	me := fl.members[id]
+	return me != nil && me.silent(now)
+}
+
+// silent tells whether the server has been at work for too long without a sign of life.
+func (me *member) silent(now time.Time) bool {
+	return me.Engine && me.sent > 0 && now.Sub(me.heard) > silenceMax
+}
+
+// Lacks records that an engine does not hold an adapter that it was believed to hold.
+func (fl *Fleet) Lacks(id, adapter string) {
+	me := fl.members[id]
+	if me == nil {
+		return
+	}
+	other := func(ho Hold) bool { return ho.Adapter == adapter }
+	me.holds = slices.DeleteFunc(slices.Clone(me.holds), other)
+	me.Holds = slices.DeleteFunc(slices.Clone(me.Holds), other)
+}
+
 // Done counts a request off.
 func (fl *Fleet) Done(id string) {
 	if me := fl.members[id]; me != nil && me.sent > 0 {
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -20,6 +20,8 @@
 	duePeriod   = 100 * time.Millisecond
 	dialTimeout = 1500 * time.Millisecond
 	signalsMax  = 8
+	// entriesUnknown stands for the number of entry nodes until an agent has told it.
+	entriesUnknown = 64
 	// answerMax is how long an agent may take to answer a reservation before it counts as silent.
 	answerMax = 200 * time.Millisecond
 )
@@ -29,8 +31,6 @@
 	co      *link.Conn
 	address string
 	boot    string
-	// entries is the number of entry nodes that the agent knows.
-	entries int
 	// silent is true after a reservation that was not answered, until anything arrives.
 	silent bool
 }
@@ -41,7 +41,9 @@
 
 	mu      sync.Mutex
 	members member.Members
-	links   map[string]*agentLink
+	// mostEntries is the most entry nodes that an agent has counted.
+	mostEntries int
+	links       map[string]*agentLink
 	// servers maps the hosts of agents to the servers beside them.
 	servers map[string]string
 	// waiting holds the attempts that wait for a grant, granted those that hold one.
@@ -260,15 +262,16 @@
 	}}
 }
 
-// entries returns the number of entry nodes that share the retry budget.
+// entries returns the number of entry nodes that share the retry budget: the most that
+// an agent has ever counted, as nodes that restart together must not all think that they
+// are alone.
 func (as *agents) entries() int {
 	as.mu.Lock()
 	defer as.mu.Unlock()
-	most := 1
-	for _, al := range as.links {
-		most = max(most, al.entries)
+	if as.mostEntries == 0 {
+		return entriesUnknown
 	}
-	return most
+	return max(as.mostEntries, len(as.no.op.Settings.Peers))
 }
 
 // receiver takes the frames of one connection.
@@ -284,6 +287,7 @@
 	id, silent := rc.as.servers[rc.host], rc.al.silent
 	rc.al.silent = false
 	rc.as.mu.Unlock()
+	rc.as.no.heard(id)
 	if silent {
 		rc.as.no.retold(id)
 	}
@@ -301,7 +305,7 @@
 	attempt, lo := attemptOf(fr)
 	wa := as.waiting[attempt]
 	if lo != nil {
-		rc.al.entries = lo.Entries
+		as.mostEntries = max(as.mostEntries, lo.Entries)
 	}
 	as.mu.Unlock()
 	if lo != nil {
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -147,7 +147,7 @@
 	}
 	rq.log(at, "route_chosen").Str("adapter", rq.call.Adapter).Int("version", sr.Version).Str("reason", string(ch.Reason)).
 		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.Age).Str("candidates", candidates(&ch)).Int64("routes_version", rq.table).Send()
-	no.fleet.Sent(ch.ID, rq.call.PromptTokens)
+	no.fleet.Sent(ch.ID, rq.call.PromptTokens, now)
 	return at, nil
 }
 
@@ -238,6 +238,8 @@
 	if rq.call.Adapter != "" {
 		se.Version = at.version
 	}
+	ctx, stop := rq.watch(ctx, at)
+	defer stop()
 	an, err := co.Do(ctx, &pool.Request{
 		Method: rq.method, Target: rq.target, Host: rq.host, Body: rq.body,
 		Header: no.op.Protocol.Header(rq.header, &rq.call, se),
@@ -268,10 +270,13 @@
 		outcome = retry.Unsent
 	}
 	reason := "connection_lost"
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(context.Cause(ctx), errServerSilent):
+		reason = "server_silent"
+	case ctx.Err() != nil:
 		reason = "time_over"
 	}
-	if !errors.Is(ctx.Err(), context.Canceled) {
+	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		rq.no.failed(at.server)
 	}
 	rq.log(at, "exchange_failed").Str("error", err.Error()).Send()
@@ -281,10 +286,11 @@
 // judge decides what an answer's head means and passes the answer on.
 func (rq *request) judge(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
 	no := rq.no
-	verdict := no.op.Protocol.Verdict(an.Status, an.Header)
+	verdict := no.op.Protocol.Verdict(an.Status, an.Header, at.server)
 	switch verdict {
-	case NotRun, Misdirected:
+	case NotRun, Misdirected, Replaced:
 		drop(an)
+		no.contradicted(at, verdict, rq.call.Adapter)
 		return result{outcome: retry.NotRun, reason: verdict.String()}, false
 	case Foreign:
 		no.failed(at.server)
--- a/entry/direct/events.go
+++ b/entry/direct/events.go
@@ -52,6 +52,7 @@
 		if err != nil {
 			return rq.streamBroke(ctx, at, err), false
 		}
+		rq.no.heard(at.server)
 		if first {
 			first = false
 			rq.firstEvent(at)
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -51,13 +51,15 @@
 	Genuine Verdict = iota
 	// NotRun means that the server has not run the request.
 	NotRun
-	// Misdirected means that the server is another one or lacks the adapter; it has not run the request.
+	// Misdirected means that the server lacks the adapter or its version; it has not run the request.
 	Misdirected
+	// Replaced means that another server has the address; it has not run the request.
+	Replaced
 	// Foreign is an answer that no sound server gives; the request may have run.
 	Foreign
 )
 
-var verdictNames = [...]string{"genuine", "not_run", "misdirected", "foreign"}
+var verdictNames = [...]string{"genuine", "not_run", "misdirected", "replaced", "foreign"}
 
 // String returns the verdict's name in logs.
 func (ve Verdict) String() string { return verdictNames[ve] }
@@ -70,8 +72,8 @@
 	Header(caller http.Header, ca *Call, se *Sending) http.Header
 	// Belongs tells whether an answer's headers belong to a request.
 	Belongs(hd http.Header, ca *Call) bool
-	// Verdict tells what an answer says of the request.
-	Verdict(status int, hd http.Header) Verdict
+	// Verdict tells what an answer says of a request that was sent to a server.
+	Verdict(status int, hd http.Header, server string) Verdict
 }
 
 // Topic is a part of the log.
