Weigh a fetch by one more engine as a second of waiting

Cause: at the worst load of the sausage maker 712 adapters were fetched 1,344 times; the weight store, which all engines share, is what every wait was for, and 400 reservations waited 3.5 s for a load and failed. Change: the price of a fetch at an engine that is not the adapter's first is 1.0 s instead of 0.35 s; a zone has an engine of its own from 8 requests on, not 2.5.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -21,7 +21,7 @@
 	// fullSeconds is the wait where every adapter is in use.
 	fullSeconds = 0.8
 	// fetchSeconds is the price of a fetch from the weight store by one more engine.
-	fetchSeconds = 0.35
+	fetchSeconds = 1.0
 	// crossSeconds is the price of crossing regions: the way and the traffic.
 	crossSeconds = 0.12
 	// zoneSeconds is the price of crossing zones within a region.
--- a/core/spread/popular.go
+++ b/core/spread/popular.go
@@ -10,7 +10,7 @@
 	popularHalfLife = 8 * time.Second
 	// popularCount is the decayed number of requests above which a zone has an engine of
 	// its own for an adapter: so many ways to another zone cost what a fetch does.
-	popularCount = 2.5
+	popularCount = 8
 	// popularMax bounds the adapters that are counted.
 	popularMax = 20_000
 )
