Estimate the wait at an engine from granted prompts and its own pace

Cause: at the worst load the expected wait at an engine that holds the adapter was 1.36 s (nine in ten) while the first event came within 0.74 s: requests went to engines that had to fetch the adapter, or were refused. Change: the backlog counts granted prompts alone; the pace scales the queue alone and is measured from the grant on. Servers found replaced are forgotten for good.

--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -164,9 +164,6 @@
 // Load returns the engine's work at a time.
 func (en *Engine) Load(now time.Time) Load {
 	backlog := max(0, en.readBy.Sub(now))
-	for ix := range en.queue {
-		backlog += ReadTime(en.queue[ix].PromptTokens)
-	}
 	return Load{
 		Known: en.known, Model: en.model(), Born: en.ob.Born, Slots: en.slots, Backlog: backlog,
 		Running: len(en.held), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.ob.Draining,
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -37,7 +37,7 @@
 	// againSeconds is the cost of a server that has failed the same request.
 	againSeconds = 1.0
 	// waitingSeconds is the wait for each request queued at the agent.
-	waitingSeconds = 0.02
+	waitingSeconds = 0.01
 	// silentSeconds is the cost of an engine whose agent is silent.
 	silentSeconds = 0.15
 
@@ -87,6 +87,8 @@
 
 // estimate is what a candidate costs.
 type estimate struct {
+	// queue is the part of the wait that the server's own pace scales.
+	queue float64
 	// wait is the expected time to the first byte in seconds.
 	wait float64
 	// price is what speaks against the candidate beyond the wait, in seconds.
@@ -113,6 +115,8 @@
 	Cost   float64
 	// Wait is the expected time to the first byte.
 	Wait time.Duration
+	// Queue is the part of it after the adapter is there.
+	Queue time.Duration
 	// Age is the age of what the agent told, zero where nothing was told.
 	Age        time.Duration
 	Candidates [candidatesMax]Candidate
@@ -163,11 +167,13 @@
 		es.price += zoneSeconds
 	}
 	if !me.Engine {
-		es.wait = me.placesCost()
+		es.queue = me.placesCost()
+		es.wait = es.queue
 		return es
 	}
 	me.stall(&es, rq, home)
-	es.wait += me.queueCost(rq, now)
+	es.queue = me.queueCost(rq, now)
+	es.wait += es.queue
 	return es
 }
 
@@ -290,6 +296,7 @@
 	if ch.Count == 0 || el.Cost < ch.Cost {
 		ch.ID, ch.Reason, ch.Cost, ch.Age = me.ID, es.reason, el.Cost, 0
 		ch.Wait = time.Duration(es.wait * float64(time.Second))
+		ch.Queue = time.Duration(es.queue * float64(time.Second))
 		if me.told {
 			ch.Age = now.Sub(me.load.At)
 		}
--- a/core/spread/experience.go
+++ b/core/spread/experience.go
@@ -8,7 +8,9 @@
 	// paceWeight is the weight of one more measurement in a server's pace.
 	paceWeight = 0.15
 	paceMin    = 0.5
-	paceMax    = 8.0
+	paceMax    = 6.0
+	// paceFloor is added to both times, so that short waits say little.
+	paceFloor = 150 * time.Millisecond
 
 	// muteAfter is the number of failures in a row after which a server rests.
 	muteAfter = 3
@@ -50,12 +52,13 @@
 	}
 }
 
-// Measured records the time to a first byte beside the expected one.
+// Measured records the time from the sending to a first byte beside the expected one.
 func (fl *Fleet) Measured(id string, took, expected time.Duration) {
 	me := fl.members[id]
 	if me == nil || expected <= 0 {
 		return
 	}
-	ratio := min(paceMax, max(paceMin, took.Seconds()/expected.Seconds()))
-	me.pace += paceWeight * (ratio - me.pace)
+	// What was expected has the present pace in it.
+	ratio := me.pace * (took + paceFloor).Seconds() / (expected + paceFloor).Seconds()
+	me.pace += paceWeight * (min(paceMax, max(paceMin, ratio)) - me.pace)
 }
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -41,7 +41,9 @@
 	choice  spread.Choice
 	version int
 	granted bool
-	start   time.Time
+	// grantTook is how long the grant took.
+	grantTook time.Duration
+	start     time.Time
 }
 
 // result is what became of an attempt that brought no answer for the caller.
@@ -197,6 +199,7 @@
 	}
 	histogram(histogramGrant).record(gr.took)
 	at.granted = true
+	at.grantTook = gr.took
 	at.version = gr.version
 	if !rq.no.takes(at.server) {
 		rq.no.agents.release(at.id, wire.ReleaseEndingWithdrawn)
--- a/entry/direct/events.go
+++ b/entry/direct/events.go
@@ -67,6 +67,7 @@
 // firstEvent measures the wait for an attempt's first event.
 func (rq *request) firstEvent(at *attempt) {
 	took := time.Since(at.start)
+	rq.log(at, "first_event").Dur("took", took).Dur("grant", at.grantTook).Dur("expected", at.choice.Wait).Send()
 	rq.no.succeeded(at, took)
 	histogram(histogramFirst).record(took)
 }
--- a/entry/direct/experience.go
+++ b/entry/direct/experience.go
@@ -27,12 +27,12 @@
 	no.fleet.Unreachable(id, time.Now())
 }
 
-// succeeded records an answer and the time to its first byte.
+// succeeded records an answer and the time from the attempt's start to its first byte.
 func (no *Node) succeeded(at *attempt, took time.Duration) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	no.fleet.Succeeded(at.server)
-	no.fleet.Measured(at.server, took, at.choice.Wait)
+	no.fleet.Measured(at.server, took-at.grantTook, at.choice.Queue)
 }
 
 // countFirst counts a request of a service.
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/roster"
 )
 
 // watchPeriod is the time between looks at a server with a stream under way.
@@ -54,6 +55,9 @@
 
 // contradicted corrects what the node believed of a server that has not run a request.
 func (no *Node) contradicted(at *attempt, ve Verdict, adapter string) {
+	if ve == Replaced {
+		no.be.roster(func(ro *roster.Roster) { ro.Forget(at.server) })
+	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	switch ve {
