--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -36,8 +36,8 @@
 	faultSeconds = 0.6
 	// againSeconds is the cost of a server that has failed the same request.
 	againSeconds = 1.0
-	// waitingSeconds is the wait for each request queued at the agent.
-	waitingSeconds = 0.01
+	// waitingSeconds is the wait that each request queued at the agent adds to a load.
+	waitingSeconds = 0.1
 	// silentSeconds is the cost of an engine whose agent is silent.
 	silentSeconds = 0.15
 
@@ -185,7 +185,7 @@
 // queueCost returns the expected time until an engine has read the request's prompt.
 func (me *member) queueCost(rq *Request, now time.Time) float64 {
 	backlog := max(0, me.load.Backlog-now.Sub(me.load.At)) + me.added + grant.ReadTime(rq.PromptTokens)
-	cost := backlog.Seconds() + stepSeconds*float64(max(me.load.Running, me.sent)) + waitingSeconds*float64(me.load.Waiting)
+	cost := backlog.Seconds() + stepSeconds*float64(max(me.load.Running, me.sent))
 	if me.told && me.load.MemoryFree < rq.PromptTokens {
 		cost += memorySeconds
 	}
@@ -227,6 +227,7 @@
 		es.wait += loadSeconds
 		es.price += fetchSeconds
 	}
+	es.wait += waitingSeconds * float64(me.load.Waiting)
 	switch {
 	case used < me.load.Slots:
 		es.reason = Room
--- a/entry/direct/take.go
+++ b/entry/direct/take.go
@@ -14,6 +14,8 @@
 		if no.be.setTable(ch.Table) {
 			no.lg.Info().Int64("version", ch.Table.Version).Int64("offset", ch.Offset).Int("routes", len(ch.Table.Routes)).
 				Int("services", len(ch.Table.Services)).Msg("routes_in_force")
+			// The table tells which servers are engines, so they are judged anew.
+			no.refresh(now)
 			no.agents.prepareAll()
 		}
 	case ch.Version != nil:
