Load the base model at hand at once after a restart, and tell callers when a node is ready

Cause: after a power loss during an outage of the log, engines waited empty until an entry node named their model. Change: an empty engine whose host has a copy of one base model loads it; refusals of nodes that start tell to come back after 1.5 s.

--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -102,6 +102,8 @@
 	Models []Model
 	// Coming maps the adapters on their way to their versions.
 	Coming map[Key]int
+	// AtHand lists the base models that the engine's host has copies of.
+	AtHand []string
 	// Draining is true once the engine leaves.
 	Draining bool
 	// Busy is true while an order for a base model is under way.
--- a/core/grant/engine_test.go
+++ b/core/grant/engine_test.go
@@ -258,3 +258,11 @@
 		t.Errorf("refused %v", dr.refused)
 	}
 }
+
+func TestARestartedEngineLoadsTheModelItsHostHasBeforeAnybodyAsks(t *testing.T) {
+	en := New(begin)
+	actions := en.Observed(Observation{Born: 1, AtHand: []string{base}}, begin)
+	if len(actions) == 0 || actions[0].Order == nil || actions[0].Order.Operation != LoadModel || actions[0].Order.Key.Model != base {
+		t.Errorf("after a power loss the engine waits for an entry node: %+v", actions)
+	}
+}
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -125,10 +125,11 @@
 		return actions
 	}
 	if len(en.ob.Models) == 0 {
-		if en.wantedModel == "" || now.Before(en.modelDue) {
+		model := en.nextModel()
+		if model == "" || now.Before(en.modelDue) {
 			return actions
 		}
-		return en.give(actions, Order{Operation: LoadModel, Key: Key{Model: en.wantedModel}})
+		return en.give(actions, Order{Operation: LoadModel, Key: Key{Model: model}})
 	}
 	if len(en.coming) >= loadsMax {
 		return actions
@@ -153,6 +154,15 @@
 	return actions
 }
 
+// nextModel returns the base model to load: the one that entry nodes name or, after a
+// restart while none of them can be reached, the only one the host has a copy of.
+func (en *Engine) nextModel() string {
+	if en.wantedModel == "" && len(en.ob.AtHand) == 1 {
+		return en.ob.AtHand[0]
+	}
+	return en.wantedModel
+}
+
 // needsLoad tells whether a request waits for an adapter that is not on its way.
 func (en *Engine) needsLoad(it *Item) bool {
 	if it.Key.Adapter == "" || !en.holdsModel(it.Key.Model) {
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// notReadyWait is when to come back to a node that knows too little.
-	notReadyWait = 500 * time.Millisecond
+	// notReadyWait is when to come back to a node, or a service, that is about to be
+	// ready: a read of the log and the load of a base model take about this long.
+	notReadyWait = 1500 * time.Millisecond
 	// refusedWait is when to come back after a refusal for which nothing better is known.
 	refusedWait = 400 * time.Millisecond
 	// connectMax bounds the wait for a connection to a backend server.
@@ -138,7 +139,7 @@
 	ch, ok := no.fleet.Choose(sr, now)
 	if !ok {
 		return nil, fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
-			WithRetryAfter(refusedWait)
+			WithRetryAfter(notReadyWait)
 	}
 	if patience := min(patienceMax, rq.until.Sub(now)); ch.Wait > patience {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
