--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core entry agent ctl stand proofs
+MODULES := core entry agent ctl stand platform proofs
 PROGRAMS := entry agent ctl stand
 VERSION ?= development
 
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -89,7 +89,7 @@
 		case retry.Again:
 			exclude = append(exclude, at.server)
 		case retry.Deliver:
-			rq.deliver(at, re.answer)
+			rq.deliverFailure(at, re)
 			return
 		case retry.Refuse:
 			rq.fail(rq.refusal(ctx, re))
--- a/entry/direct/whole.go
+++ b/entry/direct/whole.go
@@ -41,7 +41,7 @@
 	took := time.Since(at.start)
 	histogram(histogramFirst).record(took)
 	wh := &whole{status: an.Status, header: an.Header, body: data}
-	if an.Status >= http.StatusInternalServerError {
+	if rq.begun || an.Status >= http.StatusInternalServerError {
 		no.failed(at.server)
 		return result{outcome: retry.Failed, reason: "status_" + strconv.Itoa(an.Status), answer: wh}, false
 	}
@@ -50,6 +50,16 @@
 	return result{outcome: retry.Failed}, true
 }
 
+// deliverFailure writes a server's own failure to the caller. A stream that has begun
+// cannot end with another answer: it is broken off.
+func (rq *request) deliverFailure(at *attempt, re result) {
+	if rq.begun {
+		rq.fail(unknownOutcome("the stream did not go on: " + re.reason))
+		return
+	}
+	rq.deliver(at, re.answer)
+}
+
 // deliver writes a whole answer to the caller.
 func (rq *request) deliver(at *attempt, wh *whole) {
 	copyHeader(rq.wr.Header(), wh.header)
