--- a/entry/direct/take.go
+++ b/entry/direct/take.go
@@ -24,7 +24,7 @@
 				Int64("offset", ch.Offset).Bool("listed", listed).Msg("adapter_version_announced")
 		}
 	case ch.Server != nil:
-		no.takeServer(ch, now)
+		no.takeServer(ch)
 	case ch.Removed != "":
 		no.lg.Info().Str("server", ch.Removed).Int64("offset", ch.Offset).Msg("server_record_removed")
 		no.be.roster(func(ro *roster.Roster) { ro.Remove(ch.Removed, ch.Offset, now) })
@@ -32,7 +32,7 @@
 }
 
 // takeServer enters a backend server's record.
-func (no *Node) takeServer(ch *Change, now time.Time) {
+func (no *Node) takeServer(ch *Change) {
 	no.mu.Lock()
 	old, known := no.fleet.Server(ch.Server.ID)
 	no.mu.Unlock()
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -92,7 +92,7 @@
 		}()
 	}
 	for range strayMax + 1 {
-		resp, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method})
+		resp, err := http.ReadResponse(co.br, &http.Request{Method: rq.Method}) //nolint:bodyclose // the body is a part of the connection, which Answer.Close keeps or closes
 		if err != nil {
 			return nil, &SendError{Written: true, Err: err}
 		}
