--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -273,15 +273,15 @@
 
 // homeOf returns the server at which an adapter is loaded first, by rendezvous hashing:
 // one for all availability zones, so that few engines fetch it, or one in the request's
-// own zone where the adapter is asked for so often that the way to another zone costs
-// more than a further fetch.
+// own region where the adapter is asked for so often that the way to another region
+// costs more than a further fetch.
 func homeOf(group []*member, rq Request) uint64 {
 	if rq.Adapter == "" {
 		return 0
 	}
 	best, score := uint64(0), uint64(0)
 	for _, me := range group {
-		if me.Leaving || rq.Popular && me.Zone != rq.Zone {
+		if me.Leaving || rq.Popular && me.Region != rq.Region {
 			continue
 		}
 		if sc := xxh3.HashStringSeed(rq.Adapter, me.hash); best == 0 || sc > score {
--- a/core/spread/popular.go
+++ b/core/spread/popular.go
@@ -10,7 +10,9 @@
 	popularHalfLife = 8 * time.Second
 	// popularCount is the decayed number of requests above which a zone has an engine of
 	// its own for an adapter: so many ways to another zone cost what a fetch does.
-	popularCount = 8
+	popularCount = 6
+	// popularMin keeps an adapter that is asked for once in a while from being popular.
+	popularMin = 1.8
 	// popularMax bounds the adapters that are counted.
 	popularMax = 20_000
 )
@@ -26,8 +28,9 @@
 	counts map[string]count
 }
 
-// Asked counts a request for an adapter and tells whether it is popular.
-func (po *Popularity) Asked(adapter string, now time.Time) bool {
+// Asked counts a request for an adapter and tells whether it is popular; the node sees one
+// of a number of equal shares of its zone's requests.
+func (po *Popularity) Asked(adapter string, shares float64, now time.Time) bool {
 	if po.counts == nil || len(po.counts) >= popularMax {
 		po.counts = map[string]count{}
 	}
@@ -35,5 +38,5 @@
 	co.value = co.value*math.Exp2(-float64(now.Sub(co.at))/float64(popularHalfLife)) + 1
 	co.at = now
 	po.counts[adapter] = co
-	return co.value >= popularCount
+	return co.value >= max(popularMin, popularCount/max(1, shares))
 }
--- a/entry/direct/experience.go
+++ b/entry/direct/experience.go
@@ -48,9 +48,10 @@
 	if adapter == "" {
 		return false
 	}
+	shares := float64(no.agents.entries()) / float64(max(1, len(no.op.Settings.Regions)))
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return no.popular.Asked(adapter, time.Now())
+	return no.popular.Asked(adapter, shares, time.Now())
 }
 
 // takeRepeat tells whether a request of a service may be sent again, and counts it.
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -12,9 +12,9 @@
 const (
 	// operatorsWait is how long a read waits at the log for a change by an operator.
 	operatorsWait = 20 * time.Second
-	// serversPeriod is the time between reads of the servers' records; a leaving server
-	// must be noticed within leave_ms, and each read is paid.
-	serversPeriod = 900 * time.Millisecond
+	// leavePart is the part of leave_ms between reads of the servers' records: a leaving
+	// server must be noticed within leave_ms, and each read is paid.
+	leavePart = 0.45
 	// readTimeout bounds a read beyond the time it waits at the log.
 	readTimeout = 1500 * time.Millisecond
 	// firstTimeout bounds a read while the node knows nothing: peers may know more.
@@ -61,7 +61,7 @@
 // period returns the pause after a read that succeeded.
 func (fo *follower) period() time.Duration {
 	if fo.to == Servers {
-		return serversPeriod
+		return time.Duration(leavePart * float64(fo.no.op.Settings.LeaveMs) * float64(time.Millisecond))
 	}
 	return 0
 }
