Load one adapter at a time while the weight store is slow, and tell entry nodes how slow

Cause: at the worst load 41 engines with two loads each kept 82 adapters on their way where the store serves 16 at full speed; half the grants took 0.8 s, a tenth 2 s. Change: each agent measures its loads; above 1.5 times the time at full speed it asks for one at a time, below for three. Entry nodes count the measured time.

--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -8,9 +8,13 @@
 )
 
 const (
-	// loadsMax bounds the adapters on their way to one engine, so that one engine
-	// does not take the weight store from the others.
-	loadsMax = 2
+	// loadsMax bounds the adapters on their way to one engine. Where loads take longer
+	// than slowLoads times what they take at full speed, the weight store has more of
+	// them than it serves well, and each engine asks for one at a time.
+	loadsMax  = 3
+	slowLoads = 1.5
+	// loadWeight is the weight of one more load in their measured time.
+	loadWeight = 0.25
 	// ageingStep is the time a request waits to gain one rank of urgency.
 	ageingStep = 2 * time.Second
 	// queueMax bounds the requests that wait for one engine.
@@ -77,6 +81,8 @@
 // loading is an adapter on its way to the engine.
 type loading struct {
 	version int
+	// fetched is true for one that comes from the weight store.
+	fetched bool
 	since   time.Time
 	due     time.Time
 }
@@ -133,6 +139,8 @@
 	inspectAt time.Time
 	// inspecting is true while the engine is asked.
 	inspecting bool
+	// loadTook is how long adapters have taken of late from the weight store.
+	loadTook time.Duration
 	// readBy is when the prompts granted so far are read.
 	readBy  time.Time
 	leaving bool
@@ -141,18 +149,20 @@
 // New returns the state of an agent that starts now.
 func New(now time.Time) *Engine {
 	return &Engine{
-		started: now, loaded: map[Key]int{}, coming: map[Key]loading{}, doubtful: map[Key]bool{},
+		started: now, loadTook: loadTime, loaded: map[Key]int{}, coming: map[Key]loading{}, doubtful: map[Key]bool{},
 		popular: map[Key]popularity{}, held: map[string]*held{},
 	}
 }
 
 // Load is the engine's work as entry nodes are told.
 type Load struct {
-	Known      bool
-	Model      string
-	Born       int64
-	Slots      int
-	Backlog    time.Duration
+	Known   bool
+	Model   string
+	Born    int64
+	Slots   int
+	Backlog time.Duration
+	// LoadTime is how long adapters have taken of late from the weight store.
+	LoadTime   time.Duration
 	Running    int
 	Waiting    int
 	MemoryFree int
@@ -166,7 +176,7 @@
 	backlog := max(0, en.readBy.Sub(now))
 	return Load{
 		Known: en.known, Model: en.model(), Born: en.ob.Born, Slots: en.slots, Backlog: backlog,
-		Running: len(en.held), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.ob.Draining,
+		LoadTime: en.loadTook, Running: len(en.held), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.ob.Draining,
 	}
 }
 
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -173,11 +173,12 @@
 		en.modelDue = now.Add(inspectIdle)
 	case LoadAdapter:
 		en.loads++
-		due := now.Add(loadTime)
-		if slices.Contains(en.recent, or.Key) {
-			due = now.Add(reloadTime)
+		lo := loading{version: or.Version, since: now, due: now.Add(reloadTime)}
+		if !slices.Contains(en.recent, or.Key) {
+			lo.fetched = true
+			lo.due = now.Add(loadTime)
 		}
-		en.coming[or.Key] = loading{version: or.Version, since: now, due: due}
+		en.coming[or.Key] = lo
 		en.remember(or.Key)
 	case UnloadAdapter:
 		en.evictions++
@@ -259,6 +260,9 @@
 		failed := now.Sub(lo.since) > orphanMax || !ok && now.Sub(lo.since) > loadTime
 		if !still && (ok && loaded >= lo.version || failed) {
 			delete(en.coming, ke)
+			if lo.fetched && !failed {
+				en.loadTook += time.Duration(loadWeight * float64(now.Sub(lo.since)-en.loadTook))
+			}
 			continue
 		}
 		if soon := now.Add(inspectSoon); lo.due.Before(soon) {
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -131,7 +131,7 @@
 		}
 		return en.give(actions, Order{Operation: LoadModel, Key: Key{Model: model}})
 	}
-	if len(en.coming) >= loadsMax {
+	if len(en.coming) >= en.loadsNow() {
 		return actions
 	}
 	ix := en.first(now, en.needsLoad)
@@ -154,6 +154,15 @@
 	return actions
 }
 
+// loadsNow returns how many adapters may be on their way to the engine, under the load
+// of all engines on the weight store.
+func (en *Engine) loadsNow() int {
+	if float64(en.loadTook) > slowLoads*float64(loadTime) {
+		return 1
+	}
+	return loadsMax
+}
+
 // nextModel returns the base model to load: the one that entry nodes name or, after a
 // restart while none of them can be reached, the only one the host has a copy of.
 func (en *Engine) nextModel() string {
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -222,9 +222,9 @@
 	case me.recent.has(rq.Adapter, rq.Version):
 		es.wait += reloadSeconds
 	case me.hash == home:
-		es.wait += loadSeconds
+		es.wait += me.fetchTime()
 	default:
-		es.wait += loadSeconds
+		es.wait += me.fetchTime()
 		es.price += fetchSeconds
 	}
 	es.wait += waitingSeconds * float64(me.load.Waiting)
@@ -240,6 +240,9 @@
 	}
 }
 
+// fetchTime returns the time of a load from the weight store in seconds, as last measured.
+func (me *member) fetchTime() float64 { return max(loadSeconds, me.load.LoadTime.Seconds()) }
+
 // stall adds the wait for an adapter that the engine holds or loads.
 func (ho *Hold) stall(es *estimate, rq *Request) {
 	switch {
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -27,7 +27,9 @@
 	Model string
 	Slots int
 	// Backlog is the time until the prompts already granted are read.
-	Backlog    time.Duration
+	Backlog time.Duration
+	// LoadTime is how long adapters have taken of late from the weight store.
+	LoadTime   time.Duration
 	Running    int
 	Waiting    int
 	MemoryFree int
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -134,6 +134,10 @@
 	// Leaving is true once the agent gives no more grants; its engine goes on.
 	Leaving bool `json:"leaving" yaml:"leaving"`
 
+	// LoadMs is the time that adapters have taken of late from the weight store, in
+	// milliseconds.
+	LoadMs int64 `json:"load_ms" yaml:"load_ms"`
+
 	// MemoryFree is the memory not yet granted, in tokens.
 	MemoryFree int `json:"memory_free" yaml:"memory_free"`
 
--- a/entry/direct/events.go
+++ b/entry/direct/events.go
@@ -26,6 +26,21 @@
 	// last is the identity of the last event that was written.
 	last  string
 	count int
+	// at is when the last event was written, pause the longest time between two.
+	at    time.Time
+	pause time.Duration
+}
+
+// wrote records an event.
+func (es *eventState) wrote(ev []byte, now time.Time) {
+	if es.count > 0 {
+		es.pause = max(es.pause, now.Sub(es.at))
+	}
+	es.count++
+	es.at = now
+	if id, ok := eventID(ev); ok {
+		es.last = id
+	}
 }
 
 // lastEvent returns the event after which the stream goes on.
@@ -79,10 +94,7 @@
 		return false
 	}
 	rq.wr.Flush()
-	rq.events.count++
-	if id, ok := eventID(ev); ok {
-		rq.events.last = id
-	}
+	rq.events.wrote(ev, time.Now())
 	return true
 }
 
@@ -99,7 +111,7 @@
 // endStream completes the answer.
 func (rq *request) endStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.openStream(an)
-	rq.log(at, "request_answered").Int("status", http.StatusOK).Int("events", rq.events.count).Dur("took", time.Since(rq.start)).Send()
+	rq.log(at, "request_answered").Int("status", http.StatusOK).Int("events", rq.events.count).Dur("longest_pause", rq.events.pause).Dur("took", time.Since(rq.start)).Send()
 	histogram(histogramWhole).record(time.Since(rq.start))
 	return result{outcome: retry.Failed}, true
 }
