Soak the real programs as separate processes under faults from outside

Proxies on loopback delay, reset, cut one way or silence the links between entry nodes and agents; processes are stopped, killed, asked to stop twice and restarted, in two series at once, while callers keep their connections. Checked while it runs: answers belong to the adapter and call named, streams that look whole are, no call runs twice, a refusal that says not run is true, both nodes serve again after the faults.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 
 HISTORIES ?= 10000
 HISTORY_FROM ?= 0
+SOAK_SEEDS ?= 50
+SOAK_FROM ?= 1
 
-.PHONY: build run test proofs soak bench measure slopes lint format generate clean
+.PHONY: build run test proofs soak fault-soak bench measure slopes lint format generate clean
 
 build:
 	@mkdir -p bin
@@ -28,6 +30,9 @@
 soak:
 	@cd proofs && HISTORIES=$(HISTORIES) HISTORY_FROM=$(HISTORY_FROM) go test -count=1 -timeout 0 -run TestHistories .
 
+fault-soak: build
+	@cd proofs && SOAK_SEEDS=$(SOAK_SEEDS) SOAK_FROM=$(SOAK_FROM) go test -count=1 -timeout 0 -run TestSoak .
+
 bench:
 	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
 	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -28,7 +28,7 @@
 
 // tell gives an engine adapters.
 func tell(fl *Fleet, id string, holds ...Hold) {
-	fl.Told(id, Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, At: start}, holds)
+	fl.Told(id, Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, At: start}, append([]Hold{}, holds...))
 }
 
 func chosen(t *testing.T, fl *Fleet, rq Request, now time.Time) Choice {
@@ -69,8 +69,7 @@
 func TestAnEngineThatRestartedHasNoCopies(t *testing.T) {
 	fl := fleetOf("e1")
 	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
-	fl.Put(Server{ID: "e1", Service: "advice", Zone: "z1", Region: "r1", Engine: true, Model: "m", Born: 2}, start)
-	tell(fl, "e1")
+	fl.Told("e1", Load{Known: true, Model: "m", Born: 2, Slots: 2, MemoryFree: 100_000, At: start}, nil)
 	if ch := chosen(t, fl, ask("x"), start); ch.Wait < 250*time.Millisecond {
 		t.Errorf("expects %v for an adapter that must be fetched", ch.Wait)
 	}
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -25,6 +25,8 @@
 	Known bool
 	// Model is the base model on the engine, empty for none.
 	Model string
+	// Born identifies the engine's run.
+	Born  int64
 	Slots int
 	// Backlog is the time until the prompts already granted are read.
 	Backlog time.Duration
@@ -108,9 +110,6 @@
 		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
 		fl.groups[se.Service] = slices.Insert(group, ix, me)
 	}
-	if me.Born != se.Born {
-		me.recent = recent{}
-	}
 	me.Server = se
 }
 
@@ -147,6 +146,10 @@
 	if me == nil {
 		return
 	}
+	if lo.Born != me.load.Born {
+		// Another run of the engine holds nothing of what the last one held.
+		me.recent, me.holds = recent{}, nil
+	}
 	// An agent that leaves gives no grants, but its engine goes on.
 	me.load, me.told, me.added = lo, !lo.Leaving, 0
 	me.heard = lo.At
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -338,7 +338,7 @@
 // loadOf returns an engine's work as the choice sees it.
 func loadOf(lo *wire.EngineLoad, now time.Time) spread.Load {
 	return spread.Load{
-		Known: lo.Known, Model: lo.Model, Slots: lo.Slots, Backlog: time.Duration(lo.BacklogMs) * time.Millisecond,
+		Known: lo.Known, Model: lo.Model, Born: lo.Born, Slots: lo.Slots, Backlog: time.Duration(lo.BacklogMs) * time.Millisecond,
 		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Leaving: lo.Leaving, Draining: lo.Draining, At: now,
 		LoadTime: time.Duration(lo.LoadMs) * time.Millisecond,
 	}
--- a/proofs/path_test.go
+++ b/proofs/path_test.go
@@ -32,14 +32,16 @@
 	token    string
 	operator string
 	dir      string
+	base     int
 }
 
 // freeBase returns a port from which a hundred are likely to be free.
 func freeBase(tb testing.TB) int {
 	tb.Helper()
-	for base := 20000; base < 60000; base += 137 {
+	// Test processes that run side by side begin at different ports.
+	for base := 20000 + os.Getpid()%100*137; base < 60000; base += 137 {
 		free := true
-		for _, off := range []int{1, 2, 3, 11, 12, 13, 14, 21, 22, 23, 24, 80, 81, 90, 91} {
+		for _, off := range []int{1, 2, 3, 11, 12, 13, 14, 21, 22, 23, 24, 31, 32, 33, 34, 80, 81, 90, 91} {
 			ls, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+off))
 			if err != nil {
 				free = false
@@ -58,8 +60,13 @@
 // startDeployment runs scripts/run.sh until the test ends.
 func startDeployment(tb testing.TB, env ...string) *deployment {
 	tb.Helper()
-	base := freeBase(tb)
-	de := &deployment{dir: tb.TempDir()}
+	return startDeploymentAt(tb, freeBase(tb), env...)
+}
+
+// startDeploymentAt runs scripts/run.sh on the ports from a base until the test ends.
+func startDeploymentAt(tb testing.TB, base int, env ...string) *deployment {
+	tb.Helper()
+	de := &deployment{dir: tb.TempDir(), base: base}
 	cmd := exec.Command("../scripts/run.sh")
 	cmd.Env = append(os.Environ(), "RUN_DIR="+de.dir, fmt.Sprintf("RUN_BASE_PORT=%d", base),
 		fmt.Sprintf("RUN_CALLER_ADDRESS=127.0.0.1:%d", base+80))
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -13,6 +13,8 @@
 log=127.0.0.1:$((base + 1))
 store=127.0.0.1:$((base + 2))
 hosts=127.0.0.1:$((base + 3))
+# The list of hosts gives the agents' ports with this added, so that something can stand between.
+shift_agents=${RUN_AGENT_SHIFT:-0}
 pids=()
 
 stop() {
@@ -45,8 +47,10 @@
 }
 printf '[%s,%s,%s,%s,%s,%s]' \
   "$(host entry-1 entry "$admin1")" "$(host entry-2 entry "$admin2")" \
-  "$(host runner-1 agent "127.0.0.1:$((base + 21))")" "$(host runner-2 agent "127.0.0.1:$((base + 22))")" \
-  "$(host runner-3 agent "127.0.0.1:$((base + 23))")" "$(host ledger-1 agent "127.0.0.1:$((base + 24))")" \
+  "$(host runner-1 agent "127.0.0.1:$((base + shift_agents + 21))")" \
+  "$(host runner-2 agent "127.0.0.1:$((base + shift_agents + 22))")" \
+  "$(host runner-3 agent "127.0.0.1:$((base + shift_agents + 23))")" \
+  "$(host ledger-1 agent "127.0.0.1:$((base + shift_agents + 24))")" \
   >"$dir/hosts.json"
 
 entry_settings() {
--- a/stand/plain/service.go
+++ b/stand/plain/service.go
@@ -44,6 +44,9 @@
 	mux.HandleFunc("GET /", func(wr http.ResponseWriter, _ *http.Request) {
 		reply(wr, http.StatusOK, map[string]any{"service": sv.name, "releases": len(sv.Releases())})
 	})
+	mux.HandleFunc("GET /recorded", func(wr http.ResponseWriter, _ *http.Request) {
+		reply(wr, http.StatusOK, sv.Releases())
+	})
 	mux.HandleFunc("POST /", func(wr http.ResponseWriter, rq *http.Request) {
 		data, err := io.ReadAll(http.MaxBytesReader(wr, rq.Body, bodyMax))
 		if err != nil {
