Wait a short time only for the change after a change, or after a disturbance of the log

Ruled out: a read from a wrong offset (the read that missed the record returned it with the next), a lost connection (the same read was answered). Change: after a change, and for 30 s after a disturbance, a read waits 0.6 routes_ms.

--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -158,6 +158,10 @@
 	// RetryWindowMs is the time over which the share is counted, in milliseconds.
 	RetryWindowMs int `json:"retry_window_ms" yaml:"retry_window_ms"`
 
+	// RoutesMs is the time in which accepted routes must be in force, in
+	// milliseconds.
+	RoutesMs int `json:"routes_ms" yaml:"routes_ms"`
+
 	// StopMs is the time from the stop signal to the kill, in milliseconds.
 	StopMs int `json:"stop_ms" yaml:"stop_ms"`
 
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// operatorsWait is how long a read waits at the log for a change by an operator.
-	operatorsWait = 20 * time.Second
+	// quietWait is how long a read waits at the log for a change by an operator.
+	quietWait = 20 * time.Second
+	// alertPart is the part of routes_ms for which a read waits after a change or a
+	// disturbance: a waiting read may miss the next change, a new read does not.
+	alertPart = 0.6
+	// alertTime is how long after a disturbance of the log reads wait for a short time only.
+	alertTime = 30 * time.Second
 	// leavePart is the part of leave_ms between reads of the servers' records: a leaving
 	// server must be noticed within leave_ms, and each read is paid.
 	leavePart = 0.45
@@ -35,6 +40,10 @@
 	listed bool
 	lost   bool
 	fails  int
+	// alertTill is when the effects of a disturbance are over.
+	alertTill time.Time
+	// changed is true after a read that brought records.
+	changed bool
 }
 
 // run reads until the context ends.
@@ -52,6 +61,7 @@
 		if errors.Is(err, ErrExpired) {
 			fo.no.lg.Warn().Str("topic", fo.to.String()).Int64("offset", fo.next).Msg("log_records_expired")
 			fo.listed = false
+			fo.alertTill = time.Now().Add(alertTime)
 			continue
 		}
 		fo.failed(ctx, err)
@@ -69,6 +79,7 @@
 // failed records a failed read.
 func (fo *follower) failed(ctx context.Context, err error) {
 	fo.fails++
+	fo.alertTill = time.Now().Add(alertTime)
 	if !fo.lost {
 		fo.lost = true
 		fo.no.lg.Warn().Str("dependency", "log").Str("topic", fo.to.String()).Int64("offset", fo.next).
@@ -117,20 +128,29 @@
 	if !fo.listed {
 		return fo.list(ctx)
 	}
-	wait := time.Duration(0)
-	if fo.to == Operators {
-		wait = operatorsWait
-	}
+	wait := fo.wait(time.Now())
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	ba, err := fo.no.op.Source.After(ctx, fo.to, fo.next, wait)
 	if err != nil {
 		return err
 	}
+	fo.changed = len(ba.Changes) > 0
 	fo.apply(ba, false)
 	return nil
 }
 
+// wait returns how long the next read waits at the log.
+func (fo *follower) wait(now time.Time) time.Duration {
+	switch {
+	case fo.to == Servers:
+		return 0
+	case fo.changed || now.Before(fo.alertTill):
+		return time.Duration(alertPart * float64(fo.no.op.Settings.RoutesMs) * float64(time.Millisecond))
+	}
+	return quietWait
+}
+
 // list reads the newest record of each key.
 func (fo *follower) list(ctx context.Context) error {
 	timeout := readTimeout
--- a/proofs/direct_world_test.go
+++ b/proofs/direct_world_test.go
@@ -90,14 +90,21 @@
 
 // put appends a record.
 func (so *testSource) put(to direct.Topic, ch direct.Change) {
+	so.putUnheard(to, ch)
 	so.mu.Lock()
 	defer so.mu.Unlock()
-	ch.Offset = int64(len(so.changes[to]))
-	so.changes[to] = append(so.changes[to], ch)
 	close(so.changed)
 	so.changed = make(chan struct{})
 }
 
+// putUnheard appends a record that wakes no waiting read.
+func (so *testSource) putUnheard(to direct.Topic, ch direct.Change) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	ch.Offset = int64(len(so.changes[to]))
+	so.changes[to] = append(so.changes[to], ch)
+}
+
 // setDown makes the log refuse reads.
 func (so *testSource) setDown(down bool) {
 	so.mu.Lock()
@@ -351,7 +358,7 @@
 		Settings: conf.DirectEntrySettings{
 			Place: conf.Place{Name: name, Region: "region-1", Zone: directZone}, CallerAddress: name + ":1", ReadyAddress: name + ":2",
 			PeerAddress: name + ":3", Peers: []string{"entry-1:3", "entry-2:3"}, AgentPort: 7, LogAddress: "log:1", StopMs: 8000,
-			LeaveMs: 2500, VersionMs: 5000, RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 2000,
+			LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500, RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 2000,
 			Regions: conf.DirectEntrySettingsRegions{directZone: "region-1"},
 		},
 		Network: dw.net.on(name), Source: dw.source, Protocol: testProtocol{}, Logger: dw.lg.With().Str("node", name).Logger(),
