Pause between reads of the log that bring nothing

Change: a read that brings nothing and did not wait is made again after 0.25 s, also after expired records and listings that are older than what was read. Test: TestDirectReadsALogThatIsBehindItselfAtIntervals does not end without the change.

--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -24,6 +24,8 @@
 	readTimeout = 1500 * time.Millisecond
 	// firstTimeout bounds a read while the node knows nothing: peers may know more.
 	firstTimeout = 700 * time.Millisecond
+	// emptyWait is the least time between reads that bring nothing.
+	emptyWait = 250 * time.Millisecond
 	// retryWait is the time before a failed read is made again.
 	retryWait = 250 * time.Millisecond
 	retryMax  = time.Second
@@ -49,29 +51,35 @@
 // run reads until the context ends.
 func (fo *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		start := time.Now()
 		err := fo.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
 			fo.regained()
-			fo.pause(ctx, fo.period())
+			fo.pause(ctx, fo.period(time.Since(start)))
 			continue
 		}
 		if errors.Is(err, ErrExpired) {
 			fo.no.lg.Warn().Str("topic", fo.to.String()).Int64("offset", fo.next).Msg("log_records_expired")
 			fo.listed = false
 			fo.alertTill = time.Now().Add(alertTime)
+			fo.pause(ctx, emptyWait)
 			continue
 		}
 		fo.failed(ctx, err)
 	}
 }
 
-// period returns the pause after a read that succeeded.
-func (fo *follower) period() time.Duration {
-	if fo.to == Servers {
+// period returns the pause after a read that succeeded. A read that brought nothing and
+// did not wait at the log, as while the log is behind itself, is not made again at once.
+func (fo *follower) period(took time.Duration) time.Duration {
+	switch {
+	case fo.to == Servers:
 		return time.Duration(leavePart * float64(fo.no.op.Settings.LeaveMs) * float64(time.Millisecond))
+	case !fo.listed || !fo.changed && took < emptyWait:
+		return emptyWait
 	}
 	return 0
 }
--- a/proofs/direct_test.go
+++ b/proofs/direct_test.go
@@ -374,6 +374,21 @@
 	})
 }
 
+func TestDirectReadsALogThatIsBehindItselfAtIntervals(t *testing.T) {
+	inDirectWorld(t, 1, 0, func(t *testing.T, dw *directWorld, _ *directCaller) {
+		dw.source.mu.Lock()
+		dw.source.behind, dw.source.reads = true, 0
+		dw.source.mu.Unlock()
+		dw.source.put(direct.Operators, direct.Change{Table: directTable(2)})
+		time.Sleep(10 * time.Second)
+		dw.source.mu.Lock()
+		defer dw.source.mu.Unlock()
+		if dw.source.reads > 100 {
+			t.Errorf("%d reads in 10 s, each is paid", dw.source.reads)
+		}
+	})
+}
+
 func TestDirectFinishesStreamsWhenItIsStopped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dw := newDirectWorld(t, 1, 1)
--- a/proofs/direct_world_test.go
+++ b/proofs/direct_world_test.go
@@ -86,6 +86,9 @@
 	changes [2][]direct.Change
 	changed chan struct{}
 	down    bool
+	// behind makes reads answer at once with nothing, as a log that is behind itself.
+	behind bool
+	reads  int
 }
 
 // put appends a record.
@@ -120,11 +123,14 @@
 	end := time.Now().Add(wait)
 	for {
 		so.mu.Lock()
-		list, changed, down := so.changes[to], so.changed, so.down
+		so.reads++
+		list, changed, down, behind := so.changes[to], so.changed, so.down, so.behind
 		so.mu.Unlock()
 		switch {
 		case down:
 			return direct.Batch{}, fmt.Errorf("the log is down")
+		case behind:
+			return direct.Batch{End: 0}, nil
 		case int(from) < len(list) || !time.Now().Before(end):
 			return direct.Batch{Changes: list[min(int(from), len(list)):], End: int64(len(list))}, nil
 		}
