Share the greeting of links and the decaying count; split sending from carrying

Twins removed: the first frames of both kinds of links, three decaying counts, the engine's work as agents and entry nodes know it. Behaviour unchanged.

--- a/agent/direct/serve.go
+++ b/agent/direct/serve.go
@@ -18,9 +18,10 @@
 		ag.lg.Warn().Str("error", err.Error()).Msg("link_refused")
 		return
 	}
-	hello, ok := ag.greet(co)
-	if !ok {
+	hello, err := ag.greet(co)
+	if err != nil {
 		co.Abandon()
+		ag.lg.Warn().Str("error", err.Error()).Msg("link_not_greeted")
 		return
 	}
 	se := &session{co: co, name: hello.Entry + "/" + hello.EntryBoot, near: hello.Zone == ag.op.Settings.Place.Zone}
@@ -32,23 +33,11 @@
 }
 
 // greet exchanges the first frames.
-func (ag *agent) greet(co *link.Conn) (*wire.Hello, bool) {
+func (ag *agent) greet(co *link.Conn) (*wire.Hello, error) {
 	ctx, cancel := context.WithTimeout(ag.ctx, helloTimeout)
 	defer cancel()
-	first, err := co.ReadFrame(ctx)
-	if err != nil || first.Hello == nil {
-		ag.lg.Warn().Msg("link_without_hello")
-		return nil, false
-	}
 	place := ag.op.Settings.Place
-	err = co.WriteFrame(ctx, &wire.Frame{Welcome: &wire.Welcome{
-		Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region,
-	}})
-	if err != nil {
-		ag.lg.Warn().Str("error", err.Error()).Msg("welcome_not_sent")
-		return nil, false
-	}
-	return first.Hello, true
+	return co.Welcome(ctx, &wire.Welcome{Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region})
 }
 
 // receiver passes the frames of one connection to the broker.
--- a/agent/internal/server/server.go
+++ b/agent/internal/server/server.go
@@ -45,21 +45,17 @@
 	}
 	ctx, cancel := context.WithTimeout(sv.ctx, helloTimeout)
 	defer cancel()
-	first, err := co.ReadFrame(ctx)
-	if err != nil || first.Hello == nil {
-		co.Abandon()
-		sv.lg.Warn().Msg("link_without_hello")
-		return
-	}
-	if err := co.WriteFrame(ctx, &wire.Frame{Welcome: sv.br.Welcome()}); err != nil {
+	hello, err := co.Welcome(ctx, sv.br.Welcome())
+	if err != nil {
 		co.Abandon()
+		sv.lg.Warn().Str("error", err.Error()).Msg("link_not_greeted")
 		return
 	}
-	sv.lg.Info().Str("entry", first.Hello.Entry).Str("entry_boot", first.Hello.EntryBoot).Msg("link_opened")
+	sv.lg.Info().Str("entry", hello.Entry).Str("entry_boot", hello.EntryBoot).Msg("link_opened")
 	sv.br.Opened(sv.ctx, co)
 	err = co.Run(sv.ctx, &session{ctx: sv.ctx, br: sv.br, co: co})
 	sv.br.Closed(sv.ctx, co)
-	sv.lg.Info().Str("entry", first.Hello.Entry).Str("reason", err.Error()).Msg("link_closed")
+	sv.lg.Info().Str("entry", hello.Entry).Str("reason", err.Error()).Msg("link_closed")
 }
 
 // session passes the frames of one connection to the broker.
--- /dev/null
+++ b/core/decay/doc.go
@@ -0,0 +1,2 @@
+// Package decay counts what happens so that the weight of the past halves at intervals.
+package decay
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -1,10 +1,11 @@
 package grant
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/decay"
 )
 
 const (
@@ -93,17 +94,6 @@
 	at time.Time
 }
 
-// popularity is a count of requests that decays over time.
-type popularity struct {
-	count float64
-	at    time.Time
-}
-
-// decayed returns the count at a time.
-func (po popularity) decayed(now time.Time) float64 {
-	return po.count * math.Exp2(-float64(now.Sub(po.at))/float64(popularityHalfLife))
-}
-
 // Engine is what an agent knows of its engine, and the requests it has granted.
 type Engine struct {
 	ob Observation
@@ -116,7 +106,7 @@
 	// doubtful holds adapters that the engine did not find when a request named them.
 	doubtful map[Key]bool
 	recent   []Key
-	popular  map[Key]popularity
+	popular  map[Key]decay.Count
 	queue    []Item
 	held     map[string]*held
 	// wantedModel is the base model that entry nodes ask for.
@@ -150,7 +140,7 @@
 func New(now time.Time) *Engine {
 	return &Engine{
 		started: now, loadTook: loadTime, loaded: map[Key]int{}, coming: map[Key]loading{}, doubtful: map[Key]bool{},
-		popular: map[Key]popularity{}, held: map[string]*held{},
+		popular: map[Key]decay.Count{}, held: map[string]*held{},
 	}
 }
 
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -23,8 +23,7 @@
 		return []Action{refuse(&it, ReasonDeadline, refusalWait)}
 	}
 	if it.Key.Adapter != "" {
-		po := en.popular[it.Key]
-		en.popular[it.Key] = popularity{count: po.decayed(now) + 1, at: now}
+		en.popular[it.Key] = en.popular[it.Key].Plus(now, popularityHalfLife)
 	}
 	en.queue = append(en.queue, it)
 	actions := en.plan(now)
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -202,7 +202,7 @@
 		if _, coming := en.coming[ke]; coming || en.pins(ke) > 0 || en.waitingFor(ke) > 0 {
 			continue
 		}
-		count := en.popular[ke].decayed(now)
+		count := en.popular[ke].At(now, popularityHalfLife)
 		if !found || count < least || count == least && ke.Adapter < best.Adapter {
 			best, least, found = ke, count, true
 		}
--- /dev/null
+++ b/core/link/greet.go
@@ -0,0 +1,39 @@
+package link
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+// Greet opens a connection to an agent's address and exchanges the first frames.
+func Greet(ctx context.Context, di Dialer, address string, he *wire.Hello) (*Conn, *wire.Welcome, error) {
+	co, err := Dial(ctx, di, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := co.WriteFrame(ctx, &wire.Frame{Hello: he}); err != nil {
+		co.Abandon()
+		return nil, nil, err
+	}
+	first, err := co.ReadFrame(ctx)
+	if err != nil || first.Welcome == nil {
+		co.Abandon()
+		return nil, nil, errors.Newf("link: %s did not welcome the connection; is it an agent?", address)
+	}
+	return co, first.Welcome, nil
+}
+
+// Welcome reads an entry node's first frame and answers it.
+func (co *Conn) Welcome(ctx context.Context, we *wire.Welcome) (*wire.Hello, error) {
+	first, err := co.ReadFrame(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if first.Hello == nil {
+		return nil, errors.New("link: the connection did not begin with a hello; is it an entry node?")
+	}
+	return first.Hello, co.WriteFrame(ctx, &wire.Frame{Welcome: we})
+}
--- a/core/sched/events.go
+++ b/core/sched/events.go
@@ -21,8 +21,7 @@
 	it.Arrived = now
 	it.stalled = it.Adapter != (conf.AdapterVersion{}) && !sc.runnable(&it)
 	if it.Adapter != (conf.AdapterVersion{}) {
-		po := sc.popular[it.Adapter]
-		sc.popular[it.Adapter] = popularity{count: po.decayed(now) + 1, at: now}
+		sc.popular[it.Adapter] = sc.popular[it.Adapter].Plus(now, popularityHalfLife)
 	}
 	sc.queue = append(sc.queue, it)
 	return sc.plan(now)
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/decay"
 )
 
 const (
@@ -61,7 +62,7 @@
 	running map[string]string
 	// alone is the attempt that runs apart from all others, or empty.
 	alone    string
-	popular  map[conf.AdapterVersion]popularity
+	popular  map[conf.AdapterVersion]decay.Count
 	failures map[conf.AdapterVersion]int
 	// strays are handles at the engine that belong to no slot; true once their unload was ordered.
 	strays  map[string]bool
@@ -80,7 +81,7 @@
 func New(se Settings) *Scheduler {
 	return &Scheduler{
 		boot: se.Boot, places: se.Places, slots: make([]Slot, se.Slots),
-		running: map[string]string{}, popular: map[conf.AdapterVersion]popularity{},
+		running: map[string]string{}, popular: map[conf.AdapterVersion]decay.Count{},
 		failures: map[conf.AdapterVersion]int{}, strays: map[string]bool{},
 		known: se.Slots == 0,
 	}
--- a/core/sched/slots.go
+++ b/core/sched/slots.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"math"
 	"strconv"
 	"time"
 
@@ -45,17 +44,6 @@
 	keepUntil time.Time
 }
 
-// popularity is a count of requests that decays over time.
-type popularity struct {
-	count float64
-	at    time.Time
-}
-
-// decayed returns the count at a time.
-func (po popularity) decayed(now time.Time) float64 {
-	return po.count * math.Exp2(-float64(now.Sub(po.at))/float64(popularityHalfLife))
-}
-
 // slotOf returns the slot that holds or loads an adapter, or -1.
 func (sc *Scheduler) slotOf(av conf.AdapterVersion) int {
 	for ix := range sc.slots {
@@ -107,8 +95,8 @@
 
 // lessPopular orders slots by the decayed popularity of their adapters, then by last use.
 func (sc *Scheduler) lessPopular(aa, bb *Slot, now time.Time) bool {
-	pa := sc.popular[aa.Adapter].decayed(now)
-	pb := sc.popular[bb.Adapter].decayed(now)
+	pa := sc.popular[aa.Adapter].At(now, popularityHalfLife)
+	pb := sc.popular[bb.Adapter].At(now, popularityHalfLife)
 	if pa != pb {
 		return pa < pb
 	}
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -7,6 +7,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/bambooladder/bambooladder/core/grant"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -16,7 +18,7 @@
 	fl := &Fleet{}
 	for _, id := range ids {
 		fl.Put(Server{ID: id, Service: "advice", Zone: "z1", Region: "r1", Engine: true, Model: "m", Born: 1}, start)
-		fl.Told(id, Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, At: start}, []Hold{})
+		fl.Told(id, Load{Load: grant.Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000}, At: start}, []Hold{})
 	}
 	return fl
 }
@@ -28,7 +30,7 @@
 
 // tell gives an engine adapters.
 func tell(fl *Fleet, id string, holds ...Hold) {
-	fl.Told(id, Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, At: start}, append([]Hold{}, holds...))
+	fl.Told(id, Load{Load: grant.Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000}, At: start}, append([]Hold{}, holds...))
 }
 
 func chosen(t *testing.T, fl *Fleet, rq Request, now time.Time) Choice {
@@ -69,7 +71,7 @@
 func TestAnEngineThatRestartedHasNoCopies(t *testing.T) {
 	fl := fleetOf("e1")
 	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
-	fl.Told("e1", Load{Known: true, Model: "m", Born: 2, Slots: 2, MemoryFree: 100_000, At: start}, nil)
+	fl.Told("e1", Load{Load: grant.Load{Known: true, Model: "m", Born: 2, Slots: 2, MemoryFree: 100_000}, At: start}, nil)
 	if ch := chosen(t, fl, ask("x"), start); ch.Wait < 250*time.Millisecond {
 		t.Errorf("expects %v for an adapter that must be fetched", ch.Wait)
 	}
@@ -78,7 +80,7 @@
 func TestAnOverloadedHolderIsLeftForAFetch(t *testing.T) {
 	fl := fleetOf("e1", "e2")
 	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
-	fl.Told("e1", Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, Backlog: 3 * time.Second, At: start}, nil)
+	fl.Told("e1", Load{Load: grant.Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, Backlog: 3 * time.Second}, At: start}, nil)
 	if ch := chosen(t, fl, ask("x"), start); ch.ID != "e2" {
 		t.Errorf("chose %+v behind three seconds of prompts", ch)
 	}
@@ -97,7 +99,7 @@
 
 func TestADrainingEngineIsNeverChosen(t *testing.T) {
 	fl := fleetOf("e1")
-	fl.Told("e1", Load{Known: true, Model: "m", Slots: 2, Draining: true, At: start}, nil)
+	fl.Told("e1", Load{Load: grant.Load{Known: true, Model: "m", Slots: 2, Draining: true}, At: start}, nil)
 	if ch, ok := fl.Choose(ask("x"), start); ok {
 		t.Errorf("chose %+v", ch)
 	}
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -21,23 +21,7 @@
 
 // Load is an engine's work as its agent last told.
 type Load struct {
-	// Known is false while the agent has no answer from its engine.
-	Known bool
-	// Model is the base model on the engine, empty for none.
-	Model string
-	// Born identifies the engine's run.
-	Born  int64
-	Slots int
-	// Backlog is the time until the prompts already granted are read.
-	Backlog time.Duration
-	// LoadTime is how long adapters have taken of late from the weight store.
-	LoadTime   time.Duration
-	Running    int
-	Waiting    int
-	MemoryFree int
-	// Leaving is true once the agent gives no more grants, Draining once the engine leaves.
-	Leaving  bool
-	Draining bool
+	grant.Load
 	// At is when the agent's message arrived.
 	At time.Time
 }
--- a/core/spread/load_test.go
+++ b/core/spread/load_test.go
@@ -292,10 +292,7 @@
 		holds = append(holds, Hold{Adapter: ho.Key.Adapter, Version: ho.Version, Ready: ho.Ready, Users: ho.Pins + ho.Waiting})
 	}
 	for _, fl := range rp.fleets {
-		fl.Told(re.id, Load{
-			Known: lo.Known, Model: lo.Model, Slots: lo.Slots, Backlog: lo.Backlog, LoadTime: lo.LoadTime, Running: lo.Running,
-			Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, At: rp.now,
-		}, holds)
+		fl.Told(re.id, Load{Load: lo, At: rp.now}, holds)
 	}
 }
 
--- a/core/spread/popular.go
+++ b/core/spread/popular.go
@@ -1,8 +1,9 @@
 package spread
 
 import (
-	"math"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/decay"
 )
 
 const (
@@ -17,26 +18,18 @@
 	popularMax = 20_000
 )
 
-// count is a number of requests that decays over time.
-type count struct {
-	value float64
-	at    time.Time
-}
-
 // Popularity counts how often adapters are asked for; its zero value has seen none.
 type Popularity struct {
-	counts map[string]count
+	counts map[string]decay.Count
 }
 
 // Asked counts a request for an adapter and tells whether it is popular; the node sees one
 // of a number of equal shares of its zone's requests.
 func (po *Popularity) Asked(adapter string, shares float64, now time.Time) bool {
 	if po.counts == nil || len(po.counts) >= popularMax {
-		po.counts = map[string]count{}
+		po.counts = map[string]decay.Count{}
 	}
-	co := po.counts[adapter]
-	co.value = co.value*math.Exp2(-float64(now.Sub(co.at))/float64(popularHalfLife)) + 1
-	co.at = now
+	co := po.counts[adapter].Plus(now, popularHalfLife)
 	po.counts[adapter] = co
-	return co.value >= max(popularMin, popularCount/max(1, shares))
+	return co.At(now, popularHalfLife) >= max(popularMin, popularCount/max(1, shares))
 }
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -7,12 +7,9 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/member"
 	"github.com/bambooladder/bambooladder/core/roster"
-	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -176,22 +173,8 @@
 func (as *agents) dial(ctx context.Context, ho member.Host) (*link.Conn, *wire.Welcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	co, err := link.Dial(ctx, as.no.op.Network, ho.Address)
-	if err != nil {
-		return nil, nil, err
-	}
 	place := as.no.op.Settings.Place
-	err = co.WriteFrame(ctx, &wire.Frame{Hello: &wire.Hello{Entry: place.Name, EntryBoot: as.no.boot, Zone: place.Zone}})
-	if err != nil {
-		co.Abandon()
-		return nil, nil, err
-	}
-	first, err := co.ReadFrame(ctx)
-	if err != nil || first.Welcome == nil {
-		co.Abandon()
-		return nil, nil, errors.Newf("direct: %s did not welcome the connection; is it an agent?", ho.Address)
-	}
-	return co, first.Welcome, nil
+	return link.Greet(ctx, as.no.op.Network, ho.Address, &wire.Hello{Entry: place.Name, EntryBoot: as.no.boot, Zone: place.Zone})
 }
 
 // opened enters a connection and names the grants that are still in use.
@@ -273,84 +256,3 @@
 	}
 	return max(as.mostEntries, len(as.no.op.Settings.Peers))
 }
-
-// receiver takes the frames of one connection.
-type receiver struct {
-	as   *agents
-	host string
-	al   *agentLink
-}
-
-// Beat takes the agent's heartbeat; one that was silent is asked again.
-func (rc *receiver) Beat(*wire.Heartbeat) {
-	rc.as.mu.Lock()
-	id, silent := rc.as.servers[rc.host], rc.al.silent
-	rc.al.silent = false
-	rc.as.mu.Unlock()
-	rc.as.no.heard(id)
-	if silent {
-		rc.as.no.retold(id)
-	}
-}
-
-// Heartbeat returns the entry node's heartbeat.
-func (rc *receiver) Heartbeat() wire.Heartbeat { return wire.Heartbeat{} }
-
-// Frame takes one frame of the agent.
-func (rc *receiver) Frame(fr *wire.Frame) {
-	as := rc.as
-	as.mu.Lock()
-	id := as.servers[rc.host]
-	rc.al.silent = false
-	attempt, lo := attemptOf(fr)
-	wa := as.waiting[attempt]
-	if lo != nil {
-		as.mostEntries = max(as.mostEntries, lo.Entries)
-	}
-	as.mu.Unlock()
-	if lo != nil {
-		holds := []spread.Hold(nil)
-		if fr.Holdings != nil {
-			holds = holdsOf(fr.Holdings)
-		}
-		as.no.told(id, loadOf(lo, time.Now()), holds)
-	}
-	if wa != nil && !wa.deliver(fr) {
-		as.no.lg.Warn().Str("attempt", attempt).Msg("frame_without_room")
-	}
-}
-
-// attemptOf returns the attempt that a frame belongs to and the engine's work in it.
-func attemptOf(fr *wire.Frame) (string, *wire.EngineLoad) {
-	switch {
-	case fr.Grant != nil:
-		return fr.Grant.Attempt, &fr.Grant.Load
-	case fr.Queued != nil:
-		return fr.Queued.Attempt, &fr.Queued.Load
-	case fr.Refusal != nil:
-		return fr.Refusal.Attempt, nil
-	case fr.Holdings != nil:
-		return "", &fr.Holdings.Load
-	}
-	return "", nil
-}
-
-// loadOf returns an engine's work as the choice sees it.
-func loadOf(lo *wire.EngineLoad, now time.Time) spread.Load {
-	return spread.Load{
-		Known: lo.Known, Model: lo.Model, Born: lo.Born, Slots: lo.Slots, Backlog: time.Duration(lo.BacklogMs) * time.Millisecond,
-		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Leaving: lo.Leaving, Draining: lo.Draining, At: now,
-		LoadTime: time.Duration(lo.LoadMs) * time.Millisecond,
-	}
-}
-
-// holdsOf returns the adapters of an engine as the choice sees them.
-func holdsOf(ho *wire.Holdings) []spread.Hold {
-	list := make([]spread.Hold, 0, len(ho.Slots))
-	for _, sr := range ho.Slots {
-		list = append(list, spread.Hold{
-			Adapter: sr.Adapter, Version: sr.Version, Ready: sr.State == "ready", Users: sr.Pins + sr.Waiting,
-		})
-	}
-	return list
-}
--- a/entry/internal/links/dial.go
+++ b/entry/internal/links/dial.go
@@ -78,21 +78,16 @@
 func (ls *Links) dial(ctx context.Context, ho member.Host) (*link.Conn, *wire.Welcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	co, err := link.Dial(ctx, ls.op.Dialer, ho.Address)
+	he := &wire.Hello{Entry: ls.op.Place.Name, EntryBoot: ls.op.Boot, Zone: ls.op.Place.Zone}
+	co, we, err := link.Greet(ctx, ls.op.Dialer, ho.Address, he)
 	if err != nil {
 		return nil, nil, err
 	}
-	err = co.WriteFrame(ctx, &wire.Frame{Hello: &wire.Hello{Entry: ls.op.Place.Name, EntryBoot: ls.op.Boot, Zone: ls.op.Place.Zone}})
-	if err != nil {
-		co.Abandon()
-		return nil, nil, err
-	}
-	first, err := co.ReadFrame(ctx)
-	if err != nil || first.Welcome == nil || first.Welcome.Runner != ho.Name {
+	if we.Runner != ho.Name {
 		co.Abandon()
-		return nil, nil, errors.Newf("links: %s did not welcome the connection as %s", ho.Address, ho.Name)
+		return nil, nil, errors.Newf("links: %s welcomed the connection as %s instead of %s", ho.Address, we.Runner, ho.Name)
 	}
-	return co, first.Welcome, nil
+	return co, we, nil
 }
 
 // opened enters a connection and tells the attempts at its runner.
--- a/proofs/docs_test.go
+++ b/proofs/docs_test.go
@@ -89,7 +89,7 @@
 
 // TestDecisionsArePure holds that the packages of decisions do no I/O, start no goroutine and log nothing.
 func TestDecisionsArePure(t *testing.T) {
-	for _, name := range []string{"claim", "conf", "fold", "grant", "limit", "member", "paths", "poison", "retry", "roster", "route", "runs", "sched", "spread"} {
+	for _, name := range []string{"claim", "conf", "decay", "fold", "grant", "limit", "member", "paths", "poison", "retry", "roster", "route", "runs", "sched", "spread"} {
 		files, err := filepath.Glob(filepath.Join("..", "core", name, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatalf("no files in core/%s", name)
