Match the result of an order with the order, and count one under way at a restart as lost

Cause: read in the code: after an engine's restart the result of an order to the run before would have ended the order to the new run, and freed its slot early. Test: TestTheResultOfAnOrderToAnEarlierRunChangesNothing.

--- a/agent/direct/act.go
+++ b/agent/direct/act.go
@@ -57,7 +57,7 @@
 		br.lg.Info().Str("operation", or.Operation.String()).Str("model", or.Key.Model).Str("adapter", or.Key.Adapter).
 			Int("version", or.Version).Int64("sequence", or.Sequence).Int64("born", or.Born).Str("server", or.Server).Int("waiting", st.Waiting).
 			Str("result", result.String()).Dur("took", time.Since(start)).Msg("order_given")
-		br.post(ctx, event{ordered: &result})
+		br.post(ctx, event{ordered: &ordered{order: or, result: result}})
 	}()
 }
 
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -44,7 +44,7 @@
 	opened   *session
 	closed   *session
 	frame    *sessionFrame
-	ordered  *grant.Result
+	ordered  *ordered
 	observed *observation
 	leave    bool
 }
@@ -55,6 +55,12 @@
 	fr *wire.Frame
 }
 
+// ordered is an order with what became of it.
+type ordered struct {
+	order  grant.Order
+	result grant.Result
+}
+
 // observation is the answer to an inspection.
 type observation struct {
 	ob  grant.Observation
@@ -145,7 +151,7 @@
 		br.frame(ctx, ev.frame.se, ev.frame.fr, now)
 	case ev.ordered != nil:
 		br.changed()
-		br.act(ctx, br.en.Ordered(*ev.ordered, now))
+		br.act(ctx, br.en.Ordered(ev.ordered.order, ev.ordered.result, now))
 	case ev.observed != nil:
 		br.observed(ctx, ev.observed, now)
 	case ev.leave:
--- a/core/grant/engine_test.go
+++ b/core/grant/engine_test.go
@@ -79,11 +79,18 @@
 	dr.seq++
 	if or.Operation == UnloadAdapter {
 		delete(dr.loaded, or.Key.Adapter)
-		dr.take(dr.en.Ordered(Holds, dr.now))
+		dr.take(dr.en.Ordered(*or, Holds, dr.now))
 		return
 	}
 	dr.coming[or.Key.Adapter] = max(1, or.Version)
-	dr.take(dr.en.Ordered(Accepted, dr.now))
+	dr.take(dr.en.Ordered(*or, Accepted, dr.now))
+}
+
+// lose ends the order under way without an answer.
+func (dr *driver) lose() {
+	or := dr.order
+	dr.order = nil
+	dr.take(dr.en.Ordered(*or, Lost, dr.now))
 }
 
 // arrive completes the loads under way.
@@ -151,8 +158,7 @@
 func TestALostLoadKeepsItsSlotUntilALaterOrderIsCounted(t *testing.T) {
 	dr := newDriver(t, 2, "x")
 	dr.reserve("a", "y", 0, false)
-	dr.order = nil
-	dr.take(dr.en.Ordered(Lost, dr.now))
+	dr.lose()
 	dr.now = dr.now.Add(time.Second)
 	dr.observe()
 	if dr.order != nil && dr.order.Operation == LoadAdapter {
@@ -234,8 +240,7 @@
 func TestALostLoadMayReachTheNextRunOfTheEngine(t *testing.T) {
 	dr := newDriver(t, 1)
 	dr.reserve("a", "x", 0, false)
-	dr.order = nil
-	dr.take(dr.en.Ordered(Lost, dr.now))
+	dr.lose()
 	dr.born = 2
 	dr.now = dr.now.Add(time.Second)
 	dr.observe()
@@ -266,3 +271,23 @@
 		t.Errorf("after a power loss the engine waits for an entry node: %+v", actions)
 	}
 }
+
+func TestTheResultOfAnOrderToAnEarlierRunChangesNothing(t *testing.T) {
+	dr := newDriver(t, 2)
+	dr.reserve("a", "x", 0, false)
+	old := dr.order
+	dr.order = nil
+	dr.born = 2
+	dr.observe()
+	dr.take(dr.en.Prepare(Wanted{Model: base, Slots: 2, Server: "s2", Born: 2}, dr.now))
+	dr.observe()
+	if dr.order == nil || dr.order.Born != 2 {
+		t.Fatalf("the new run gets no order: %+v", dr.order)
+	}
+	dr.take(dr.en.Ordered(*old, Lost, dr.now))
+	dr.carryOut()
+	dr.arrive()
+	if fmt.Sprint(dr.granted) != "[a]" {
+		t.Errorf("granted %v: the old order's result ended the new one", dr.granted)
+	}
+}
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -106,8 +106,8 @@
 		en.inspectAt = now.Add(inspectSoon)
 		return nil
 	}
-	if !en.known || ob.Born != en.ob.Born {
-		en.restarted()
+	if ob.Born != en.ob.Born {
+		en.restarted(now)
 	}
 	en.known = true
 	en.ob = ob
@@ -131,10 +131,10 @@
 	return en.refuseWaiting(func(*Item) bool { return true }, ReasonUnknown)
 }
 
-// Ordered takes the result of the order under way.
-func (en *Engine) Ordered(re Result, now time.Time) []Action {
+// Ordered takes the result of an order; that of an order to an earlier run changes nothing.
+func (en *Engine) Ordered(given Order, re Result, now time.Time) []Action {
 	or := en.order
-	if or == nil {
+	if or == nil || *or != given {
 		return nil
 	}
 	en.order = nil
@@ -156,9 +156,7 @@
 		en.inspectAt = now
 	case Lost:
 		delete(en.coming, or.Key)
-		if or.Operation == LoadAdapter {
-			en.lost = append(en.lost, lostOrder{Order: *or, at: now})
-		}
+		en.lose(or, now)
 		en.orderAt = now.Add(conflictWait)
 		en.inspectAt = now
 	}
@@ -211,7 +209,10 @@
 func (en *Engine) Held() []string { return slices.Sorted(maps.Keys(en.held)) }
 
 // restarted forgets what an earlier run of the engine held.
-func (en *Engine) restarted() {
+func (en *Engine) restarted(now time.Time) {
+	if en.order != nil {
+		en.lose(en.order, now)
+	}
 	clear(en.loaded)
 	clear(en.coming)
 	en.recent = nil
@@ -219,6 +220,13 @@
 	en.readBy = time.Time{}
 }
 
+// lose records an order without an answer: a load may still be carried out.
+func (en *Engine) lose(or *Order, now time.Time) {
+	if or.Operation == LoadAdapter {
+		en.lost = append(en.lost, lostOrder{Order: *or, at: now})
+	}
+}
+
 // void tells whether a lost order can no longer be carried out: a later one has been
 // counted, it was addressed to another run, or its time is over.
 func (en *Engine) void(lo *lostOrder, now time.Time) bool {
@@ -251,26 +259,38 @@
 		}
 	}
 	for ke, lo := range en.coming {
-		if en.order != nil && en.order.Key == ke {
-			continue
-		}
-		loaded, ok := en.loaded[ke]
-		_, still := ob.Coming[ke]
-		failed := now.Sub(lo.since) > orphanMax || !ok && now.Sub(lo.since) > loadTime
-		if !still && (ok && loaded >= lo.version || failed) {
-			delete(en.coming, ke)
-			if lo.fetched && !failed {
-				en.loadTook += time.Duration(loadWeight * float64(now.Sub(lo.since)-en.loadTook))
-			}
-			continue
-		}
-		if soon := now.Add(inspectSoon); lo.due.Before(soon) {
-			lo.due = soon
-			en.coming[ke] = lo
+		if en.order == nil || en.order.Key != ke {
+			en.settleComing(ke, lo, ob, now)
 		}
 	}
 }
 
+// settleComing takes an adapter that has arrived, or never will, off those on their way.
+func (en *Engine) settleComing(ke Key, lo loading, ob Observation, now time.Time) {
+	loaded, ok := en.loaded[ke]
+	_, still := ob.Coming[ke]
+	took := now.Sub(lo.since)
+	arrived := ok && loaded >= lo.version
+	failed := took > orphanMax || !ok && took > loadTime
+	if still || !arrived && !failed {
+		lo.due = later(lo.due, now.Add(inspectSoon))
+		en.coming[ke] = lo
+		return
+	}
+	delete(en.coming, ke)
+	if lo.fetched && arrived {
+		en.loadTook += time.Duration(loadWeight * float64(took-en.loadTook))
+	}
+}
+
+// later returns the later of two times.
+func later(aa, bb time.Time) time.Time {
+	if aa.After(bb) {
+		return aa
+	}
+	return bb
+}
+
 // remember puts an adapter first among those the engine's host has at hand.
 func (en *Engine) remember(ke Key) {
 	en.recent = slices.DeleteFunc(en.recent, func(other Key) bool { return other == ke })
--- a/core/spread/load_test.go
+++ b/core/spread/load_test.go
@@ -199,7 +199,7 @@
 	re.seq++
 	if or.Operation == grant.UnloadAdapter {
 		delete(re.loaded, or.Key.Adapter)
-		rp.act(re, re.en.Ordered(grant.Holds, rp.now))
+		rp.act(re, re.en.Ordered(or, grant.Holds, rp.now))
 		return
 	}
 	work := replayLoad.Seconds()
@@ -210,7 +210,7 @@
 	}
 	re.recent[or.Key.Adapter] = true
 	re.coming[or.Key.Adapter] = work
-	rp.act(re, re.en.Ordered(grant.Accepted, rp.now))
+	rp.act(re, re.en.Ordered(or, grant.Accepted, rp.now))
 }
 
 // observe tells an agent what its engine holds.
