End a planned stop once nothing has been in flight for 0.3 s

Change: idle connections and the listener are closed after the notice; the stop ends after 0.3 s without a request in flight.

--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -33,6 +33,9 @@
 	// noticeTime is how long new connections still come after readiness failed: the
 	// balancer takes a node out after two questions, one a second.
 	noticeTime = 2500 * time.Millisecond
+	// quietTime is how long nothing must have been in flight before a planned stop ends.
+	quietTime = 300 * time.Millisecond
+	quietPoll = 50 * time.Millisecond
 )
 
 // Options builds an entry node.
@@ -183,13 +186,26 @@
 	left, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	// Idle connections are closed now: a request that came late on one would be cut.
-	err := sv.callers.Shutdown(left)
+	// The shutdown itself would wait 5 s for connections on which nothing was ever sent.
+	go func() { _ = sv.callers.Shutdown(left) }()
+	no.awaitQuiet(left)
+	err := sv.callers.Close()
 	no.cancel()
 	err = errors.CombineErrors(err, errors.CombineErrors(sv.ready.Close(), errors.CombineErrors(sv.peers.Close(), sv.metrics.Close())))
 	no.lg.Info().Int64("cut_off", no.inFlight.Load()).Msg("entry_stopped")
 	return errors.Wrap(err, "direct: drain")
 }
 
+// awaitQuiet waits until no request has been in flight for a while, or the context ends.
+func (no *Node) awaitQuiet(ctx context.Context) {
+	for quiet := time.Duration(0); quiet < quietTime && ctx.Err() == nil; quiet += quietPoll {
+		no.pause(ctx, quietPoll)
+		if no.inFlight.Load() > 0 {
+			quiet = 0
+		}
+	}
+}
+
 // pause waits.
 func (no *Node) pause(ctx context.Context, period time.Duration) {
 	select {
--- a/proofs/direct_test.go
+++ b/proofs/direct_test.go
@@ -418,3 +418,22 @@
 		dw.apps = dw.apps[:len(dw.apps)-1]
 	})
 }
+
+func TestDirectStopDoesNotWaitForUnusedConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dw := newDirectWorld(t, 1, 0)
+		defer dw.close()
+		co, err := dw.net.on("caller").DialContext(t.Context(), "tcp", "entry-1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = co.Close() }()
+		time.Sleep(100 * time.Millisecond)
+		start := time.Now()
+		_ = dw.apps[len(dw.apps)-1].Stop(context.Background())
+		dw.apps = dw.apps[:len(dw.apps)-1]
+		if took := time.Since(start); took > 4*time.Second {
+			t.Errorf("a stop with nothing in flight took %v of the 8 s it may take at most", took)
+		}
+	})
+}
