--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -17,8 +17,8 @@
 const (
 	// connectMax bounds the wait for a connection to a backend server.
 	connectMax = 500 * time.Millisecond
-	// connShare divides a server's connections among the nodes.
-	connShare = 3
+	// connsMin is the least number of connections to one server that a node may open.
+	connsMin = 8
 	// urgencyMax is the urgency of routes of rank zero.
 	urgencyMax = 9
 )
@@ -111,7 +111,8 @@
 	defer cancel()
 	limit := 0
 	if rq.service.ConnsMax > 0 {
-		limit = max(1, rq.service.ConnsMax/connShare)
+		// The server counts the connections of all nodes together.
+		limit = max(connsMin, rq.service.ConnsMax/rq.no.agents.entries())
 	}
 	return rq.no.pool.Get(ctx, at.address, !rq.ro.Repeatable(), limit)
 }
--- a/proofs/docs_test.go
+++ b/proofs/docs_test.go
@@ -23,7 +23,7 @@
 func sources(t *testing.T) string {
 	t.Helper()
 	all := strings.Builder{}
-	for _, module := range []string{"core", "entry", "agent", "ctl"} {
+	for _, module := range []string{"core", "entry", "agent", "ctl", "platform"} {
 		err := filepath.WalkDir(filepath.Join("..", module), func(path string, _ os.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || strings.HasSuffix(path, ".gen.go") {
 				return err
@@ -61,7 +61,15 @@
 
 // TestEventsPage holds that the events on the operators' page are those the programs log.
 func TestEventsPage(t *testing.T) {
-	_, table, _ := strings.Cut(read(t, "docs/OPERATORS.md"), "| event | program | meaning |")
+	for _, page := range []string{"docs/OPERATORS.md", "docs/OPERATIONS.md"} {
+		checkEvents(t, read(t, page))
+	}
+}
+
+// checkEvents holds that the events of a page's table are those the programs log.
+func checkEvents(t *testing.T, page string) {
+	t.Helper()
+	_, table, _ := strings.Cut(page, "| event | program | meaning |")
 	table, _, _ = strings.Cut(table, "\n## ")
 	code := sources(t)
 	for _, row := range strings.Split(table, "\n") {
