--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -19,9 +19,6 @@
 	notReadyWait = 1500 * time.Millisecond
 	// refusedWait is when to come back after a refusal for which nothing better is known.
 	refusedWait = 400 * time.Millisecond
-	// patienceMax is the expected wait above which a request is refused: callers give up
-	// a stream that brings no first event for about this long.
-	patienceMax = 3500 * time.Millisecond
 )
 
 // attempt is one try of a request at a server.
@@ -131,12 +128,12 @@
 		return nil, fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
 			WithRetryAfter(notReadyWait)
 	}
-	if patience := min(patienceMax, rq.until.Sub(now)); ch.Wait > patience {
+	if comeBack, ok := ch.Admit(rq.until.Sub(now)); !ok {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
-			WithRetryAfter(ch.Wait - patience + refusedWait)
+			WithRetryAfter(comeBack)
 	}
 	at := &attempt{
-		id: rq.call.ID + "-" + strconv.Itoa(number) + "-" + no.boot[len(no.boot)-4:], server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
+		id: rq.attemptID(number), server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
 	}
 	rq.log(at, "route_chosen").Str("adapter", rq.call.Adapter).Int("version", sr.Version).Str("reason", string(ch.Reason)).
 		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.Age).Str("candidates", candidates(&ch)).Int64("routes_version", rq.table).Send()
@@ -144,6 +141,12 @@
 	return at, nil
 }
 
+// attemptID returns the identity of an attempt, which no other node or run of this one gives.
+func (rq *request) attemptID(number int) string {
+	boot := rq.no.boot
+	return rq.call.ID + "-" + strconv.Itoa(number) + "-" + boot[len(boot)-4:]
+}
+
 // candidates renders the candidates of a choice.
 func candidates(ch *spread.Choice) string {
 	text := make([]byte, 0, 64)
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -39,7 +39,7 @@
 // reserve gets a grant for the attempt.
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
 	_, settled := rq.no.be.version(rq.call.keyOf(), rq.no.settleTime(), time.Now())
-	budget := min(patienceMax, time.Until(rq.until))
+	budget := spread.Patience(time.Until(rq.until))
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
 		Attempt: at.id, Request: rq.call.ID, Model: rq.call.Model, Adapter: rq.call.Adapter, Version: at.version, Settled: settled,
 		Urgency: urgencyMax - rq.ro.Rank, PromptTokens: rq.call.PromptTokens, OutputTokens: rq.call.OutputTokens,
