Let no read of the log wait longer than the routes may take

Ruled out: a disturbance, a silent connection (the read was answered at the next change). Change: a read waits 0.6 routes_ms, always; the rule for the time after a disturbance goes, as it is contained. Test: TestDirectNoticesAChangeThatAWaitingReadMissed, now without a change before.

--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -10,13 +10,10 @@
 )
 
 const (
-	// quietWait is how long a read waits at the log for a change by an operator.
-	quietWait = 20 * time.Second
-	// alertPart is the part of routes_ms for which a read waits after a change or a
-	// disturbance: a waiting read may miss the next change, a new read does not.
-	alertPart = 0.6
-	// alertTime is how long after a disturbance of the log reads wait for a short time only.
-	alertTime = 30 * time.Second
+	// waitPart is the part of routes_ms for which a read waits at the log for a change by an
+	// operator: a read may miss the change, or wait on a connection that has fallen
+	// silent, and the next one must find it in time.
+	waitPart = 0.6
 	// leavePart is the part of leave_ms between reads of the servers' records: a leaving
 	// server must be noticed within leave_ms, and each read is paid.
 	leavePart = 0.45
@@ -42,8 +39,6 @@
 	listed bool
 	lost   bool
 	fails  int
-	// alertTill is when the effects of a disturbance are over.
-	alertTill time.Time
 	// changed is true after a read that brought records.
 	changed bool
 }
@@ -64,7 +59,6 @@
 		if errors.Is(err, ErrExpired) {
 			fo.no.lg.Warn().Str("topic", fo.to.String()).Int64("offset", fo.next).Msg("log_records_expired")
 			fo.listed = false
-			fo.alertTill = time.Now().Add(alertTime)
 			fo.pause(ctx, emptyWait)
 			continue
 		}
@@ -87,7 +81,6 @@
 // failed records a failed read.
 func (fo *follower) failed(ctx context.Context, err error) {
 	fo.fails++
-	fo.alertTill = time.Now().Add(alertTime)
 	if !fo.lost {
 		fo.lost = true
 		fo.no.lg.Warn().Str("dependency", "log").Str("topic", fo.to.String()).Int64("offset", fo.next).
@@ -136,7 +129,7 @@
 	if !fo.listed {
 		return fo.list(ctx)
 	}
-	wait := fo.wait(time.Now())
+	wait := fo.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
 	ba, err := fo.no.op.Source.After(ctx, fo.to, fo.next, wait)
@@ -149,14 +142,11 @@
 }
 
 // wait returns how long the next read waits at the log.
-func (fo *follower) wait(now time.Time) time.Duration {
-	switch {
-	case fo.to == Servers:
+func (fo *follower) wait() time.Duration {
+	if fo.to == Servers {
 		return 0
-	case fo.changed || now.Before(fo.alertTill):
-		return time.Duration(alertPart * float64(fo.no.op.Settings.RoutesMs) * float64(time.Millisecond))
 	}
-	return quietWait
+	return time.Duration(waitPart * float64(fo.no.op.Settings.RoutesMs) * float64(time.Millisecond))
 }
 
 // list reads the newest record of each key.
--- a/proofs/direct_test.go
+++ b/proofs/direct_test.go
@@ -362,8 +362,6 @@
 func TestDirectNoticesAChangeThatAWaitingReadMissed(t *testing.T) {
 	inDirectWorld(t, 1, 0, func(t *testing.T, dw *directWorld, cl *directCaller) {
 		time.Sleep(30 * time.Second)
-		dw.source.put(direct.Operators, direct.Change{Version: &direct.AdapterVersion{Model: testModel, Adapter: "a1", Version: 2}})
-		time.Sleep(30 * time.Millisecond)
 		next := directTable(5)
 		next.Routes = next.Routes[:1]
 		dw.source.putUnheard(direct.Operators, direct.Change{Table: next.Build()})
