Remove state that nothing reads from the choice and the grants

Found on a last read of the change: the fleet's count and the time since a server is known (with the parameter that fed it), the list of granted attempts, the version kept with a grant, the address of a link. The compiler and the checks hold that nothing used them; behaviour unchanged, tests keep their assertions. Seen and left: the popularity half-lives and recentMax stand in both grant and spread, as an agent and an entry node keep their own copies of a host's adapters; the wiring of the direct programs resembles that of the product's own interface.

--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -74,7 +74,6 @@
 // held is a granted request.
 type held struct {
 	Item
-	version int
 	// orphaned is when the connection of its entry node was lost, zero while it is there.
 	orphaned time.Time
 }
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	it.Arrived = now
-	en.held[it.Attempt] = &held{Item: it, version: it.Version}
+	en.held[it.Attempt] = &held{Item: it}
 	return nil
 }
 
@@ -205,9 +205,6 @@
 // Idle tells whether no grant is in use.
 func (en *Engine) Idle() bool { return len(en.held) == 0 }
 
-// Held lists the attempts granted, in order.
-func (en *Engine) Held() []string { return slices.Sorted(maps.Keys(en.held)) }
-
 // restarted forgets what an earlier run of the engine held.
 func (en *Engine) restarted(now time.Time) {
 	if en.order != nil {
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -62,7 +62,7 @@
 		}
 		it := en.queue[ix]
 		en.queue = slices.Delete(en.queue, ix, ix+1)
-		en.held[it.Attempt] = &held{Item: it, version: en.loaded[it.Key]}
+		en.held[it.Attempt] = &held{Item: it}
 		if it.Key.Adapter != "" {
 			en.stall += now.Sub(it.Arrived)
 			en.remember(it.Key)
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -17,7 +17,7 @@
 func fleetOf(ids ...string) *Fleet {
 	fl := &Fleet{}
 	for _, id := range ids {
-		fl.Put(Server{ID: id, Service: "advice", Zone: "z1", Region: "r1", Engine: true, Model: "m", Born: 1}, start)
+		fl.Put(Server{ID: id, Service: "advice", Zone: "z1", Region: "r1", Engine: true, Model: "m", Born: 1})
 		fl.Told(id, Load{Load: grant.Load{Known: true, Model: "m", Slots: 2, MemoryFree: 100_000}, At: start}, []Hold{})
 	}
 	return fl
@@ -139,7 +139,7 @@
 func TestAServerThatFailedTheRequestIsTheLastResort(t *testing.T) {
 	fl := &Fleet{}
 	for _, id := range []string{"p1", "p2"} {
-		fl.Put(Server{ID: id, Service: "ledger", Zone: "z1", Region: "r1", Places: 4}, start)
+		fl.Put(Server{ID: id, Service: "ledger", Zone: "z1", Region: "r1", Places: 4})
 	}
 	rq := Request{Service: "ledger", Zone: "z1", Region: "r1", Exclude: []string{"p1"}}
 	if ch := chosen(t, fl, rq, start); ch.ID != "p2" {
@@ -153,7 +153,7 @@
 
 func TestFailuresDoNotCountAsWaiting(t *testing.T) {
 	fl := &Fleet{}
-	fl.Put(Server{ID: "p1", Service: "ledger", Zone: "z1", Region: "r1", Places: 4}, start)
+	fl.Put(Server{ID: "p1", Service: "ledger", Zone: "z1", Region: "r1", Places: 4})
 	for range 30 {
 		fl.Failed("p1", start)
 	}
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -66,7 +66,6 @@
 	faults    float64
 	failures  int
 	mutedTill time.Time
-	since     time.Time
 }
 
 // Fleet is what an entry node believes of the backend servers; its zero value is empty.
@@ -77,7 +76,7 @@
 }
 
 // Put adds a server or replaces what its record says.
-func (fl *Fleet) Put(se Server, now time.Time) {
+func (fl *Fleet) Put(se Server) {
 	if fl.members == nil {
 		fl.members = map[string]*member{}
 		fl.groups = map[string][]*member{}
@@ -88,7 +87,7 @@
 		me = nil
 	}
 	if me == nil {
-		me = &member{hash: xxh3.HashString(se.ID), pace: 1, since: now}
+		me = &member{hash: xxh3.HashString(se.ID), pace: 1}
 		fl.members[se.ID] = me
 		group := fl.groups[se.Service]
 		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
@@ -210,14 +209,3 @@
 		me.sent--
 	}
 }
-
-// Count returns the number of servers of a service that may be chosen.
-func (fl *Fleet) Count(service string) int {
-	count := 0
-	for _, me := range fl.groups[service] {
-		if !me.Leaving {
-			count++
-		}
-	}
-	return count
-}
--- a/core/spread/load_test.go
+++ b/core/spread/load_test.go
@@ -88,7 +88,7 @@
 		rp.observe(re)
 		for _, fl := range rp.fleets {
 			zone := "zone-" + strconv.Itoa(ix%replayZones)
-			fl.Put(Server{ID: re.id, Service: "advice", Zone: zone, Region: zone, Engine: true, Model: "m", Born: 1}, rp.now)
+			fl.Put(Server{ID: re.id, Service: "advice", Zone: zone, Region: zone, Engine: true, Model: "m", Born: 1})
 		}
 	}
 	return rp
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -25,9 +25,8 @@
 
 // agentLink is a connection to an agent; its server is known by identity.
 type agentLink struct {
-	co      *link.Conn
-	address string
-	boot    string
+	co   *link.Conn
+	boot string
 	// silent is true after a reservation that was not answered, until anything arrives.
 	silent bool
 }
@@ -162,7 +161,7 @@
 		as.lost(ho.Name, nil)
 		return
 	}
-	al := &agentLink{co: co, address: ho.Address, boot: we.Boot}
+	al := &agentLink{co: co, boot: we.Boot}
 	as.opened(ctx, ho.Name, al)
 	err = co.Run(ctx, &receiver{as: as, host: ho.Name, al: al})
 	as.no.lg.Info().Str("dependency", "agent").Str("agent", ho.Name).Str("reason", err.Error()).Msg("dependency_lost")
--- a/entry/direct/take.go
+++ b/entry/direct/take.go
@@ -53,7 +53,7 @@
 	for ix := range servers {
 		se := &servers[ix]
 		ids[se.ID] = true
-		no.fleet.Put(no.candidate(se), now)
+		no.fleet.Put(no.candidate(se))
 		no.addresses[se.ID] = se.Address
 	}
 	no.fleet.Keep(ids)
