Let an engine that was left for its silence rest until it is heard

An engine's host froze; the entry nodes found the engine silent, took their requests from it, and sent it new ones: with nothing under way it no longer counted as silent, and a reservation that its agent did not answer led to sending without a grant. Ruled out: runs that were on the engine when it froze; they move within 0.9 s, and what their callers' leaving means there cannot be told to a host that stands still. Change: an engine left for its silence rests 2 s, or until anything is heard from it; so does one whose agent leaves a reservation unanswered while nothing else comes from there. Tests: TestAnEngineLeftForItsSilenceRestsUntilItIsHeard and TestAnEngineRestsWhoseAgentDoesNotAnswerWhileNothingElseComes fail without the change.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -155,7 +155,9 @@
 }
 
 // rests tells whether a server is left out while another can be had.
-func (me *member) rests(now time.Time) bool { return now.Before(me.mutedTill) || me.silent(now) }
+func (me *member) rests(now time.Time) bool {
+	return now.Before(me.mutedTill) || now.Before(me.quietTill) || me.silent(now)
+}
 
 // estimate returns what the server would cost.
 func (me *member) estimate(rq *Request, home uint64, now time.Time) estimate {
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -119,6 +119,48 @@
 	}
 }
 
+// The load: streams on an engine whose host freezes, and whose callers leave.
+func TestAnEngineLeftForItsSilenceRestsUntilItIsHeard(t *testing.T) {
+	fl := fleetOf("e1", "e2")
+	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
+	fl.Sent("e1", 100, start)
+	later := start.Add(silenceMax + time.Millisecond)
+	fl.Abandoned("e1", later)
+	fl.Done("e1")
+	if ch := chosen(t, fl, ask("x"), later); ch.ID != "e2" {
+		t.Errorf("chose %+v again once its last request had been taken from it", ch)
+	}
+	fl.Heard("e1", later)
+	if ch := chosen(t, fl, ask("x"), later); ch.ID != "e1" {
+		t.Errorf("chose %+v after a sign of life", ch)
+	}
+	fl.Abandoned("e1", later)
+	if ch := chosen(t, fl, ask("x"), later.Add(quietRest)); ch.ID != "e1" {
+		t.Errorf("chose %+v, the engine is never tried again", ch)
+	}
+}
+
+func TestAnEngineRestsWhoseAgentDoesNotAnswerWhileNothingElseComes(t *testing.T) {
+	asked := start.Add(time.Second)
+	now := asked.Add(200 * time.Millisecond)
+	for name, tc := range map[string]struct {
+		heard time.Time
+		want  string
+	}{
+		"nothing came since": {asked.Add(-time.Millisecond), "e2"},
+		"its streams go on":  {asked.Add(time.Millisecond), "e1"},
+	} {
+		fl := fleetOf("e1", "e2")
+		fl.Put(Server{ID: "e2", Service: "advice", Zone: "z2", Region: "r2", Engine: true, Model: "m", Born: 1})
+		tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
+		fl.Heard("e1", tc.heard)
+		fl.Unanswered("e1", asked, now)
+		if ch := chosen(t, fl, ask("x"), now); ch.ID != tc.want {
+			t.Errorf("%s: chose %+v", name, ch)
+		}
+	}
+}
+
 func TestAnEngineWhoseAgentIsSilentRunsOnlyWhatItHolds(t *testing.T) {
 	fl := fleetOf("e1")
 	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
--- a/core/spread/experience.go
+++ b/core/spread/experience.go
@@ -19,6 +19,8 @@
 	// silenceMax is the longest time without a sign of life from an engine at work: its
 	// streams bring events several times as often.
 	silenceMax = 700 * time.Millisecond
+	// quietRest is how long a silent server rests before it is tried again.
+	quietRest = 2 * time.Second
 	// unreachableMute is how long a server rests that refuses connections.
 	unreachableMute = time.Second
 )
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -60,6 +60,8 @@
 	added time.Duration
 	// heard is when anything last came from the server, its agent or its answers.
 	heard time.Time
+	// quietTill is until when a server rests that was found silent, unless it is heard.
+	quietTill time.Time
 	// pace is the measured time to the first byte as a multiple of the expected one.
 	pace float64
 	// faults is the decayed share of failures.
@@ -135,7 +137,7 @@
 	}
 	// An agent that leaves gives no grants, but its engine goes on.
 	me.load, me.told, me.added = lo, !lo.Leaving, 0
-	me.heard = lo.At
+	me.hear(lo.At)
 	if holds == nil {
 		return
 	}
@@ -176,7 +178,35 @@
 // Heard records a sign of life of a server.
 func (fl *Fleet) Heard(id string, now time.Time) {
 	if me := fl.members[id]; me != nil {
-		me.heard = now
+		me.hear(now)
+	}
+}
+
+// hear takes a sign of life.
+func (me *member) hear(now time.Time) {
+	me.heard = now
+	me.quietTill = time.Time{}
+}
+
+// Unanswered records that the agent beside a server has not answered what was sent to it
+// at a time. Where nothing else came from there since, the host may be frozen or cut off,
+// and with it the server.
+func (fl *Fleet) Unanswered(id string, since, now time.Time) {
+	me := fl.members[id]
+	if me == nil {
+		return
+	}
+	me.told = false
+	if !me.heard.After(since) {
+		me.quietTill = now.Add(quietRest)
+	}
+}
+
+// Abandoned records that a request was taken from a server without a sign of life. That
+// nothing is under way there any more is none.
+func (fl *Fleet) Abandoned(id string, now time.Time) {
+	if me := fl.members[id]; me != nil {
+		me.quietTill = now.Add(quietRest)
 	}
 }
 
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -58,7 +58,7 @@
 		al.co.TrySend(&wire.Frame{Release: &wire.Release{Attempt: re.Attempt, Ending: wire.ReleaseEndingWithdrawn}})
 	}
 	if gr.reason == reasonSilent {
-		as.no.untold(id)
+		as.no.unanswered(id, start)
 	}
 	return gr
 }
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -26,6 +26,7 @@
 	timer := (*time.Timer)(nil)
 	timer = time.AfterFunc(watchPeriod, func() {
 		if rq.no.silent(at.server) {
+			rq.no.abandoned(at.server)
 			cancel(errServerSilent)
 			return
 		}
@@ -46,6 +47,20 @@
 	return no.fleet.Silent(id, time.Now())
 }
 
+// abandoned records that a request was taken from a server without a sign of life.
+func (no *Node) abandoned(id string) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.fleet.Abandoned(id, time.Now())
+}
+
+// unanswered records that an agent has not answered a reservation sent at a time.
+func (no *Node) unanswered(id string, since time.Time) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.fleet.Unanswered(id, since, time.Now())
+}
+
 // heard records a sign of life of a server.
 func (no *Node) heard(id string) {
 	no.mu.Lock()
