Fetch no adapter for nothing that another engine has at hand

Ruled out: adapters asked for often; these have an engine a region on purpose. Change: where any engine has the adapter at hand, there is no first engine, unless the adapter is popular. Test: TestAnAdapterAtHandInAnotherRegionIsNotFetchedOnceMore fails without the change.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -279,9 +279,10 @@
 // homeOf returns the server at which an adapter is loaded first, by rendezvous hashing:
 // one for all availability zones, so that few engines fetch it, or one in the request's
 // own region where the adapter is asked for so often that the way to another region
-// costs more than a further fetch.
+// costs more than a further fetch. An adapter that some engine has at hand, and that is
+// asked for less often, has none: no further fetch of it is free.
 func homeOf(group []*member, rq Request) uint64 {
-	if rq.Adapter == "" {
+	if rq.Adapter == "" || !rq.Popular && slices.ContainsFunc(group, func(me *member) bool { return me.has(&rq) }) {
 		return 0
 	}
 	best, score := uint64(0), uint64(0)
@@ -296,6 +297,15 @@
 	return best
 }
 
+// has tells whether a request's adapter is at hand on an engine that can be asked for it.
+func (me *member) has(rq *Request) bool {
+	if me.Leaving || me.load.Draining || !me.told {
+		return false
+	}
+	holds := slices.ContainsFunc(me.holds, func(ho Hold) bool { return ho.Adapter == rq.Adapter && ho.Version >= rq.Version })
+	return holds || me.recent.has(rq.Adapter, rq.Version)
+}
+
 // consider keeps the cheapest candidates in order.
 func (ch *Choice) consider(me *member, es estimate, now time.Time) {
 	el := Candidate{ID: me.ID, Cost: es.cost()}
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -68,6 +69,25 @@
 	}
 }
 
+// The load: an adapter that is asked for now and then from all regions.
+func TestAnAdapterAtHandInAnotherRegionIsNotFetchedOnceMore(t *testing.T) {
+	for ix := range 40 {
+		adapter := "x" + strconv.Itoa(ix)
+		fl := fleetOf("e1", "e2")
+		fl.Put(Server{ID: "e2", Service: "advice", Zone: "z2", Region: "r2", Engine: true, Model: "m", Born: 1})
+		tell(fl, "e2", Hold{Adapter: adapter, Version: 1, Ready: true})
+		tell(fl, "e2")
+		if ch := chosen(t, fl, ask(adapter), start); ch.ID != "e2" {
+			t.Errorf("%s is fetched to %s, the host of e2 has a copy", adapter, ch.ID)
+		}
+		popular := ask(adapter)
+		popular.Popular = true
+		if ch := chosen(t, fl, popular, start); ch.ID != "e1" {
+			t.Errorf("%s is popular, chose %s in another region", adapter, ch.ID)
+		}
+	}
+}
+
 func TestAnEngineThatRestartedHasNoCopies(t *testing.T) {
 	fl := fleetOf("e1")
 	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
