Grant prompts in bursts where an engine's streams pause for too long

Ruled out: entry nodes and links (the other engines' longest pauses lie at 0.35 s). Change: entry nodes tell the agent when a stream's first event has come and how long its longest pause was. Where pauses are too long the agent grants no more prompts without a break than the engine reads in nine tenths of that time, as measured. A prompt waits 0.5 s for this at most, so that an overloaded engine is not slowed further.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -76,7 +76,9 @@
 	sessions map[string]*session
 	born     int64
 	silent   bool
-	boot     string
+	// bounded is true while bursts of prompts are bounded.
+	bounded bool
+	boot    string
 }
 
 // NewBroker returns the broker of an agent's boot.
@@ -203,6 +205,8 @@
 		br.act(ctx, br.en.Adopt(itemOf(se, fr.Reserve, now), now))
 	case fr.Reserve != nil:
 		br.act(ctx, br.en.Reserve(itemOf(se, fr.Reserve, now), now))
+	case fr.Started != nil:
+		br.act(ctx, br.en.Started(fr.Started.Attempt, now))
 	case fr.Release != nil:
 		br.release(ctx, fr.Release, now)
 	case fr.Prepare != nil:
@@ -220,7 +224,7 @@
 		br.act(ctx, br.en.Missing(re.Attempt, now))
 		return
 	}
-	br.act(ctx, br.en.Release(re.Attempt, now))
+	br.act(ctx, br.en.Release(re.Attempt, time.Duration(re.Pause)*time.Millisecond, now))
 }
 
 // itemOf returns the request of a frame.
@@ -228,7 +232,7 @@
 	return grant.Item{
 		Attempt: re.Attempt, Request: re.Request, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
 		Version: re.Version, Settled: re.Settled, Urgency: re.Urgency, PromptTokens: re.PromptTokens,
-		OutputTokens: re.OutputTokens, Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
+		OutputTokens: re.OutputTokens, PauseMax: time.Duration(re.PauseMax) * time.Millisecond, Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
 }
 
--- a/agent/direct/metrics.go
+++ b/agent/direct/metrics.go
@@ -16,6 +16,7 @@
 	metricRunning   = metric("running")
 	metricWaiting   = metric("waiting")
 	metricBacklog   = metric("backlog_ms")
+	metricBurstMax  = metric("burst_max_tokens")
 )
 
 // metric adds a number to the counters.
@@ -34,4 +35,10 @@
 	metricRunning.Set(int64(lo.Running))
 	metricWaiting.Set(int64(lo.Waiting))
 	metricBacklog.Set(lo.Backlog.Milliseconds())
+	metricBurstMax.Set(int64(lo.BurstMax))
+	if bounded := lo.BurstMax > 0; bounded != br.bounded {
+		br.bounded = bounded
+		br.lg.Info().Bool("bounded", bounded).Int("burst_max", lo.BurstMax).
+			Int("running", lo.Running).Msg("prompt_bursts")
+	}
 }
--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -125,4 +125,5 @@
 	ReasonUnknown   = "engine_silent"
 	ReasonModel     = "model_loading"
 	ReasonDraining  = "engine_draining"
+	ReasonReading   = "reading_prompts"
 )
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -42,9 +42,6 @@
 	reloadTime = 25 * time.Millisecond
 	// conflictWait is the time before an order that another was in the way of.
 	conflictWait = 50 * time.Millisecond
-
-	// readRate is the prompt tokens that an engine reads in a second.
-	readRate = 17_000.0
 )
 
 // Key names an adapter of a base model; an empty adapter stands for the model alone.
@@ -67,8 +64,10 @@
 	Urgency      int
 	PromptTokens int
 	OutputTokens int
-	Arrived      time.Time
-	Deadline     time.Time
+	// PauseMax is the longest pause between events that the caller bears, zero for any.
+	PauseMax time.Duration
+	Arrived  time.Time
+	Deadline time.Time
 }
 
 // held is a granted request.
@@ -130,9 +129,8 @@
 	inspecting bool
 	// loadTook is how long adapters have taken of late from the weight store.
 	loadTook time.Duration
-	// readBy is when the prompts granted so far are read.
-	readBy  time.Time
-	leaving bool
+	reads    reads
+	leaving  bool
 }
 
 // New returns the state of an agent that starts now.
@@ -145,11 +143,14 @@
 
 // Load is the engine's work as entry nodes are told.
 type Load struct {
-	Known   bool
-	Model   string
-	Born    int64
-	Slots   int
+	Known bool
+	Model string
+	Born  int64
+	Slots int
+	// Backlog is the time until the prompts that were granted or wait for it are read.
 	Backlog time.Duration
+	// BurstMax is the prompt tokens that are granted without a break, zero for no bound.
+	BurstMax int
 	// LoadTime is how long adapters have taken of late from the weight store.
 	LoadTime   time.Duration
 	Running    int
@@ -162,9 +163,10 @@
 
 // Load returns the engine's work at a time.
 func (en *Engine) Load(now time.Time) Load {
-	backlog := max(0, en.readBy.Sub(now))
+	backlog := max(0, en.reads.readBy.Sub(now)) + ReadTime(en.queuedTokens())
 	return Load{
 		Known: en.known, Model: en.model(), Born: en.ob.Born, Slots: en.slots, Backlog: backlog,
+		BurstMax: en.reads.burstMax(now),
 		LoadTime: en.loadTook, Running: len(en.held), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.ob.Draining,
 	}
 }
@@ -238,6 +240,17 @@
 	return count
 }
 
+// queuedTokens counts the prompt tokens of the requests that wait for others to be read.
+func (en *Engine) queuedTokens() int {
+	count := 0
+	for ix := range en.queue {
+		if _, loaded := en.loaded[en.queue[ix].Key]; loaded {
+			count += en.queue[ix].PromptTokens
+		}
+	}
+	return count
+}
+
 // memoryFree returns the memory that no granted request takes, in tokens.
 func (en *Engine) memoryFree() int {
 	taken := 0
@@ -247,7 +260,7 @@
 	return en.ob.MemoryTotal - taken
 }
 
-// ReadTime returns the time an engine needs to read prompt tokens.
+// ReadTime returns the time that an engine of usual speed needs to read prompt tokens.
 func ReadTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / readRate * float64(time.Second))
 }
--- a/core/grant/engine_test.go
+++ b/core/grant/engine_test.go
@@ -132,7 +132,7 @@
 	if dr.order != nil {
 		t.Fatalf("ordered %+v while x is in use", dr.order)
 	}
-	dr.take(dr.en.Release("a", dr.now))
+	dr.take(dr.en.Release("a", 0, dr.now))
 	if dr.order == nil || dr.order.Operation != UnloadAdapter || dr.order.Key.Adapter != "x" {
 		t.Fatalf("x is not evicted for b: %+v", dr.order)
 	}
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -28,7 +28,7 @@
 	en.queue = append(en.queue, it)
 	actions := en.plan(now)
 	if ix := en.queued(it.Attempt); ix >= 0 {
-		actions = append(actions, Action{Queue: &Queue{Attempt: it.Attempt, Entry: it.Entry, Reason: en.obstacle(&en.queue[ix])}})
+		actions = append(actions, Action{Queue: &Queue{Attempt: it.Attempt, Entry: it.Entry, Reason: en.obstacle(&en.queue[ix], now)}})
 	}
 	return actions
 }
@@ -44,19 +44,34 @@
 	return nil
 }
 
-// Release ends a grant, or takes a request out of the queue.
-func (en *Engine) Release(attempt string, now time.Time) []Action {
+// Started records that the engine has read the prompt of a granted request.
+func (en *Engine) Started(attempt string, now time.Time) []Action {
+	en.reads.started(attempt, now)
+	return en.plan(now)
+}
+
+// Release ends a grant, or takes a request out of the queue; longest is the longest pause
+// between the events of its stream, zero where it is not known.
+func (en *Engine) Release(attempt string, longest time.Duration, now time.Time) []Action {
 	if ix := en.queued(attempt); ix >= 0 {
 		en.queue = slices.Delete(en.queue, ix, ix+1)
 		return nil
 	}
-	if en.held[attempt] == nil {
+	he := en.held[attempt]
+	if he == nil {
 		return nil
 	}
-	delete(en.held, attempt)
+	en.reads.paused(longest, he.PauseMax, now)
+	en.drop(attempt, now)
 	return en.plan(now)
 }
 
+// drop takes a granted request out.
+func (en *Engine) drop(attempt string, now time.Time) {
+	delete(en.held, attempt)
+	en.reads.ended(attempt, now)
+}
+
 // Missing records that the engine has not run a request because it lacks the adapter.
 // The adapter keeps its slot and gets no grants until the engine has been asked.
 func (en *Engine) Missing(attempt string, now time.Time) []Action {
@@ -64,7 +79,7 @@
 		en.doubtful[he.Key] = true
 	}
 	en.inspectAt = now
-	return en.Release(attempt, now)
+	return en.Release(attempt, 0, now)
 }
 
 // Disconnected takes the loss of an entry node's connection.
@@ -189,9 +204,10 @@
 	for _, attempt := range slices.Sorted(maps.Keys(en.held)) {
 		he := en.held[attempt]
 		if !he.orphaned.IsZero() && now.Sub(he.orphaned) > orphanMax {
-			delete(en.held, attempt)
+			en.drop(attempt, now)
 		}
 	}
+	en.reads.expire(now)
 	actions := en.refuseWaiting(func(it *Item) bool { return !now.Before(it.Deadline) }, ReasonDeadline)
 	return append(actions, en.plan(now)...)
 }
@@ -214,7 +230,7 @@
 	clear(en.coming)
 	en.recent = nil
 	en.order = nil
-	en.readBy = time.Time{}
+	en.reads.forget()
 }
 
 // lose records an order without an answer: a load may still be carried out.
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -56,7 +56,7 @@
 // grantReady grants the waiting requests that can run, in the order of their rank.
 func (en *Engine) grantReady(actions []Action, now time.Time) []Action {
 	for {
-		ix := en.first(now, en.runnable)
+		ix := en.first(now, func(it *Item) bool { return en.obstacle(it, now) == "" })
 		if ix < 0 {
 			return actions
 		}
@@ -67,19 +67,13 @@
 			en.stall += now.Sub(it.Arrived)
 			en.remember(it.Key)
 		}
-		if en.readBy.Before(now) {
-			en.readBy = now
-		}
-		en.readBy = en.readBy.Add(ReadTime(it.PromptTokens))
+		en.reads.granted(it.Attempt, it.PromptTokens, now)
 		actions = append(actions, Action{Grant: &Grant{Attempt: it.Attempt, Entry: it.Entry, Version: en.loaded[it.Key]}})
 	}
 }
 
-// runnable tells whether the engine can take a request now.
-func (en *Engine) runnable(it *Item) bool { return en.obstacle(it) == "" }
-
 // obstacle returns why a request must wait, or nothing.
-func (en *Engine) obstacle(it *Item) string {
+func (en *Engine) obstacle(it *Item, now time.Time) string {
 	if !en.known {
 		return ReasonUnknown
 	}
@@ -97,6 +91,9 @@
 	if len(en.held) > 0 && en.ob.MemoryTotal > 0 && en.memoryFree() < it.PromptTokens+it.OutputTokens {
 		return ReasonMemory
 	}
+	if !en.reads.allows(it.PromptTokens, now.Sub(it.Arrived), now) {
+		return ReasonReading
+	}
 	return ""
 }
 
--- a/core/paths/table.go
+++ b/core/paths/table.go
@@ -40,6 +40,8 @@
 	Timeout time.Duration
 	// Target is the time within which an answer, or a stream's first event, is on time.
 	Target time.Duration
+	// PauseMax is the longest pause between events that callers bear, zero for any.
+	PauseMax time.Duration
 	// Rank orders routes by urgency; zero is the most urgent.
 	Rank int
 	// AttemptsMax bounds the backend servers that one request is sent to.
--- a/core/spread/load_test.go
+++ b/core/spread/load_test.go
@@ -241,7 +241,7 @@
 			if !rp.now.Before(at) {
 				delete(re.ends, id)
 				rp.done(re, id)
-				rp.act(re, re.en.Release(id, rp.now))
+				rp.act(re, re.en.Release(id, 0, rp.now))
 			}
 		}
 		if !re.en.NextAt(rp.now).After(rp.now) {
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -115,8 +115,8 @@
 // EngineLoad is the work of an engine to which entry nodes send requests
 // themselves.
 type EngineLoad struct {
-	// BacklogMs is the time until the prompts already granted are read, in
-	// milliseconds.
+	// BacklogMs is the time until the prompts that were granted or wait for it are
+	// read, in milliseconds.
 	BacklogMs int64 `json:"backlog_ms" yaml:"backlog_ms"`
 
 	// Born identifies the run of the engine: its start in Unix milliseconds.
@@ -204,6 +204,9 @@
 	// Reserve corresponds to the JSON schema field "reserve".
 	Reserve *Reserve `json:"reserve,omitempty,omitzero" yaml:"reserve,omitempty"`
 
+	// Started corresponds to the JSON schema field "started".
+	Started *Started `json:"started,omitempty,omitzero" yaml:"started,omitempty"`
+
 	// Verdict corresponds to the JSON schema field "verdict".
 	Verdict *Verdict `json:"verdict,omitempty,omitzero" yaml:"verdict,omitempty"`
 
@@ -317,6 +320,9 @@
 
 	// Ending tells how it ended at the engine.
 	Ending ReleaseEnding `json:"ending" yaml:"ending"`
+
+	// Pause is the longest pause between events of a whole stream, in milliseconds.
+	Pause int64 `json:"pause" yaml:"pause"`
 }
 
 type ReleaseEnding string
@@ -383,6 +389,10 @@
 	// OutputTokens bounds the tokens to produce.
 	OutputTokens int `json:"output_tokens" yaml:"output_tokens"`
 
+	// PauseMax is the longest pause between events that the caller bears, in
+	// milliseconds, zero for any.
+	PauseMax int64 `json:"pause_max" yaml:"pause_max"`
+
 	// PromptTokens counts the tokens to read.
 	PromptTokens int `json:"prompt_tokens" yaml:"prompt_tokens"`
 
@@ -417,6 +427,13 @@
 	Waiting int `json:"waiting" yaml:"waiting"`
 }
 
+// Started says that the engine has read the prompt of an attempt: its first event
+// has come.
+type Started struct {
+	// Attempt identifies the attempt.
+	Attempt string `json:"attempt" yaml:"attempt"`
+}
+
 // Verdict answers Void and Credit with Replay for attempts that have no frames to
 // send.
 type Verdict struct {
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -32,6 +32,9 @@
 	// grantTook is how long the grant took.
 	grantTook time.Duration
 	start     time.Time
+	// eventAt is when the last event came, pause the longest time between two.
+	eventAt time.Time
+	pause   time.Duration
 }
 
 // result is what became of an attempt that brought no answer for the caller.
@@ -135,7 +138,7 @@
 	at := &attempt{
 		id: rq.attemptID(number), server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
 	}
-	rq.log(at, "route_chosen").Str("adapter", rq.call.Adapter).Int("version", sr.Version).Str("reason", string(ch.Reason)).
+	rq.log(at, "route_chosen").Str("adapter", rq.call.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
 		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.Age).Str("candidates", candidates(&ch)).Int64("routes_version", rq.table).Send()
 	no.fleet.Sent(ch.ID, rq.call.PromptTokens, now)
 	return at, nil
--- a/entry/direct/events.go
+++ b/entry/direct/events.go
@@ -72,6 +72,7 @@
 			first = false
 			rq.firstEvent(at)
 		}
+		at.sawEvent(time.Now())
 		if !rq.writeEvent(an, ev) {
 			return result{outcome: retry.Unknown, reason: reasonGone}, false
 		}
@@ -79,11 +80,22 @@
 	}
 }
 
+// sawEvent counts the pause before an event.
+func (at *attempt) sawEvent(now time.Time) {
+	if !at.eventAt.IsZero() {
+		at.pause = max(at.pause, now.Sub(at.eventAt))
+	}
+	at.eventAt = now
+}
+
 // firstEvent measures the wait for an attempt's first event.
 func (rq *request) firstEvent(at *attempt) {
 	took := time.Since(at.start)
 	rq.log(at, "first_event").Dur("took", took).Dur("grant", at.grantTook).Dur("expected", at.choice.Wait).Send()
 	rq.no.succeeded(at, took)
+	if at.granted {
+		rq.no.agents.started(at.id)
+	}
 	histogram(histogramFirst).record(took)
 }
 
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -107,20 +107,35 @@
 	}
 }
 
-// release ends a granted attempt.
-func (as *agents) release(attempt string, ending wire.ReleaseEnding) {
+// started tells the agent that the engine has read the prompt of a granted attempt.
+func (as *agents) started(attempt string) {
 	as.mu.Lock()
-	rs := as.granted[attempt]
-	delete(as.granted, attempt)
-	al := (*agentLink)(nil)
-	if rs != nil {
-		al = as.links[rs.host]
+	al := as.granter(attempt)
+	as.mu.Unlock()
+	if al != nil && !al.co.TrySend(&wire.Frame{Started: &wire.Started{Attempt: attempt}}) {
+		as.no.lg.Warn().Str("attempt", attempt).Msg("start_not_sent")
 	}
+}
+
+// release ends a granted attempt; pause is the longest of its stream, zero where it is not known.
+func (as *agents) release(attempt string, ending wire.ReleaseEnding, pause time.Duration) {
+	as.mu.Lock()
+	al := as.granter(attempt)
+	delete(as.granted, attempt)
 	as.mu.Unlock()
-	if al != nil && !al.co.TrySend(&wire.Frame{Release: &wire.Release{Attempt: attempt, Ending: ending}}) {
+	re := &wire.Release{Attempt: attempt, Ending: ending, Pause: pause.Milliseconds()}
+	if al != nil && !al.co.TrySend(&wire.Frame{Release: re}) {
 		as.no.lg.Warn().Str("attempt", attempt).Msg("release_not_sent")
 	}
 }
 
+// granter returns the connection to the agent that granted an attempt, or nil.
+func (as *agents) granter(attempt string) *agentLink {
+	if rs := as.granted[attempt]; rs != nil {
+		return as.links[rs.host]
+	}
+	return nil
+}
+
 // keyOf returns the adapter that a call names.
 func (ca *Call) keyOf() grant.Key { return grant.Key{Model: ca.Model, Adapter: ca.Adapter} }
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -43,7 +43,7 @@
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
 		Attempt: at.id, Request: rq.call.ID, Model: rq.call.Model, Adapter: rq.call.Adapter, Version: at.version, Settled: settled,
 		Urgency: urgencyMax - rq.ro.Rank, PromptTokens: rq.call.PromptTokens, OutputTokens: rq.call.OutputTokens,
-		Budget: budget.Milliseconds(),
+		PauseMax: rq.ro.PauseMax.Milliseconds(), Budget: budget.Milliseconds(),
 	})
 	if !gr.granted {
 		return result{outcome: retry.Unsent, reason: gr.reason, wait: gr.retryAfter}, false
@@ -53,7 +53,7 @@
 	at.grantTook = gr.took
 	at.version = gr.version
 	if !rq.no.takes(at.server) {
-		rq.no.agents.release(at.id, wire.ReleaseEndingWithdrawn)
+		rq.no.agents.release(at.id, wire.ReleaseEndingWithdrawn, 0)
 		return result{outcome: retry.Unsent, reason: reasonLeaving}, false
 	}
 	return result{}, true
@@ -71,7 +71,7 @@
 	case re.outcome == retry.Unknown:
 		ending = wire.ReleaseEndingLost
 	}
-	rq.no.agents.release(at.id, ending)
+	rq.no.agents.release(at.id, ending, at.pause)
 }
 
 // send sends the request to the server of the attempt and delivers its answer.
