Number the keys of frames, and tell other zones of an engine every 0.3 s

Cause: late first events on engines that hold the adapter: entry nodes choose by an engine's work as told a second ago, where 22 and 30 nodes send to it meanwhile. Change: the keys of all frames are numbers, given in the schema, zero values are left out, and a reservation no longer names the request, which its attempt does. An agent tells other zones every 0.3 s. Tests: TestWhatAnAgentTellsFitsTheBytesOfControl bounds a telling by 4 KB a second for an entry node's share of 6,500 engines; TestEveryMessageArrives.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -15,8 +15,8 @@
 	eventsMax = 1024
 	// nearPeriod is the time between messages on the engine to entry nodes of the same zone.
 	nearPeriod = 100 * time.Millisecond
-	// farPeriod is that to entry nodes of other zones, where traffic is paid.
-	farPeriod = time.Second
+	// farPeriod is that to entry nodes of other zones, where traffic is paid by volume.
+	farPeriod = 300 * time.Millisecond
 	// leaveTime is the time for the last refusals to be sent.
 	leaveTime = 100 * time.Millisecond
 )
@@ -230,7 +230,7 @@
 // itemOf returns the request of a frame.
 func itemOf(se *session, re *wire.Reserve, now time.Time) grant.Item {
 	return grant.Item{
-		Attempt: re.Attempt, Request: re.Request, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
+		Attempt: re.Attempt, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
 		Version: re.Version, Settled: re.Settled, Urgency: re.Urgency, PromptTokens: re.PromptTokens,
 		OutputTokens: re.OutputTokens, PauseMax: time.Duration(re.PauseMax) * time.Millisecond, Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -53,7 +53,6 @@
 // Item is a request for which an entry node wants a grant.
 type Item struct {
 	Attempt string
-	Request string
 	// Entry identifies the connection that asked.
 	Entry string
 	Key   Key
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -15,9 +15,9 @@
 	decMode = mustDecMode()
 )
 
-// mustEncMode builds an encoder that appends to a buffer.
+// mustEncMode builds an encoder that appends to a buffer and leaves zero values out.
 func mustEncMode() cbor.UserBufferEncMode {
-	mode, err := cbor.EncOptions{}.UserBufferEncMode()
+	mode, err := cbor.EncOptions{OmitEmpty: cbor.OmitEmptyGoValue}.UserBufferEncMode()
 	if err != nil {
 		panic(err)
 	}
--- a/core/wire/codec_test.go
+++ b/core/wire/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"testing"
 )
 
@@ -27,3 +28,48 @@
 		}
 	})
 }
+
+func TestEveryMessageArrives(t *testing.T) {
+	for _, fr := range []*Frame{
+		{Hello: &Hello{Entry: "e"}}, {Welcome: &Welcome{}}, {Heartbeat: &Heartbeat{}}, {Report: &Report{}}, {Dispatch: &Dispatch{}},
+		{Credit: &Credit{}}, {Cancel: &Cancel{}}, {Void: &Void{}}, {Verdict: &Verdict{}}, {Refusal: &Refusal{}}, {Head: &Head{}},
+		{Chunk: &Chunk{}}, {End: &End{}}, {Holdings: &Holdings{}}, {Reserve: &Reserve{}}, {Grant: &Grant{}}, {Queued: &Queued{}},
+		{Release: &Release{}}, {Prepare: &Prepare{}}, {Started: &Started{Attempt: "a"}},
+	} {
+		buf := bytes.Buffer{}
+		if err := Append(&buf, fr); err != nil {
+			t.Fatal(err)
+		}
+		got, rest, err := DecodeFirst(buf.Bytes())
+		if err != nil || len(rest) > 0 || !reflect.DeepEqual(got, fr) {
+			t.Errorf("%+v arrived as %+v, %v", fr, got, err)
+		}
+	}
+}
+
+// tellBytes is what an entry node may hear a second of each of its share of the engines,
+// 6,500 by 390, within 4 KB.
+const tellBytes = 4096 / (6500 / 390)
+
+func TestWhatAnAgentTellsFitsTheBytesOfControl(t *testing.T) {
+	fr := &Frame{Holdings: &Holdings{Load: EngineLoad{
+		Known: true, Model: "base-70b", Born: 1772215745018, Slots: 6, BacklogMs: 1500, LoadMs: 300, Running: 60, Waiting: 12,
+		MemoryFree: 120_000, Entries: 390,
+	}}}
+	for ix := range 6 {
+		fr.Holdings.Slots = append(fr.Holdings.Slots, SlotReport{
+			Adapter: "adapter-1400" + string(rune('0'+ix)), Version: 12, State: "ready", Pins: 10, Waiting: 2,
+		})
+	}
+	buf := bytes.Buffer{}
+	if err := Append(&buf, fr); err != nil {
+		t.Fatal(err)
+	}
+	if buf.Len() > tellBytes {
+		t.Errorf("%d bytes, want %d at most", buf.Len(), tellBytes)
+	}
+	got, _, err := DecodeFirst(buf.Bytes())
+	if err != nil || got.Holdings == nil || len(got.Holdings.Slots) != 6 || got.Holdings.Slots[5] != fr.Holdings.Slots[5] || got.Holdings.Load != fr.Holdings.Load {
+		t.Errorf("decoded %+v, %v", got, err)
+	}
+}
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -11,105 +11,105 @@
 // Chunk carries a part of an answer.
 type Chunk struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Data is the part's bytes.
-	Data []byte `json:"data" yaml:"data"`
+	Data []byte `json:"data" yaml:"data" cbor:"3,keyasint,omitempty"`
 
 	// Sequence counts the chunks of the attempt from one.
-	Sequence uint64 `json:"sequence" yaml:"sequence"`
+	Sequence uint64 `json:"sequence" yaml:"sequence" cbor:"2,keyasint,omitempty"`
 }
 
 // Credit acknowledges chunks and, with Replay, asks for those after Received
 // again.
 type Credit struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Received is the highest sequence received without a gap.
-	Received uint64 `json:"received" yaml:"received"`
+	Received uint64 `json:"received" yaml:"received" cbor:"2,keyasint,omitempty"`
 
 	// Replay asks the agent to send unacknowledged frames again.
-	Replay bool `json:"replay" yaml:"replay"`
+	Replay bool `json:"replay" yaml:"replay" cbor:"3,keyasint,omitempty"`
 }
 
 // Dispatch asks the agent to run one attempt of a request.
 type Dispatch struct {
 	// Adapter is the adapter's name, empty for a plain service.
-	Adapter string `json:"adapter" yaml:"adapter"`
+	Adapter string `json:"adapter" yaml:"adapter" cbor:"5,keyasint,omitempty"`
 
 	// Alone asks to run the attempt apart from all others.
-	Alone bool `json:"alone" yaml:"alone"`
+	Alone bool `json:"alone" yaml:"alone" cbor:"18,keyasint,omitempty"`
 
 	// Attempt identifies this attempt for ever.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Body is the caller's body; for an adapter, a JSON object without the model.
-	Body []byte `json:"body" yaml:"body"`
+	Body []byte `json:"body" yaml:"body" cbor:"12,keyasint,omitempty"`
 
 	// Boot is the agent boot the attempt is addressed to.
-	Boot string `json:"boot" yaml:"boot"`
+	Boot string `json:"boot" yaml:"boot" cbor:"2,keyasint,omitempty"`
 
 	// Budget is the time left for the answer, in milliseconds.
-	Budget int64 `json:"budget" yaml:"budget"`
+	Budget int64 `json:"budget" yaml:"budget" cbor:"15,keyasint,omitempty"`
 
 	// ClaimedAt is the log time of the claim in Unix milliseconds, zero where none is
 	// needed.
-	ClaimedAt int64 `json:"claimed_at" yaml:"claimed_at"`
+	ClaimedAt int64 `json:"claimed_at" yaml:"claimed_at" cbor:"16,keyasint,omitempty"`
 
 	// ContentType is the body's media type.
-	ContentType string `json:"content_type" yaml:"content_type"`
+	ContentType string `json:"content_type" yaml:"content_type" cbor:"10,keyasint,omitempty"`
 
 	// Key is the caller's idempotency key, empty where the call may be repeated.
-	Key string `json:"key" yaml:"key"`
+	Key string `json:"key" yaml:"key" cbor:"11,keyasint,omitempty"`
 
 	// Method is the HTTP method.
-	Method string `json:"method" yaml:"method"`
+	Method string `json:"method" yaml:"method" cbor:"8,keyasint,omitempty"`
 
 	// Path is the path and query at the backend server.
-	Path string `json:"path" yaml:"path"`
+	Path string `json:"path" yaml:"path" cbor:"9,keyasint,omitempty"`
 
 	// Request identifies the caller's request over all its attempts.
-	Request string `json:"request" yaml:"request"`
+	Request string `json:"request" yaml:"request" cbor:"3,keyasint,omitempty"`
 
 	// ResumeTokens counts the tokens already delivered.
-	ResumeTokens int `json:"resume_tokens" yaml:"resume_tokens"`
+	ResumeTokens int `json:"resume_tokens" yaml:"resume_tokens" cbor:"19,keyasint,omitempty"`
 
 	// Service is the plain service, empty for an adapter.
-	Service string `json:"service" yaml:"service"`
+	Service string `json:"service" yaml:"service" cbor:"7,keyasint,omitempty"`
 
 	// Stream asks for server-sent events.
-	Stream bool `json:"stream" yaml:"stream"`
+	Stream bool `json:"stream" yaml:"stream" cbor:"13,keyasint,omitempty"`
 
 	// Team is the team that pays.
-	Team string `json:"team" yaml:"team"`
+	Team string `json:"team" yaml:"team" cbor:"4,keyasint,omitempty"`
 
 	// Urgency orders requests; higher runs first.
-	Urgency int `json:"urgency" yaml:"urgency"`
+	Urgency int `json:"urgency" yaml:"urgency" cbor:"14,keyasint,omitempty"`
 
 	// Version is the adapter's version.
-	Version int `json:"version" yaml:"version"`
+	Version int `json:"version" yaml:"version" cbor:"6,keyasint,omitempty"`
 
 	// Window is the number of chunks the entry node can hold.
-	Window int `json:"window" yaml:"window"`
+	Window int `json:"window" yaml:"window" cbor:"17,keyasint,omitempty"`
 }
 
 // End closes an answer and counts its chunks.
 type End struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Count is the number of chunks sent.
-	Count uint64 `json:"count" yaml:"count"`
+	Count uint64 `json:"count" yaml:"count" cbor:"2,keyasint,omitempty"`
 
 	// Crash identifies the engine's crash that ended the answer, or is empty.
-	Crash string `json:"crash" yaml:"crash"`
+	Crash string `json:"crash" yaml:"crash" cbor:"5,keyasint,omitempty"`
 
 	// Reason tells why the answer is not whole.
-	Reason string `json:"reason" yaml:"reason"`
+	Reason string `json:"reason" yaml:"reason" cbor:"4,keyasint,omitempty"`
 
 	// Whole is false when the backend server stopped early.
-	Whole bool `json:"whole" yaml:"whole"`
+	Whole bool `json:"whole" yaml:"whole" cbor:"3,keyasint,omitempty"`
 }
 
 // EngineLoad is the work of an engine to which entry nodes send requests
@@ -117,212 +117,212 @@
 type EngineLoad struct {
 	// BacklogMs is the time until the prompts that were granted or wait for it are
 	// read, in milliseconds.
-	BacklogMs int64 `json:"backlog_ms" yaml:"backlog_ms"`
+	BacklogMs int64 `json:"backlog_ms" yaml:"backlog_ms" cbor:"5,keyasint,omitempty"`
 
 	// Born identifies the run of the engine: its start in Unix milliseconds.
-	Born int64 `json:"born" yaml:"born"`
+	Born int64 `json:"born" yaml:"born" cbor:"3,keyasint,omitempty"`
 
 	// Draining is true once the engine itself leaves.
-	Draining bool `json:"draining" yaml:"draining"`
+	Draining bool `json:"draining" yaml:"draining" cbor:"12,keyasint,omitempty"`
 
 	// Entries counts the entry nodes connected to the agent.
-	Entries int `json:"entries" yaml:"entries"`
+	Entries int `json:"entries" yaml:"entries" cbor:"10,keyasint,omitempty"`
 
 	// Known is false while the agent has no answer from its engine.
-	Known bool `json:"known" yaml:"known"`
+	Known bool `json:"known" yaml:"known" cbor:"1,keyasint,omitempty"`
 
 	// Leaving is true once the agent gives no more grants; its engine goes on.
-	Leaving bool `json:"leaving" yaml:"leaving"`
+	Leaving bool `json:"leaving" yaml:"leaving" cbor:"11,keyasint,omitempty"`
 
 	// LoadMs is the time that adapters have taken of late from the weight store, in
 	// milliseconds.
-	LoadMs int64 `json:"load_ms" yaml:"load_ms"`
+	LoadMs int64 `json:"load_ms" yaml:"load_ms" cbor:"6,keyasint,omitempty"`
 
 	// MemoryFree is the memory not yet granted, in tokens.
-	MemoryFree int `json:"memory_free" yaml:"memory_free"`
+	MemoryFree int `json:"memory_free" yaml:"memory_free" cbor:"9,keyasint,omitempty"`
 
 	// Model is the base model that the engine holds, empty for none.
-	Model string `json:"model" yaml:"model"`
+	Model string `json:"model" yaml:"model" cbor:"2,keyasint,omitempty"`
 
 	// Running counts granted requests.
-	Running int `json:"running" yaml:"running"`
+	Running int `json:"running" yaml:"running" cbor:"7,keyasint,omitempty"`
 
 	// Slots is the number of adapter slots.
-	Slots int `json:"slots" yaml:"slots"`
+	Slots int `json:"slots" yaml:"slots" cbor:"4,keyasint,omitempty"`
 
 	// Waiting counts requests queued at the agent.
-	Waiting int `json:"waiting" yaml:"waiting"`
+	Waiting int `json:"waiting" yaml:"waiting" cbor:"8,keyasint,omitempty"`
 }
 
 // Frame carries exactly one message between an entry node and an agent.
 type Frame struct {
 	// Cancel corresponds to the JSON schema field "cancel".
-	Cancel *Cancel `json:"cancel,omitempty,omitzero" yaml:"cancel,omitempty"`
+	Cancel *Cancel `json:"cancel,omitempty,omitzero" yaml:"cancel,omitempty" cbor:"7,keyasint,omitempty"`
 
 	// Chunk corresponds to the JSON schema field "chunk".
-	Chunk *Chunk `json:"chunk,omitempty,omitzero" yaml:"chunk,omitempty"`
+	Chunk *Chunk `json:"chunk,omitempty,omitzero" yaml:"chunk,omitempty" cbor:"12,keyasint,omitempty"`
 
 	// Credit corresponds to the JSON schema field "credit".
-	Credit *Credit `json:"credit,omitempty,omitzero" yaml:"credit,omitempty"`
+	Credit *Credit `json:"credit,omitempty,omitzero" yaml:"credit,omitempty" cbor:"6,keyasint,omitempty"`
 
 	// Dispatch corresponds to the JSON schema field "dispatch".
-	Dispatch *Dispatch `json:"dispatch,omitempty,omitzero" yaml:"dispatch,omitempty"`
+	Dispatch *Dispatch `json:"dispatch,omitempty,omitzero" yaml:"dispatch,omitempty" cbor:"5,keyasint,omitempty"`
 
 	// End corresponds to the JSON schema field "end".
-	End *End `json:"end,omitempty,omitzero" yaml:"end,omitempty"`
+	End *End `json:"end,omitempty,omitzero" yaml:"end,omitempty" cbor:"13,keyasint,omitempty"`
 
 	// Grant corresponds to the JSON schema field "grant".
-	Grant *Grant `json:"grant,omitempty,omitzero" yaml:"grant,omitempty"`
+	Grant *Grant `json:"grant,omitempty,omitzero" yaml:"grant,omitempty" cbor:"16,keyasint,omitempty"`
 
 	// Head corresponds to the JSON schema field "head".
-	Head *Head `json:"head,omitempty,omitzero" yaml:"head,omitempty"`
+	Head *Head `json:"head,omitempty,omitzero" yaml:"head,omitempty" cbor:"11,keyasint,omitempty"`
 
 	// Heartbeat corresponds to the JSON schema field "heartbeat".
-	Heartbeat *Heartbeat `json:"heartbeat,omitempty,omitzero" yaml:"heartbeat,omitempty"`
+	Heartbeat *Heartbeat `json:"heartbeat,omitempty,omitzero" yaml:"heartbeat,omitempty" cbor:"3,keyasint,omitempty"`
 
 	// Hello corresponds to the JSON schema field "hello".
-	Hello *Hello `json:"hello,omitempty,omitzero" yaml:"hello,omitempty"`
+	Hello *Hello `json:"hello,omitempty,omitzero" yaml:"hello,omitempty" cbor:"1,keyasint,omitempty"`
 
 	// Holdings corresponds to the JSON schema field "holdings".
-	Holdings *Holdings `json:"holdings,omitempty,omitzero" yaml:"holdings,omitempty"`
+	Holdings *Holdings `json:"holdings,omitempty,omitzero" yaml:"holdings,omitempty" cbor:"14,keyasint,omitempty"`
 
 	// Prepare corresponds to the JSON schema field "prepare".
-	Prepare *Prepare `json:"prepare,omitempty,omitzero" yaml:"prepare,omitempty"`
+	Prepare *Prepare `json:"prepare,omitempty,omitzero" yaml:"prepare,omitempty" cbor:"19,keyasint,omitempty"`
 
 	// Queued corresponds to the JSON schema field "queued".
-	Queued *Queued `json:"queued,omitempty,omitzero" yaml:"queued,omitempty"`
+	Queued *Queued `json:"queued,omitempty,omitzero" yaml:"queued,omitempty" cbor:"17,keyasint,omitempty"`
 
 	// Refusal corresponds to the JSON schema field "refusal".
-	Refusal *Refusal `json:"refusal,omitempty,omitzero" yaml:"refusal,omitempty"`
+	Refusal *Refusal `json:"refusal,omitempty,omitzero" yaml:"refusal,omitempty" cbor:"10,keyasint,omitempty"`
 
 	// Release corresponds to the JSON schema field "release".
-	Release *Release `json:"release,omitempty,omitzero" yaml:"release,omitempty"`
+	Release *Release `json:"release,omitempty,omitzero" yaml:"release,omitempty" cbor:"18,keyasint,omitempty"`
 
 	// Report corresponds to the JSON schema field "report".
-	Report *Report `json:"report,omitempty,omitzero" yaml:"report,omitempty"`
+	Report *Report `json:"report,omitempty,omitzero" yaml:"report,omitempty" cbor:"4,keyasint,omitempty"`
 
 	// Reserve corresponds to the JSON schema field "reserve".
-	Reserve *Reserve `json:"reserve,omitempty,omitzero" yaml:"reserve,omitempty"`
+	Reserve *Reserve `json:"reserve,omitempty,omitzero" yaml:"reserve,omitempty" cbor:"15,keyasint,omitempty"`
 
 	// Started corresponds to the JSON schema field "started".
-	Started *Started `json:"started,omitempty,omitzero" yaml:"started,omitempty"`
+	Started *Started `json:"started,omitempty,omitzero" yaml:"started,omitempty" cbor:"20,keyasint,omitempty"`
 
 	// Verdict corresponds to the JSON schema field "verdict".
-	Verdict *Verdict `json:"verdict,omitempty,omitzero" yaml:"verdict,omitempty"`
+	Verdict *Verdict `json:"verdict,omitempty,omitzero" yaml:"verdict,omitempty" cbor:"9,keyasint,omitempty"`
 
 	// Void corresponds to the JSON schema field "void".
-	Void *Void `json:"void,omitempty,omitzero" yaml:"void,omitempty"`
+	Void *Void `json:"void,omitempty,omitzero" yaml:"void,omitempty" cbor:"8,keyasint,omitempty"`
 
 	// Welcome corresponds to the JSON schema field "welcome".
-	Welcome *Welcome `json:"welcome,omitempty,omitzero" yaml:"welcome,omitempty"`
+	Welcome *Welcome `json:"welcome,omitempty,omitzero" yaml:"welcome,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
 // Grant pins the adapter for an attempt until its Release; the entry node may send
 // it now.
 type Grant struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Load corresponds to the JSON schema field "load".
-	Load EngineLoad `json:"load" yaml:"load"`
+	Load EngineLoad `json:"load" yaml:"load" cbor:"3,keyasint"`
 
 	// Version is the adapter's version on the engine.
-	Version int `json:"version" yaml:"version"`
+	Version int `json:"version" yaml:"version" cbor:"2,keyasint,omitempty"`
 }
 
 // Head opens an answer with its status; its sequence is zero.
 type Head struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// ContentType is the answer's media type.
-	ContentType string `json:"content_type" yaml:"content_type"`
+	ContentType string `json:"content_type" yaml:"content_type" cbor:"3,keyasint,omitempty"`
 
 	// Status is the HTTP status.
-	Status int `json:"status" yaml:"status"`
+	Status int `json:"status" yaml:"status" cbor:"2,keyasint,omitempty"`
 }
 
 // Heartbeat proves that the sender is alive and carries watermarks.
 type Heartbeat struct {
 	// ConfigRevision is the newest revision the sender has seen.
-	ConfigRevision int64 `json:"config_revision" yaml:"config_revision"`
+	ConfigRevision int64 `json:"config_revision" yaml:"config_revision" cbor:"1,keyasint,omitempty"`
 
 	// LogTime is the newest time read off the log, in Unix milliseconds.
-	LogTime int64 `json:"log_time" yaml:"log_time"`
+	LogTime int64 `json:"log_time" yaml:"log_time" cbor:"2,keyasint,omitempty"`
 }
 
 // Hello is the first frame of an entry node on a new connection.
 type Hello struct {
 	// Entry names the entry node.
-	Entry string `json:"entry" yaml:"entry"`
+	Entry string `json:"entry" yaml:"entry" cbor:"1,keyasint,omitempty"`
 
 	// EntryBoot identifies the run of the entry node's process.
-	EntryBoot string `json:"entry_boot" yaml:"entry_boot"`
+	EntryBoot string `json:"entry_boot" yaml:"entry_boot" cbor:"2,keyasint,omitempty"`
 
 	// Zone is the entry node's availability zone.
-	Zone string `json:"zone" yaml:"zone"`
+	Zone string `json:"zone" yaml:"zone" cbor:"3,keyasint,omitempty"`
 }
 
 // Holdings describes the adapters and the work of an engine to which entry nodes
 // send requests themselves.
 type Holdings struct {
 	// Load corresponds to the JSON schema field "load".
-	Load EngineLoad `json:"load" yaml:"load"`
+	Load EngineLoad `json:"load" yaml:"load" cbor:"1,keyasint"`
 
 	// Slots lists the occupied slots.
-	Slots []SlotReport `json:"slots" yaml:"slots"`
+	Slots []SlotReport `json:"slots" yaml:"slots" cbor:"2,keyasint,omitempty"`
 }
 
 // Prepare tells the agent what its engine is to hold.
 type Prepare struct {
 	// Born is the run of the engine that has this identity, its start in Unix
 	// milliseconds.
-	Born int64 `json:"born" yaml:"born"`
+	Born int64 `json:"born" yaml:"born" cbor:"4,keyasint,omitempty"`
 
 	// Model is the base model to load where the engine holds none.
-	Model string `json:"model" yaml:"model"`
+	Model string `json:"model" yaml:"model" cbor:"1,keyasint,omitempty"`
 
 	// Server is the engine's identity in the platform's list.
-	Server string `json:"server" yaml:"server"`
+	Server string `json:"server" yaml:"server" cbor:"3,keyasint,omitempty"`
 
 	// Slots is the number of adapters the engine has room for.
-	Slots int `json:"slots" yaml:"slots"`
+	Slots int `json:"slots" yaml:"slots" cbor:"2,keyasint,omitempty"`
 }
 
 // Queued says that an attempt waits at the agent; Grant or Refusal follows.
 type Queued struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Load corresponds to the JSON schema field "load".
-	Load EngineLoad `json:"load" yaml:"load"`
+	Load EngineLoad `json:"load" yaml:"load" cbor:"3,keyasint"`
 
 	// Reason is a short stable word.
-	Reason string `json:"reason" yaml:"reason"`
+	Reason string `json:"reason" yaml:"reason" cbor:"2,keyasint,omitempty"`
 }
 
 // Refusal says that the attempt has not run and will not run.
 type Refusal struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Reason is a short stable word.
-	Reason string `json:"reason" yaml:"reason"`
+	Reason string `json:"reason" yaml:"reason" cbor:"2,keyasint,omitempty"`
 
 	// RetryAfter tells when to come back, in milliseconds.
-	RetryAfter int64 `json:"retry_after" yaml:"retry_after"`
+	RetryAfter int64 `json:"retry_after" yaml:"retry_after" cbor:"3,keyasint,omitempty"`
 }
 
 // Release ends an attempt that was granted or waits.
 type Release struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Ending tells how it ended at the engine.
-	Ending ReleaseEnding `json:"ending" yaml:"ending"`
+	Ending ReleaseEnding `json:"ending" yaml:"ending" cbor:"3,keyasint,omitempty"`
 
 	// Pause is the longest pause between events of a whole stream, in milliseconds.
-	Pause int64 `json:"pause" yaml:"pause"`
+	Pause int64 `json:"pause" yaml:"pause" cbor:"2,keyasint,omitempty"`
 }
 
 type ReleaseEnding string
@@ -335,113 +335,110 @@
 // Report describes the agent's slots and load.
 type Report struct {
 	// BatchFilledMs is the time of batch places in use, in milliseconds.
-	BatchFilledMs int64 `json:"batch_filled_ms" yaml:"batch_filled_ms"`
+	BatchFilledMs int64 `json:"batch_filled_ms" yaml:"batch_filled_ms" cbor:"7,keyasint,omitempty"`
 
 	// BatchOfferedMs is the time of all batch places while there was work, in
 	// milliseconds.
-	BatchOfferedMs int64 `json:"batch_offered_ms" yaml:"batch_offered_ms"`
+	BatchOfferedMs int64 `json:"batch_offered_ms" yaml:"batch_offered_ms" cbor:"8,keyasint,omitempty"`
 
 	// Leaving is true once the backend server takes no new work.
-	Leaving bool `json:"leaving" yaml:"leaving"`
+	Leaving bool `json:"leaving" yaml:"leaving" cbor:"2,keyasint,omitempty"`
 
 	// LoadStallMs is the time requests of this boot waited for loads, in
 	// milliseconds.
-	LoadStallMs int64 `json:"load_stall_ms" yaml:"load_stall_ms"`
+	LoadStallMs int64 `json:"load_stall_ms" yaml:"load_stall_ms" cbor:"6,keyasint,omitempty"`
 
 	// Loads counts the load orders of this boot.
-	Loads int64 `json:"loads" yaml:"loads"`
+	Loads int64 `json:"loads" yaml:"loads" cbor:"9,keyasint,omitempty"`
 
 	// Received counts the dispatches that arrived on this connection.
-	Received uint64 `json:"received" yaml:"received"`
+	Received uint64 `json:"received" yaml:"received" cbor:"5,keyasint,omitempty"`
 
 	// Running counts requests on the engine.
-	Running int `json:"running" yaml:"running"`
+	Running int `json:"running" yaml:"running" cbor:"3,keyasint,omitempty"`
 
 	// Sequence orders the reports of one boot.
-	Sequence uint64 `json:"sequence" yaml:"sequence"`
+	Sequence uint64 `json:"sequence" yaml:"sequence" cbor:"1,keyasint,omitempty"`
 
 	// Slots lists the occupied slots.
-	Slots []SlotReport `json:"slots" yaml:"slots"`
+	Slots []SlotReport `json:"slots" yaml:"slots" cbor:"10,keyasint,omitempty"`
 
 	// Waiting counts requests queued at the agent.
-	Waiting int `json:"waiting" yaml:"waiting"`
+	Waiting int `json:"waiting" yaml:"waiting" cbor:"4,keyasint,omitempty"`
 }
 
 // Reserve asks the agent for an adapter and a place on its engine; the entry node
 // sends the request itself.
 type Reserve struct {
 	// Adapter is the adapter's name, empty for the base model alone.
-	Adapter string `json:"adapter" yaml:"adapter"`
+	Adapter string `json:"adapter" yaml:"adapter" cbor:"3,keyasint,omitempty"`
 
 	// Attempt identifies this attempt for ever.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Budget is the time for which the grant is of use, in milliseconds.
-	Budget int64 `json:"budget" yaml:"budget"`
+	Budget int64 `json:"budget" yaml:"budget" cbor:"10,keyasint,omitempty"`
 
 	// Held is true for an attempt that was granted on an earlier connection and still
 	// runs.
-	Held bool `json:"held" yaml:"held"`
+	Held bool `json:"held" yaml:"held" cbor:"11,keyasint,omitempty"`
 
 	// Model is the base model.
-	Model string `json:"model" yaml:"model"`
+	Model string `json:"model" yaml:"model" cbor:"2,keyasint,omitempty"`
 
 	// OutputTokens bounds the tokens to produce.
-	OutputTokens int `json:"output_tokens" yaml:"output_tokens"`
+	OutputTokens int `json:"output_tokens" yaml:"output_tokens" cbor:"8,keyasint,omitempty"`
 
 	// PauseMax is the longest pause between events that the caller bears, in
 	// milliseconds, zero for any.
-	PauseMax int64 `json:"pause_max" yaml:"pause_max"`
+	PauseMax int64 `json:"pause_max" yaml:"pause_max" cbor:"9,keyasint,omitempty"`
 
 	// PromptTokens counts the tokens to read.
-	PromptTokens int `json:"prompt_tokens" yaml:"prompt_tokens"`
-
-	// Request identifies the caller's request over all its attempts.
-	Request string `json:"request" yaml:"request"`
+	PromptTokens int `json:"prompt_tokens" yaml:"prompt_tokens" cbor:"7,keyasint,omitempty"`
 
 	// Settled is true once no older version may be used.
-	Settled bool `json:"settled" yaml:"settled"`
+	Settled bool `json:"settled" yaml:"settled" cbor:"5,keyasint,omitempty"`
 
 	// Urgency orders requests; higher runs first.
-	Urgency int `json:"urgency" yaml:"urgency"`
+	Urgency int `json:"urgency" yaml:"urgency" cbor:"6,keyasint,omitempty"`
 
 	// Version is the newest version announced, zero where none was.
-	Version int `json:"version" yaml:"version"`
+	Version int `json:"version" yaml:"version" cbor:"4,keyasint,omitempty"`
 }
 
 // SlotReport describes one occupied slot.
 type SlotReport struct {
 	// Adapter is the adapter's name.
-	Adapter string `json:"adapter" yaml:"adapter"`
+	Adapter string `json:"adapter" yaml:"adapter" cbor:"1,keyasint,omitempty"`
 
 	// Pins counts requests that hold the slot.
-	Pins int `json:"pins" yaml:"pins"`
+	Pins int `json:"pins" yaml:"pins" cbor:"4,keyasint,omitempty"`
 
 	// State is the slot's state.
-	State string `json:"state" yaml:"state"`
+	State string `json:"state" yaml:"state" cbor:"3,keyasint,omitempty"`
 
 	// Version is the adapter's version.
-	Version int `json:"version" yaml:"version"`
+	Version int `json:"version" yaml:"version" cbor:"2,keyasint,omitempty"`
 
 	// Waiting counts requests that wait for the load.
-	Waiting int `json:"waiting" yaml:"waiting"`
+	Waiting int `json:"waiting" yaml:"waiting" cbor:"5,keyasint,omitempty"`
 }
 
 // Started says that the engine has read the prompt of an attempt: its first event
 // has come.
 type Started struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 }
 
 // Verdict answers Void and Credit with Replay for attempts that have no frames to
 // send.
 type Verdict struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Outcome is what the agent knows of the attempt.
-	Outcome VerdictOutcome `json:"outcome" yaml:"outcome"`
+	Outcome VerdictOutcome `json:"outcome" yaml:"outcome" cbor:"2,keyasint,omitempty"`
 }
 
 type VerdictOutcome string
@@ -454,41 +451,41 @@
 // Void asks the agent to make sure that an attempt never runs.
 type Void struct {
 	// Attempt identifies the attempt.
-	Attempt string `json:"attempt" yaml:"attempt"`
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
 	// Boot is the agent boot the attempt was addressed to.
-	Boot string `json:"boot" yaml:"boot"`
+	Boot string `json:"boot" yaml:"boot" cbor:"2,keyasint,omitempty"`
 
 	// ClaimedAt is the log time of the claim in Unix milliseconds.
-	ClaimedAt int64 `json:"claimed_at" yaml:"claimed_at"`
+	ClaimedAt int64 `json:"claimed_at" yaml:"claimed_at" cbor:"3,keyasint,omitempty"`
 }
 
 // Welcome is the agent's answer to Hello and describes its backend server.
 type Welcome struct {
 	// BatchPlaces is the number of requests the engine runs together.
-	BatchPlaces int `json:"batch_places" yaml:"batch_places"`
+	BatchPlaces int `json:"batch_places" yaml:"batch_places" cbor:"8,keyasint,omitempty"`
 
 	// Boot identifies the run of the agent's process.
-	Boot string `json:"boot" yaml:"boot"`
+	Boot string `json:"boot" yaml:"boot" cbor:"2,keyasint,omitempty"`
 
 	// Model is the base model, empty for a plain service.
-	Model string `json:"model" yaml:"model"`
+	Model string `json:"model" yaml:"model" cbor:"5,keyasint,omitempty"`
 
 	// Region holds the zone.
-	Region string `json:"region" yaml:"region"`
+	Region string `json:"region" yaml:"region" cbor:"4,keyasint,omitempty"`
 
 	// Resumes tells whether the engine continues a stream from a given text.
-	Resumes bool `json:"resumes" yaml:"resumes"`
+	Resumes bool `json:"resumes" yaml:"resumes" cbor:"9,keyasint,omitempty"`
 
 	// Runner names the backend server.
-	Runner string `json:"runner" yaml:"runner"`
+	Runner string `json:"runner" yaml:"runner" cbor:"1,keyasint,omitempty"`
 
 	// Services lists the plain services the backend server offers.
-	Services []string `json:"services" yaml:"services"`
+	Services []string `json:"services" yaml:"services" cbor:"6,keyasint,omitempty"`
 
 	// Slots is the number of adapter slots.
-	Slots int `json:"slots" yaml:"slots"`
+	Slots int `json:"slots" yaml:"slots" cbor:"7,keyasint,omitempty"`
 
 	// Zone is the availability zone.
-	Zone string `json:"zone" yaml:"zone"`
+	Zone string `json:"zone" yaml:"zone" cbor:"3,keyasint,omitempty"`
 }
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -41,7 +41,7 @@
 	_, settled := rq.no.be.version(rq.call.keyOf(), rq.no.settleTime(), time.Now())
 	budget := spread.Patience(time.Until(rq.until))
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
-		Attempt: at.id, Request: rq.call.ID, Model: rq.call.Model, Adapter: rq.call.Adapter, Version: at.version, Settled: settled,
+		Attempt: at.id, Model: rq.call.Model, Adapter: rq.call.Adapter, Version: at.version, Settled: settled,
 		Urgency: urgencyMax - rq.ro.Rank, PromptTokens: rq.call.PromptTokens, OutputTokens: rq.call.OutputTokens,
 		PauseMax: rq.ro.PauseMax.Milliseconds(), Budget: budget.Milliseconds(),
 	})
