Let callers come back later while the log is away and nobody knows the routes

Ruled out: peers (all of them restarted), records (none can be read). Change: a node without routes whose log does not answer names 3 s instead of 1.5 s. Test: TestDirectTellsCallersToComeBackLaterWhileNobodyKnowsTheRoutes fails without it.

--- a/entry/direct/beliefs.go
+++ b/entry/direct/beliefs.go
@@ -21,6 +21,8 @@
 // beliefs is what a node has read of the log.
 type beliefs struct {
 	table atomic.Pointer[paths.Table]
+	// away is true while the log of routes does not answer.
+	away atomic.Bool
 
 	mu       sync.Mutex
 	versions map[grant.Key]announced
--- a/entry/direct/carry.go
+++ b/entry/direct/carry.go
@@ -17,6 +17,9 @@
 	// notReadyWait is when to come back to a node, or a service, that is about to be
 	// ready: a read of the log and the load of a base model take about this long.
 	notReadyWait = 1500 * time.Millisecond
+	// logAwayWait is when to come back to a node that knows no routes while the log does
+	// not answer: its outages last several seconds, and callers come back once.
+	logAwayWait = 3 * time.Second
 	// refusedWait is when to come back after a refusal for which nothing better is known.
 	refusedWait = 400 * time.Millisecond
 )
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -86,7 +86,10 @@
 		fo.no.lg.Warn().Str("dependency", "log").Str("topic", fo.to.String()).Int64("offset", fo.next).
 			Str("error", err.Error()).Msg("dependency_lost")
 	}
-	if fo.to == Servers {
+	switch fo.to {
+	case Operators:
+		fo.no.be.away.Store(true)
+	case Servers:
 		fo.no.be.roster(func(ro *roster.Roster) { ro.Disturbed() })
 	}
 	if fo.fails >= peersAfter && !fo.no.be.ready() {
@@ -103,7 +106,10 @@
 	}
 	fo.lost = false
 	fo.fails = 0
-	if fo.to == Servers {
+	switch fo.to {
+	case Operators:
+		fo.no.be.away.Store(false)
+	case Servers:
 		now := time.Now()
 		fo.no.be.roster(func(ro *roster.Roster) {
 			ro.Undisturbed(now)
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -78,7 +78,7 @@
 	rq.call = call
 	ta := no.be.table.Load()
 	if ta == nil {
-		return fault.New(fault.NotReady, "the node has not read the routes yet", "send the request again").WithRetryAfter(notReadyWait)
+		return no.notReady()
 	}
 	rq.method, rq.target, rq.host, rq.header = hr.Method, hr.RequestURI, hr.Host, hr.Header
 	rq.table = ta.Version
@@ -97,6 +97,14 @@
 	return rq.readBody(hr, ta.Limits.BodyBytes)
 }
 
+// notReady returns the error of a node that knows no routes.
+func (no *Node) notReady() error {
+	if no.be.away.Load() {
+		return fault.New(fault.NotReady, "the log of routes does not answer", "send the request again").WithRetryAfter(logAwayWait)
+	}
+	return fault.New(fault.NotReady, "the node has not read the routes yet", "send the request again").WithRetryAfter(notReadyWait)
+}
+
 // wait returns the time within which the caller must be answered.
 func (rq *request) wait() time.Duration {
 	wait := waitDefault
--- a/proofs/direct_test.go
+++ b/proofs/direct_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -345,6 +346,29 @@
 	})
 }
 
+// The load: every host loses power while the log is away, and callers come back once.
+func TestDirectTellsCallersToComeBackLaterWhileNobodyKnowsTheRoutes(t *testing.T) {
+	inDirectWorld(t, 1, 0, func(t *testing.T, dw *directWorld, _ *directCaller) {
+		last := len(dw.apps) - 1
+		_ = dw.apps[last].Stop(t.Context())
+		dw.apps = dw.apps[:last]
+		dw.source.setDown(true)
+		dw.startEntry("entry-2")
+		cl := dw.newCaller("entry-2")
+		defer cl.client.CloseIdleConnections()
+		re := cl.send(t.Context(), http.MethodPost, "/safe/x", "", "")
+		after, err := strconv.ParseFloat(re.header.Get("Retry-After"), 64)
+		if re.status != http.StatusServiceUnavailable || err != nil || after < 3 || after > 5 {
+			t.Errorf("answered %d, Retry-After %q", re.status, re.header.Get("Retry-After"))
+		}
+		dw.source.setDown(false)
+		time.Sleep(time.Duration(after * float64(time.Second)))
+		if re := cl.send(t.Context(), http.MethodPost, "/safe/x", "", ""); re.status != http.StatusOK {
+			t.Errorf("answered %+v to one who came back", re)
+		}
+	})
+}
+
 func TestDirectRoutesNeverGoBack(t *testing.T) {
 	inDirectWorld(t, 1, 0, func(t *testing.T, dw *directWorld, cl *directCaller) {
 		next := directTable(5)
