--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -80,13 +80,8 @@
 	if !en.holdsModel(it.Key.Model) {
 		return ReasonModel
 	}
-	if it.Key.Adapter != "" {
-		version, ok := en.loaded[it.Key]
-		_, coming := en.coming[it.Key]
-		ordered := en.order != nil && en.order.Key == it.Key
-		if !ok || coming || ordered || en.doubtful[it.Key] || version < it.Version && (it.Settled || en.pins(it.Key) == 0) {
-			return ReasonAdapter
-		}
+	if it.Key.Adapter != "" && !en.adapterReady(it) {
+		return ReasonAdapter
 	}
 	if len(en.held) > 0 && en.ob.MemoryTotal > 0 && en.memoryFree() < it.PromptTokens+it.OutputTokens {
 		return ReasonMemory
@@ -97,6 +92,18 @@
 	return ""
 }
 
+// adapterReady tells whether a request's adapter is loaded and stays so, in a version that
+// the request may run on.
+func (en *Engine) adapterReady(it *Item) bool {
+	version, ok := en.loaded[it.Key]
+	_, coming := en.coming[it.Key]
+	ordered := en.order != nil && en.order.Key == it.Key
+	if !ok || coming || ordered || en.doubtful[it.Key] {
+		return false
+	}
+	return version >= it.Version || !it.Settled && en.pins(it.Key) > 0
+}
+
 // holdsModel tells whether the engine holds a base model.
 func (en *Engine) holdsModel(model string) bool {
 	return slices.ContainsFunc(en.ob.Models, func(mo Model) bool { return mo.Name == model })
