Send long prompts to engines whose streams they do not hold up

Change: an agent tells the burst its engine bears; a longer prompt adds a price for each stream there, bounded below the price of a fetch, so that it decides among the engines that have the adapter. Test: TestALongPromptGoesWhereItHoldsNoStreamsUp.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -34,6 +34,11 @@
 	busySeconds = 0.02
 	// faultSeconds is the cost of a server whose requests all fail.
 	faultSeconds = 0.6
+	// pauseSeconds is the price of a stream held up by a prompt that the engine reads for
+	// longer than callers bear, pausesSeconds the most for all streams of an engine: less
+	// than a fetch.
+	pauseSeconds  = 0.1
+	pausesSeconds = 0.5
 	// againSeconds is the cost of a server that has failed the same request.
 	againSeconds = 1.0
 	// waitingSeconds is the wait that each request queued at the agent adds to a load.
@@ -176,6 +181,9 @@
 	me.stall(&es, rq, home)
 	es.queue = me.queueCost(rq, now)
 	es.wait += es.queue
+	if me.load.BurstMax > 0 && rq.PromptTokens > me.load.BurstMax {
+		es.price += min(pausesSeconds, pauseSeconds*float64(me.load.Running))
+	}
 	return es
 }
 
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// The load: long prompts among streams on engines of which some read slowly.
+func TestALongPromptGoesWhereItHoldsNoStreamsUp(t *testing.T) {
+	for name, tc := range map[string]struct {
+		tokens int
+		both   bool
+		want   string
+	}{
+		"a long prompt, both hold the adapter":  {6000, true, "fast"},
+		"a short prompt, both hold the adapter": {1000, true, "slow"},
+		"a long prompt is worth no fetch":       {6000, false, "slow"},
+	} {
+		fl := fleetOf("fast", "slow")
+		fl.Put(Server{ID: "fast", Service: "advice", Zone: "z2", Region: "r1", Engine: true, Model: "m", Born: 1})
+		held := []Hold{{Adapter: "x", Version: 1, Ready: true}}
+		if tc.both {
+			tell(fl, "fast", held...)
+		}
+		fl.Told("slow", Load{Load: grant.Load{
+			Known: true, Model: "m", Slots: 2, MemoryFree: 100_000, Running: 8, BurstMax: 4300,
+		}, At: start}, held)
+		rq := ask("x")
+		rq.PromptTokens = tc.tokens
+		if ch := chosen(t, fl, rq, start); ch.ID != tc.want {
+			t.Errorf("%s: chose %+v", name, ch)
+		}
+	}
+}
+
 func TestAnEngineThatRestartedHasNoCopies(t *testing.T) {
 	fl := fleetOf("e1")
 	tell(fl, "e1", Hold{Adapter: "x", Version: 1, Ready: true})
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -122,6 +122,10 @@
 	// Born identifies the run of the engine: its start in Unix milliseconds.
 	Born int64 `json:"born" yaml:"born" cbor:"3,keyasint,omitempty"`
 
+	// BurstMax is the prompt tokens that the engine reads without holding its streams
+	// up for too long, zero for no bound.
+	BurstMax int `json:"burst_max" yaml:"burst_max" cbor:"13,keyasint,omitempty"`
+
 	// Draining is true once the engine itself leaves.
 	Draining bool `json:"draining" yaml:"draining" cbor:"12,keyasint,omitempty"`
 
