--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -232,7 +232,8 @@
 	return grant.Item{
 		Attempt: re.Attempt, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
 		Version: re.Version, Settled: re.Settled, Urgency: re.Urgency, PromptTokens: re.PromptTokens,
-		OutputTokens: re.OutputTokens, PauseMax: time.Duration(re.PauseMax) * time.Millisecond, Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
+		OutputTokens: re.OutputTokens, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
+		Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
 }
 
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -22,8 +22,8 @@
 	queueMax = 512
 	// popularityHalfLife is the time in which the weight of a past request halves.
 	popularityHalfLife = 15 * time.Second
-	// recentMax is the number of adapters an engine's host keeps at hand.
-	recentMax = 36
+	// RecentMax is the number of adapters an engine's host keeps at hand.
+	RecentMax = 36
 	// lostMax is how long an order without an answer may still be carried out.
 	lostMax = 13 * time.Second
 	// orphanMax is how long a grant outlives the connection of its entry node.
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -308,7 +308,7 @@
 func (en *Engine) remember(ke Key) {
 	en.recent = slices.DeleteFunc(en.recent, func(other Key) bool { return other == ke })
 	en.recent = append(en.recent, ke)
-	if len(en.recent) > recentMax {
+	if len(en.recent) > RecentMax {
 		en.recent = en.recent[1:]
 	}
 }
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// Abandoned records that a request was taken from a server without a sign of life. That
-// nothing is under way there any more is none.
+// Abandoned records that a request was taken from a server without a sign of life. The
+// server rests, as its silence shows no longer once nothing is under way there.
 func (fl *Fleet) Abandoned(id string, now time.Time) {
 	if me := fl.members[id]; me != nil {
 		me.quietTill = now.Add(quietRest)
--- a/core/spread/recent.go
+++ b/core/spread/recent.go
@@ -1,9 +1,10 @@
 package spread
 
-import "slices"
+import (
+	"slices"
 
-// recentMax is the number of adapters that an engine's host keeps at hand.
-const recentMax = 36
+	"github.com/bambooladder/bambooladder/core/grant"
+)
 
 // version is an adapter version.
 type version struct {
@@ -23,8 +24,8 @@
 		re.list = slices.Delete(re.list, ix, ix+1)
 	}
 	re.list = append(re.list, ve)
-	if len(re.list) > recentMax {
-		re.list = slices.Delete(re.list, 0, len(re.list)-recentMax)
+	if len(re.list) > grant.RecentMax {
+		re.list = slices.Delete(re.list, 0, len(re.list)-grant.RecentMax)
 	}
 }
 
