Let one entry node of each availability zone read the log for the others

Each also decoded the records of all 126 servers every 1.8 s. Agents reported to entry nodes of other regions every 0.3 s, which was most of the bytes between regions.

Ruled out: the configured peers as readers (three addresses, which may be stale), a group of the log's own (a call a node and period, and no help to a node that the log turns away), relaying along chains (ages add up, loops).

Change: agents tell the entry nodes of their zone which of them are connected. The nodes choose the one with the lowest name, connect to it, and get what each of its reads returned, without records that change only adapters. A node to which nothing was forwarded within the limits that held before reads itself, so a lost, frozen or cut-off reader costs calls and no knowledge. A reader that fails is avoided for 3 to 24 s; a working one is kept until the next has forwarded a read. Agents report to other regions once a second. The decisions are in core/reader.

Tests: with the choice of a reader switched off, TestDirectOneNodeReadsTheLogForItsZone counts 155 reads of 5 nodes in 20 s, limit 64, and TestDirectNodesSurviveTheOneThatReads counts 124. Two finds of the tests on the way: a reader refused by the log was tried again every 3 s, and dropping a working reader for it made all nodes read.

--- a/agent/direct/actions.go
+++ b/agent/direct/actions.go
@@ -82,11 +82,7 @@
 	if !se.holdingsStale {
 		return time.Time{}
 	}
-	period := otherZonePeriod
-	if se.sameZone {
-		period = sameZonePeriod
-	}
-	if due := se.holdingsSentAt.Add(period); now.Before(due) {
+	if due := se.holdingsSentAt.Add(se.holdingsPeriod); now.Before(due) {
 		return due
 	}
 	if se.co.TrySend(&wire.Frame{Holdings: &wire.Holdings{Load: br.engineLoad(), Slots: br.slotReports()}}) {
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -7,19 +7,12 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/grant"
-	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
 const (
 	// eventQueueMax is the number of events that may wait for the broker.
 	eventQueueMax = 1024
-	// sameZonePeriod is the shortest time between two Holdings frames to an entry node in the same
-	// zone.
-	sameZonePeriod = 100 * time.Millisecond
-	// otherZonePeriod is the same for entry nodes in other zones. It is longer because traffic
-	// between zones is billed by volume.
-	otherZonePeriod = 300 * time.Millisecond
 	// refusalSendTime is how long a drain waits for the last refusals to be sent.
 	refusalSendTime = 100 * time.Millisecond
 )
@@ -33,19 +26,6 @@
 	Order(ctx context.Context, or grant.Order) grant.Result
 }
 
-// session is the connection of one entry node.
-type session struct {
-	co *link.Conn
-	// name is the entry node's name followed by its boot ID.
-	name string
-	// sameZone is true if the entry node is in the agent's zone.
-	sameZone bool
-	// holdingsSentAt is when the last Holdings frame was sent; holdingsStale is true if the engine's
-	// state may have changed since.
-	holdingsSentAt time.Time
-	holdingsStale  bool
-}
-
 // event is an input to the broker; exactly one field is set.
 type event struct {
 	sessionOpened  *session
@@ -141,14 +121,16 @@
 	}
 }
 
-// nextWake ends a round of the broker: it sends the Holdings frames that are due, publishes the metrics
+// nextWake ends a round of the broker: it sends the Holdings and Peers frames that are due, publishes the metrics
 // and returns the time until the broker has work again if no event comes.
 func (br *Broker) nextWake() time.Duration {
 	now := time.Now()
 	nextWake := br.en.NextAt(now)
 	for _, se := range br.sessions {
-		if at := br.sendHoldings(se, now); !at.IsZero() && at.Before(nextWake) {
-			nextWake = at
+		for _, at := range [...]time.Time{br.sendHoldings(se, now), br.sendPeers(se, now)} {
+			if !at.IsZero() && at.Before(nextWake) {
+				nextWake = at
+			}
 		}
 	}
 	br.publishMetrics()
@@ -162,10 +144,12 @@
 	switch {
 	case ev.sessionOpened != nil:
 		br.sessions[ev.sessionOpened.name] = ev.sessionOpened
+		br.markPeersStale()
 		br.markHoldingsStale()
 	case ev.sessionClosed != nil:
 		if br.sessions[ev.sessionClosed.name] == ev.sessionClosed {
 			delete(br.sessions, ev.sessionClosed.name)
+			br.markPeersStale()
 			br.en.EntryDisconnected(ev.sessionClosed.name, now)
 		}
 	case ev.frameReceived != nil:
--- a/agent/direct/link.go
+++ b/agent/direct/link.go
@@ -26,7 +26,7 @@
 		ag.lg.Warn().Str("error", err.Error()).Msg("link_hello_failed")
 		return
 	}
-	se := &session{co: co, name: hello.Entry + "/" + hello.EntryBoot, sameZone: hello.Zone == ag.op.Settings.Place.Zone}
+	se := newSession(co, hello, &ag.op.Settings.Place)
 	ag.lg.Info().Str("dependency", "entry").Str("entry", hello.Entry).Str("entry_boot", hello.EntryBoot).Msg("dependency_regained")
 	ag.br.postEvent(ag.ctx, event{sessionOpened: se})
 	err = co.Run(ag.ctx, &frameReceiver{ag: ag, se: se})
--- /dev/null
+++ b/agent/direct/session.go
@@ -0,0 +1,96 @@
+package direct
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/link"
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+const (
+	// sameZonePeriod is the shortest time between two Holdings frames to an entry node in the same
+	// zone.
+	sameZonePeriod = 100 * time.Millisecond
+	// otherZonePeriod and otherRegionPeriod are the same for entry nodes further away. They are
+	// longer because traffic between zones and regions is billed by volume.
+	otherZonePeriod   = 300 * time.Millisecond
+	otherRegionPeriod = time.Second
+	// peersDelay is how long a change of the connected entry nodes is held back, so that those
+	// which connect at the same time are reported together.
+	peersDelay = 300 * time.Millisecond
+)
+
+// session is the connection of one entry node.
+type session struct {
+	co *link.Conn
+	// name is the entry node's name followed by its boot ID.
+	name string
+	// peer is how other entry nodes reach the entry node.
+	peer wire.Peer
+	// sameZone is true if the entry node is in the agent's zone.
+	sameZone bool
+	// holdingsPeriod is the shortest time between two Holdings frames.
+	holdingsPeriod time.Duration
+	// holdingsSentAt is when the last Holdings frame was sent; holdingsStale is true if the engine's
+	// state may have changed since.
+	holdingsSentAt time.Time
+	holdingsStale  bool
+	// peersDueAt is when the next Peers frame is due, the zero time if none is.
+	peersDueAt time.Time
+}
+
+// newSession returns the session of an entry node that sent hello to the agent at a place.
+func newSession(co *link.Conn, hello *wire.Hello, place *conf.Place) *session {
+	se := &session{
+		co: co, name: hello.Entry + "/" + hello.EntryBoot, peer: wire.Peer{Name: hello.Entry, Address: hello.PeerAddress},
+		sameZone: hello.Zone == place.Zone, holdingsPeriod: otherZonePeriod,
+	}
+	switch {
+	case se.sameZone:
+		se.holdingsPeriod = sameZonePeriod
+	case hello.Region != "" && hello.Region != place.Region:
+		se.holdingsPeriod = otherRegionPeriod
+	}
+	return se
+}
+
+// markPeersStale makes every entry node of the zone get a new Peers frame.
+func (br *Broker) markPeersStale() {
+	due := time.Now().Add(peersDelay)
+	for _, se := range br.sessions {
+		if se.sameZone && se.peersDueAt.IsZero() {
+			se.peersDueAt = due
+		}
+	}
+}
+
+// sendPeers sends the connected entry nodes of the zone to one of them if that is due. It returns
+// when to try again, or the zero time if there is nothing left to send.
+func (br *Broker) sendPeers(se *session, now time.Time) time.Time {
+	if se.peersDueAt.IsZero() || now.Before(se.peersDueAt) {
+		return se.peersDueAt
+	}
+	if !se.co.TrySend(&wire.Frame{Peers: &wire.Peers{Entries: br.zonePeers()}}) {
+		return now.Add(sameZonePeriod)
+	}
+	se.peersDueAt = time.Time{}
+	return se.peersDueAt
+}
+
+// zonePeers returns the connected entry nodes of the agent's zone that others can reach, sorted by
+// name and address.
+func (br *Broker) zonePeers() []wire.Peer {
+	peers := make([]wire.Peer, 0, len(br.sessions))
+	for _, se := range br.sessions {
+		if se.sameZone && se.peer.Address != "" {
+			peers = append(peers, se.peer)
+		}
+	}
+	slices.SortFunc(peers, func(aa, bb wire.Peer) int {
+		return strings.Compare(aa.Name+" "+aa.Address, bb.Name+" "+bb.Address)
+	})
+	return peers
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -80,6 +80,14 @@
 	return true
 }
 
+// Changes reports whether a record says anything new about a server, its adapters aside. Agents
+// report the adapters of their engines sooner than the records do.
+func (ro *Roster) Changes(se Server) bool {
+	ts := ro.servers[se.ID]
+	return ts == nil || !ts.missingSince.IsZero() || ts.Service != se.Service || ts.Address != se.Address || ts.Zone != se.Zone ||
+		ts.Places != se.Places || ts.Leaving != se.Leaving || ts.Born != se.Born || ts.Model != se.Model
+}
+
 // Remove handles the removal of a server's record at the given log offset. The server is
 // dropped now, or by a later Expire if the log is or was recently unreadable.
 func (ro *Roster) Remove(id string, offset int64, now time.Time) {
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -195,6 +195,12 @@
 	// Holdings corresponds to the JSON schema field "holdings".
 	Holdings *Holdings `json:"holdings,omitempty,omitzero" yaml:"holdings,omitempty" cbor:"14,keyasint,omitempty"`
 
+	// LogBatch corresponds to the JSON schema field "log_batch".
+	LogBatch *LogBatch `json:"log_batch,omitempty,omitzero" yaml:"log_batch,omitempty" cbor:"22,keyasint,omitempty"`
+
+	// Peers corresponds to the JSON schema field "peers".
+	Peers *Peers `json:"peers,omitempty,omitzero" yaml:"peers,omitempty" cbor:"21,keyasint,omitempty"`
+
 	// Prepare corresponds to the JSON schema field "prepare".
 	Prepare *Prepare `json:"prepare,omitempty,omitzero" yaml:"prepare,omitempty" cbor:"19,keyasint,omitempty"`
 
@@ -272,6 +278,13 @@
 	// restart.
 	EntryBoot string `json:"entry_boot" yaml:"entry_boot" cbor:"2,keyasint,omitempty"`
 
+	// PeerAddress is where other entry nodes reach this one, as IP:port; empty if
+	// they cannot.
+	PeerAddress string `json:"peer_address" yaml:"peer_address" cbor:"5,keyasint,omitempty"`
+
+	// Region is the region of the zone, empty if the entry node does not tell it.
+	Region string `json:"region" yaml:"region" cbor:"4,keyasint,omitempty"`
+
 	// Zone is the entry node's availability zone.
 	Zone string `json:"zone" yaml:"zone" cbor:"3,keyasint,omitempty"`
 }
@@ -286,6 +299,47 @@
 	Slots []SlotReport `json:"slots" yaml:"slots" cbor:"2,keyasint,omitempty"`
 }
 
+// LogBatch carries what one read of the platform's log returned from the entry
+// node that read it to another one. A batch without records shows that there was
+// nothing new.
+type LogBatch struct {
+	// AfterFailure is true if the sender's previous read of the topic failed.
+	AfterFailure bool `json:"after_failure" yaml:"after_failure" cbor:"5,keyasint,omitempty"`
+
+	// End is the offset after the last record read.
+	End int64 `json:"end" yaml:"end" cbor:"3,keyasint,omitempty"`
+
+	// From is the offset from which on the log was read.
+	From int64 `json:"from" yaml:"from" cbor:"2,keyasint,omitempty"`
+
+	// Listing is true if the batch holds the newest record of each key and not the
+	// records from an offset on.
+	Listing bool `json:"listing" yaml:"listing" cbor:"4,keyasint,omitempty"`
+
+	// Records holds the records as CBOR. Records that change nothing that entry nodes
+	// use may be left out.
+	Records []byte `json:"records" yaml:"records" cbor:"6,keyasint,omitempty"`
+
+	// Topic is the name of the topic.
+	Topic string `json:"topic" yaml:"topic" cbor:"1,keyasint,omitempty"`
+}
+
+// Peer is an entry node that is connected to an agent.
+type Peer struct {
+	// Address is where other entry nodes reach it, as IP:port.
+	Address string `json:"address" yaml:"address" cbor:"2,keyasint,omitempty"`
+
+	// Name is the name of the entry node.
+	Name string `json:"name" yaml:"name" cbor:"1,keyasint,omitempty"`
+}
+
+// Peers tells an entry node which entry nodes of its availability zone are
+// connected to the agent, itself included.
+type Peers struct {
+	// Entries lists the entry nodes.
+	Entries []Peer `json:"entries" yaml:"entries" cbor:"1,keyasint,omitempty"`
+}
+
 // Prepare tells the agent which base model its engine must load, with how many
 // adapter slots, and which identity the engine has.
 type Prepare struct {
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -179,8 +179,13 @@
 func (as *agents) dial(ctx context.Context, ho member.Host) (*link.Conn, *wire.Welcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	place := as.no.options.Settings.Place
-	return link.Connect(ctx, as.no.options.Network, ho.Address, &wire.Hello{Entry: place.Name, EntryBoot: as.no.boot, Zone: place.Zone})
+	return link.Connect(ctx, as.no.options.Network, ho.Address, as.no.hello())
+}
+
+// hello returns the frame that introduces the node on a new connection.
+func (no *Node) hello() *wire.Hello {
+	se := &no.options.Settings
+	return &wire.Hello{Entry: se.Place.Name, EntryBoot: no.boot, Zone: se.Place.Zone, Region: se.Place.Region, PeerAddress: se.PeerAddress}
 }
 
 // addConnection registers a new connection and reports to the agent the grants that are still in
@@ -223,6 +228,7 @@
 	}
 	as.mu.Unlock()
 	if current {
+		as.no.feeds.removePeers(host)
 		as.no.recordAgentUnreachable(id)
 	}
 }
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -2,21 +2,26 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/reader"
 	"github.com/bambooladder/bambooladder/core/roster"
 )
 
 const (
-	// longPollFraction is the part of routes_ms for which a read waits for new records. A read
-	// may miss a change, or hang on a dead connection, and the next read must still find the
-	// change in time.
-	longPollFraction = 0.6
-	// serversReadFraction is the part of leave_ms between two reads of the servers' records. A
-	// leaving server must be noticed within leave_ms, and every read is charged for.
-	serversReadFraction = 0.45
+	// routesLimitFraction is the part of routes_ms for which a node may rely on its last read of
+	// the routes. It is also how long a read waits for new records. A read may miss a change, or
+	// hang on a dead connection, and the next read must still find the change in time.
+	routesLimitFraction = 0.6
+	// serversLimitFraction is the part of leave_ms for which a node may rely on its last read of
+	// the servers' records. A leaving server must be noticed within leave_ms.
+	serversLimitFraction = 0.45
+	// sourceLimitFraction is the part of these limits after which a node reads that reads for
+	// others.
+	sourceLimitFraction = 0.55
 	// readTimeout limits a read, in addition to the time that it waits for new records.
 	readTimeout = 1500 * time.Millisecond
 	// firstReadTimeout limits the first and then every second read of the newest records while
@@ -33,35 +38,62 @@
 	failuresBeforePeers = 1
 )
 
-// follower reads one topic continuously.
+// follower keeps the node's knowledge of one topic of the log up to date, by reads of its own and
+// by those that another node forwards.
 type follower struct {
-	no         *Node
-	topic      Topic
+	no       *Node
+	topic    Topic
+	schedule reader.Schedule
+	// roleChanged wakes run after the node's role has changed.
+	roleChanged chan struct{}
+	// failures is the number of failed reads in a row; only run uses it.
+	failures int
+
+	// mu guards the fields below.
+	mu         sync.Mutex
 	nextOffset int64
 	// hasNewest is true once the newest record of each key has been read.
 	hasNewest bool
 	logLost   bool
-	failures  int
-	// gotRecords is true if the last read returned records.
-	gotRecords bool
+	// confirmedAt is when a read last returned all records of the topic.
+	confirmedAt time.Time
+}
+
+// newFollower returns a follower that has read nothing yet.
+func newFollower(no *Node, to Topic) *follower {
+	limit := routesLimitFraction * float64(no.options.Settings.RoutesMs)
+	if to == ServersTopic {
+		limit = serversLimitFraction * float64(no.options.Settings.LeaveMs)
+	}
+	return &follower{
+		no: no, topic: to, roleChanged: make(chan struct{}, 1), schedule: reader.Schedule{
+			Limit:       time.Duration(limit * float64(time.Millisecond)),
+			SourceLimit: time.Duration(sourceLimitFraction * limit * float64(time.Millisecond)),
+		},
+	}
 }
 
-// run reads the topic until the context ends.
+// run reads the topic when a read is due, until the context ends.
 func (fo *follower) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for fo.awaitDue(ctx) {
 		start := time.Now()
-		err := fo.readNext(ctx)
+		rd, err := fo.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			fo.finishRead()
-			fo.sleep(ctx, fo.delayAfterRead(time.Since(start)))
+			rd.afterFailure = fo.failures > 0
+			fo.failures = 0
+			fo.no.feeds.confirmSelf()
+			fo.applyOwnRead(rd)
+			if len(rd.batch.Records) == 0 && time.Since(start) < emptyReadDelay {
+				// A log that lags behind its own records would be read without a pause.
+				fo.sleep(ctx, emptyReadDelay)
+			}
 			continue
 		}
 		if errors.Is(err, ErrExpired) {
-			fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("offset", fo.nextOffset).Msg("log_records_expired")
-			fo.hasNewest = false
+			fo.expire()
 			fo.sleep(ctx, emptyReadDelay)
 			continue
 		}
@@ -69,99 +101,120 @@
 	}
 }
 
-// delayAfterRead returns the delay after a successful read. A read that came back empty
-// without waiting for records, as happens while the log lags behind, is not repeated at once.
-func (fo *follower) delayAfterRead(took time.Duration) time.Duration {
-	switch {
-	case fo.topic == ServersTopic:
-		return time.Duration(serversReadFraction * float64(fo.no.options.Settings.LeaveMs) * float64(time.Millisecond))
-	case !fo.hasNewest || !fo.gotRecords && took < emptyReadDelay:
-		return emptyReadDelay
+// awaitDue waits until the next read of the topic is due, and returns false if the context ended.
+func (fo *follower) awaitDue(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		wait := time.Until(fo.nextRead())
+		if wait <= 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-fo.roleChanged:
+		case <-time.After(wait):
+		}
+	}
+	return false
+}
+
+// nextRead returns when the next read is due. A node that has other nodes to read for, or none to
+// rely on, always has a read of the routes waiting for new records.
+func (fo *follower) nextRead() time.Time {
+	role := fo.no.feeds.currentRole()
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if !fo.hasNewest || fo.topic == OperatorsTopic && role != reader.Subscriber {
+		return time.Time{}
+	}
+	return fo.schedule.NextRead(role, fo.confirmedAt)
+}
+
+// wake makes run compute anew when the next read is due.
+func (fo *follower) wake() {
+	select {
+	case fo.roleChanged <- struct{}{}:
+	default:
 	}
-	return 0
+}
+
+// expire records that the log has dropped the records that are to be read next.
+func (fo *follower) expire() {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("offset", fo.nextOffset).Msg("log_records_expired")
+	fo.hasNewest = false
 }
 
 // recordReadFailure records a failed read, asks the peers if the node is not ready, and waits
 // before the next read.
 func (fo *follower) recordReadFailure(ctx context.Context, err error) {
 	fo.failures++
-	if !fo.logLost {
-		fo.logLost = true
-		fo.no.logger.Warn().Str("dependency", "log").Str("topic", fo.topic.String()).Int64("offset", fo.nextOffset).
-			Str("error", err.Error()).Msg("dependency_lost")
-	}
-	switch fo.topic {
-	case OperatorsTopic:
-		fo.no.view.routesLogDown.Store(true)
-	case ServersTopic:
-		fo.no.view.roster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
-	}
+	fo.markLost(err)
+	fo.no.feeds.avoidSelf()
 	if fo.failures >= failuresBeforePeers && !fo.no.view.ready() {
 		fo.no.fetchFromPeers(ctx)
 	}
 	fo.sleep(ctx, min(maxReadRetryDelay, readRetryStep*time.Duration(fo.failures)))
 }
 
-// finishRead records a successful read. After a read of the servers it also drops those whose
-// records are gone and passes the others to server selection and the agent connections.
-func (fo *follower) finishRead() {
-	if fo.logLost {
-		fo.no.logger.Info().Str("dependency", "log").Str("topic", fo.topic.String()).Int64("offset", fo.nextOffset).
-			Int("failures", fo.failures).Msg("dependency_regained")
+// markLost records that the log cannot be read.
+func (fo *follower) markLost(err error) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if !fo.logLost {
+		fo.logLost = true
+		fo.no.logger.Warn().Str("dependency", "log").Str("topic", fo.topic.String()).Int64("offset", fo.nextOffset).
+			Str("error", err.Error()).Msg("dependency_lost")
 	}
-	fo.logLost = false
-	fo.failures = 0
 	switch fo.topic {
 	case OperatorsTopic:
-		fo.no.view.routesLogDown.Store(false)
+		fo.no.view.routesLogDown.Store(true)
 	case ServersTopic:
-		now := time.Now()
-		fo.no.view.roster(func(ro *roster.Roster) {
-			ro.MarkLogReadable(now)
-			ro.Expire(now)
-		})
-		fo.no.syncServers(now)
+		fo.no.view.roster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
 	}
 }
 
 // sleep waits for a period or until the context ends.
 func (fo *follower) sleep(ctx context.Context, period time.Duration) {
-	if period <= 0 {
-		return
-	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(period):
 	}
 }
 
-// readNext reads the next records of the topic.
-func (fo *follower) readNext(ctx context.Context) error {
-	if !fo.hasNewest {
-		return fo.readNewest(ctx)
+// read reads the next records of the topic, or the newest record of each key if it has not done
+// so yet.
+func (fo *follower) read(ctx context.Context) (logRead, error) {
+	fo.mu.Lock()
+	rd := logRead{from: fo.nextOffset, listing: !fo.hasNewest}
+	fo.mu.Unlock()
+	metricLogReads.Add(1)
+	if rd.listing {
+		return fo.readNewest(ctx, rd)
 	}
 	maxWait := fo.maxWait()
 	ctx, cancel := context.WithTimeout(ctx, maxWait+readTimeout)
 	defer cancel()
-	ba, err := fo.no.options.LogReader.After(ctx, fo.topic, fo.nextOffset, maxWait)
-	if err != nil {
-		return err
-	}
-	fo.gotRecords = len(ba.Records) > 0
-	fo.applyBatch(ba, false)
-	return nil
+	ba, err := fo.no.options.LogReader.After(ctx, fo.topic, rd.from, maxWait)
+	rd.batch = ba
+	return rd, err
 }
 
 // maxWait returns how long the next read waits for new records.
 func (fo *follower) maxWait() time.Duration {
-	if fo.topic == ServersTopic {
+	switch {
+	case fo.topic == ServersTopic:
+		return 0
+	case fo.no.feeds.currentRole() == reader.Source:
+		return fo.schedule.SourceLimit
+	case fo.no.feeds.currentRole() == reader.Subscriber:
 		return 0
 	}
-	return time.Duration(longPollFraction * float64(fo.no.options.Settings.RoutesMs) * float64(time.Millisecond))
+	return fo.schedule.Limit
 }
 
 // readNewest reads the newest record of each key.
-func (fo *follower) readNewest(ctx context.Context) error {
+func (fo *follower) readNewest(ctx context.Context, rd logRead) (logRead, error) {
 	timeout := readTimeout
 	if !fo.no.view.ready() && fo.failures%2 == 0 {
 		timeout = firstReadTimeout
@@ -169,41 +222,6 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	ba, err := fo.no.options.LogReader.ReadNewest(ctx, fo.topic)
-	if err != nil {
-		return err
-	}
-	first := fo.nextOffset == 0
-	if ba.End >= fo.nextOffset {
-		fo.hasNewest = true
-		fo.removeMissing(ba)
-	}
-	fo.applyBatch(ba, first)
-	if fo.topic == ServersTopic {
-		fo.no.view.setServersListed()
-	}
-	return nil
-}
-
-// removeMissing removes the servers that the newest records do not contain.
-func (fo *follower) removeMissing(ba LogBatch) {
-	if fo.topic != ServersTopic {
-		return
-	}
-	present := map[string]bool{}
-	for _, lr := range ba.Records {
-		if lr.Server != nil {
-			present[lr.Server.ID] = true
-		}
-	}
-	fo.no.view.roster(func(ro *roster.Roster) { ro.ApplyListing(present, ba.End, time.Now()) })
-}
-
-// applyBatch applies the records of a batch. Records that are older than those already read
-// have no effect.
-func (fo *follower) applyBatch(ba LogBatch, initial bool) {
-	now := time.Now()
-	for ix := range ba.Records {
-		fo.no.applyRecord(&ba.Records[ix], initial, now)
-	}
-	fo.nextOffset = max(fo.nextOffset, ba.End)
+	rd.batch = ba
+	return rd, err
 }
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -42,6 +42,9 @@
 		as.maxEntries = max(as.maxEntries, lo.Entries)
 	}
 	as.mu.Unlock()
+	if fr.Peers != nil {
+		as.no.feeds.applyPeers(rc.host, fr.Peers)
+	}
 	if lo != nil {
 		holds := []spread.AdapterSlot(nil)
 		if fr.Holdings != nil {
--- /dev/null
+++ b/entry/direct/logread.go
@@ -0,0 +1,134 @@
+package direct
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/core/wire"
+)
+
+// logRead is what one read of a topic returned, by this node or by the one that forwarded it.
+type logRead struct {
+	// from is the offset from which on the topic was read.
+	from int64
+	// listing is true if the batch holds the newest record of each key.
+	listing bool
+	// afterFailure is true if the reader's previous read of the topic failed.
+	afterFailure bool
+	batch        LogBatch
+}
+
+// applyOwnRead applies a read of this node and forwards it to the nodes that rely on it.
+func (fo *follower) applyOwnRead(rd logRead) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	forwarded := fo.forwardedFrame(rd)
+	fo.apply(rd, time.Now())
+	fo.no.feeds.forward(forwarded)
+}
+
+// applyForwarded applies a read that another node forwarded. A read that does not begin where
+// this node's knowledge ends is ignored: the node's own next read closes the gap.
+func (fo *follower) applyForwarded(lb *wire.LogBatch) error {
+	rd := logRead{from: lb.From, listing: lb.Listing, afterFailure: lb.AfterFailure, batch: LogBatch{End: lb.End}}
+	if err := cbor.Unmarshal(lb.Records, &rd.batch.Records); err != nil {
+		return errors.Wrap(err, "direct: decode forwarded records")
+	}
+	for ix := range rd.batch.Records {
+		if ta := rd.batch.Records[ix].Table; ta != nil {
+			rd.batch.Records[ix].Table = ta.Build()
+		}
+	}
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if !fo.hasNewest || !rd.listing && rd.from > fo.nextOffset {
+		fo.no.logger.Debug().Str("topic", lb.Topic).Int64("from", lb.From).Int64("offset", fo.nextOffset).Msg("forwarded_read_ignored")
+		return nil
+	}
+	if rd.afterFailure && fo.topic == ServersTopic {
+		// Servers may be missing only because they could not write their records.
+		fo.no.view.roster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
+	}
+	metricForwardedReads.Add(1)
+	fo.apply(rd, time.Now())
+	return nil
+}
+
+// apply applies a read. Records that are older than those already read have no effect.
+func (fo *follower) apply(rd logRead, now time.Time) {
+	first := rd.listing && fo.nextOffset == 0
+	if rd.listing && rd.batch.End >= fo.nextOffset {
+		fo.hasNewest = true
+		fo.removeMissing(rd.batch, now)
+	}
+	for ix := range rd.batch.Records {
+		fo.no.applyRecord(&rd.batch.Records[ix], first, now)
+	}
+	fo.nextOffset = max(fo.nextOffset, rd.batch.End)
+	if rd.listing && fo.topic == ServersTopic {
+		fo.no.view.setServersListed()
+	}
+	fo.confirm(now)
+}
+
+// removeMissing removes the servers that a listing does not contain.
+func (fo *follower) removeMissing(ba LogBatch, now time.Time) {
+	if fo.topic != ServersTopic {
+		return
+	}
+	present := map[string]bool{}
+	for _, lr := range ba.Records {
+		if lr.Server != nil {
+			present[lr.Server.ID] = true
+		}
+	}
+	fo.no.view.roster(func(ro *roster.Roster) { ro.ApplyListing(present, ba.End, now) })
+}
+
+// confirm records that all records of the topic up to now are known. For the servers it also
+// drops those whose records are gone and passes the others to server selection and the agent
+// connections.
+func (fo *follower) confirm(now time.Time) {
+	if fo.logLost {
+		fo.no.logger.Info().Str("dependency", "log").Str("topic", fo.topic.String()).Int64("offset", fo.nextOffset).Msg("dependency_regained")
+	}
+	fo.logLost = false
+	fo.confirmedAt = now
+	switch fo.topic {
+	case OperatorsTopic:
+		fo.no.view.routesLogDown.Store(false)
+	case ServersTopic:
+		fo.no.view.roster(func(ro *roster.Roster) {
+			ro.MarkLogReadable(now)
+			ro.Expire(now)
+		})
+		fo.no.syncServers(now)
+	}
+}
+
+// forwardedFrame returns the frame that forwards a read, without the records that change nothing
+// but the adapters of a known server. It returns nil if no node relies on this one.
+func (fo *follower) forwardedFrame(rd logRead) *wire.Frame {
+	if !fo.no.feeds.hasSubscribers() {
+		return nil
+	}
+	records := make([]LogRecord, 0, len(rd.batch.Records))
+	fo.no.view.roster(func(ro *roster.Roster) {
+		for _, lr := range rd.batch.Records {
+			if rd.listing || lr.Server == nil || ro.Changes(*lr.Server) {
+				records = append(records, lr)
+			}
+		}
+	})
+	data, err := cbor.Marshal(records)
+	if err != nil {
+		fo.no.logger.Error().Str("topic", fo.topic.String()).Str("error", err.Error()).Msg("read_not_forwarded")
+		return nil
+	}
+	return &wire.Frame{LogBatch: &wire.LogBatch{
+		Topic: fo.topic.String(), From: rd.from, End: rd.batch.End, Listing: rd.listing, AfterFailure: rd.afterFailure, Records: data,
+	}}
+}
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -25,11 +25,22 @@
 var (
 	metrics        = expvar.NewMap("direct_entry")
 	metricFailures = newCounterMap("failures")
-	histograms     = map[string]*latencyHistogram{
+	// metricLogReads counts this node's own reads of the log, metricForwardedReads those that another
+	// node forwarded to it.
+	metricLogReads       = newCounter("log_reads")
+	metricForwardedReads = newCounter("forwarded_log_reads")
+	histograms           = map[string]*latencyHistogram{
 		histogramFirstByte: newLatencyHistogram(histogramFirstByte), histogramWholeAnswer: newLatencyHistogram(histogramWholeAnswer), histogramGrant: newLatencyHistogram(histogramGrant),
 	}
 )
 
+// newCounter registers a counter.
+func newCounter(name string) *expvar.Int {
+	co := &expvar.Int{}
+	metrics.Set(name, co)
+	return co
+}
+
 // newCounterMap registers a group of counters.
 func newCounterMap(name string) *expvar.Map {
 	mp := (&expvar.Map{}).Init()
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -58,6 +58,7 @@
 	logger  zerolog.Logger
 	view    *logView
 	agents  *agents
+	feeds   *feeds
 	pool    *pool.Pool
 	// boot identifies this run of the node.
 	boot   string
@@ -103,6 +104,7 @@
 		ctx: ctx, cancel: cancel, addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.agents = newAgents(no)
+	no.feeds = newFeeds(no, newFollower(no, OperatorsTopic), newFollower(no, ServersTopic))
 	return no
 }
 
@@ -118,7 +120,7 @@
 	sv := httpServers{
 		callers: newHTTPServer(engine),
 		ready:   newHTTPServer(http.HandlerFunc(no.serveReady)),
-		peers:   newHTTPServer(http.HandlerFunc(no.servePeerState)),
+		peers:   newHTTPServer(no.peerHandler()),
 		metrics: newHTTPServer(expvar.Handler()),
 	}
 	lc.Append(fx.Hook{
@@ -149,8 +151,10 @@
 			return err
 		}
 	}
-	go (&follower{no: no, topic: OperatorsTopic}).run(no.ctx)
-	go (&follower{no: no, topic: ServersTopic}).run(no.ctx)
+	for _, fo := range no.feeds.followers {
+		go fo.run(no.ctx)
+	}
+	go no.feeds.run(no.ctx)
 	go no.agents.run(no.ctx)
 	go no.sweepIdleConnections()
 	no.logger.Info().Str("callers", se.CallerAddress).Str("boot", no.boot).Str("log", se.LogAddress).Msg("entry_started")
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/roster"
 )
@@ -38,9 +39,17 @@
 	return ps
 }
 
+// peerHandler returns the handler of requests from other entry nodes.
+func (no *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+link.Path, no.feeds.serve)
+	mux.HandleFunc("GET "+peerPath, no.servePeerState)
+	return mux
+}
+
 // servePeerState sends the node's state to a starting peer.
-func (no *Node) servePeerState(wr http.ResponseWriter, rq *http.Request) {
-	if rq.URL.Path != peerPath || !no.view.ready() {
+func (no *Node) servePeerState(wr http.ResponseWriter, _ *http.Request) {
+	if !no.view.ready() {
 		wr.WriteHeader(http.StatusNotFound)
 		return
 	}
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -282,8 +282,10 @@
 	net      *network
 	source   *testSource
 	backends map[string]*backend
-	apps     []*fx.App
-	lg       zerolog.Logger
+	// readers holds the log as single entry nodes see it, by name; others see source.
+	readers map[string]direct.LogReader
+	apps    []*fx.App
+	lg      zerolog.Logger
 }
 
 const (
@@ -296,7 +298,8 @@
 func newDirectSimulation(tb testing.TB, plain, engines int) *directSimulation {
 	tb.Helper()
 	ds := &directSimulation{
-		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{})}, backends: map[string]*backend{}, lg: zerolog.Nop(),
+		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{})}, backends: map[string]*backend{},
+		readers: map[string]direct.LogReader{}, lg: zerolog.Nop(),
 	}
 	if os.Getenv("PROOF_LOG") != "" {
 		ds.lg = logs.New(os.Stderr, zerolog.DebugLevel, "simulation", "")
@@ -365,6 +368,10 @@
 
 // startEntry starts an entry node and gives it 1.5 s to become ready.
 func (ds *directSimulation) startEntry(name string) *fx.App {
+	logReader := ds.readers[name]
+	if logReader == nil {
+		logReader = ds.source
+	}
 	app := direct.New(direct.Options{
 		Settings: conf.DirectEntrySettings{
 			Place: conf.Place{Name: name, Region: "region-1", Zone: directZone}, CallerAddress: name + ":1", ReadyAddress: name + ":2",
@@ -372,7 +379,7 @@
 			LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500, RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 2000,
 			Regions: conf.DirectEntrySettingsRegions{directZone: "region-1"},
 		},
-		Network: ds.net.forHost(name), LogReader: ds.source, Protocol: testProtocol{}, Logger: ds.lg.With().Str("node", name).Logger(),
+		Network: ds.net.forHost(name), LogReader: logReader, Protocol: testProtocol{}, Logger: ds.lg.With().Str("node", name).Logger(),
 	})
 	ds.start(app)
 	time.Sleep(1500 * time.Millisecond)
