Let agents send requests elsewhere, and load adapters in use on more engines

Load pattern: an adapter is suddenly in a fifth of all requests. All entry nodes choose the same engine for it, on reports that are up to a second old.

Causes: only the agent knows the present backlog, but it granted whatever came. And a further engine was chosen for the adapter only at a wait of 1.08 s, where it is late already, because the penalty for one more fetch was the same for one request and for hundreds.

Change: a reservation carries the backlog at which the second choice is as cheap, at least 0.4 s above the expected one. Beyond it the agent refuses at once and sends its load along; the entry node chooses again, once, and the refused engine stays a candidate. For a popular adapter as many engines of the region as its present users need are free of the penalty (core/spread/prefer.go), ranked by rendezvous hashing, so that all nodes agree on them.

Failed try, kept out: loading the adapter with the most waiting requests first.

--- a/agent/direct/actions.go
+++ b/agent/direct/actions.go
@@ -43,8 +43,9 @@
 func (br *Broker) refuse(ctx context.Context, re *grant.Refuse) {
 	metricRefused.Add(1)
 	br.lg.Info().Str("attempt", re.Attempt).Str("reason", re.Reason).Dur("retry_after", re.RetryAfter).Msg("attempt_refused")
+	lo := br.engineLoad()
 	br.send(ctx, re.Entry, &wire.Frame{Refusal: &wire.Refusal{
-		Attempt: re.Attempt, Reason: re.Reason, RetryAfter: re.RetryAfter.Milliseconds(),
+		Attempt: re.Attempt, Reason: re.Reason, RetryAfter: re.RetryAfter.Milliseconds(), Load: &lo,
 	}})
 }
 
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -237,7 +237,7 @@
 	return grant.Request{
 		Attempt: re.Attempt, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
 		Version: re.Version, VersionRequired: re.VersionRequired, Urgency: re.Urgency, PromptTokens: re.PromptTokens,
-		OutputTokens: re.OutputTokens, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
+		OutputTokens: re.OutputTokens, BacklogMax: time.Duration(re.BacklogMax) * time.Millisecond, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
 		Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
 }
--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -127,6 +127,7 @@
 	ReasonAgentLeaving   = "leaving"
 	ReasonQueueFull      = "queue_full"
 	ReasonDeadline       = "deadline"
+	ReasonEngineBusy     = "engine_busy"
 	ReasonAdapterLoading = "adapter_loading"
 	ReasonMemoryFull     = "memory_full"
 	ReasonEngineSilent   = "engine_silent"
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -71,6 +71,9 @@
 	Urgency         int
 	PromptTokens    int
 	OutputTokens    int
+	// BacklogMax is the backlog beyond which the request is refused at once, because its entry
+	// node has a better choice; zero for no limit.
+	BacklogMax time.Duration
 	// PauseMax is the longest gap between the events of its stream that the caller tolerates,
 	// zero for no bound.
 	PauseMax time.Duration
@@ -182,9 +185,9 @@
 
 // Load returns the engine's state and load at now.
 func (en *Engine) Load(now time.Time) Load {
-	backlog := max(0, en.pacer.prefillDoneAt.Sub(now)) + PrefillTime(en.queuedPromptTokens())
 	return Load{
-		Known: en.reachable, Model: en.loadedModel(), Born: en.observation.Born, Slots: en.slots, Backlog: backlog,
+		Known: en.reachable, Model: en.loadedModel(), Born: en.observation.Born, Slots: en.slots,
+		Backlog:  en.backlog(now, func(rq *Request) bool { return en.isLoaded(rq.Key) }),
 		BurstMax: en.pacer.burstLimit(now),
 		LoadTime: en.averageLoadTime, Running: len(en.granted), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.observation.Draining,
 	}
@@ -262,16 +265,28 @@
 	return count
 }
 
-// queuedPromptTokens returns the prompt tokens of the queued requests whose adapter is loaded,
-// which wait for other prompts to be prefilled and not for a load.
-func (en *Engine) queuedPromptTokens() int {
-	count := 0
+// backlog returns the estimated time until the engine has prefilled the granted prompts and the
+// matching queued ones.
+func (en *Engine) backlog(now time.Time, match func(rq *Request) bool) time.Duration {
+	tokens := 0
 	for ix := range en.queue {
-		if _, loaded := en.loaded[en.queue[ix].Key]; loaded {
-			count += en.queue[ix].PromptTokens
+		if match(&en.queue[ix]) {
+			tokens += en.queue[ix].PromptTokens
 		}
 	}
-	return count
+	return max(0, en.pacer.prefillDoneAt.Sub(now)) + PrefillTime(tokens)
+}
+
+// backlogBefore returns the backlog that a new request finds. Unlike in Load it includes the
+// queued requests that wait for the same adapter, all of which are granted once it is loaded.
+func (en *Engine) backlogBefore(ke Key, now time.Time) time.Duration {
+	return en.backlog(now, func(rq *Request) bool { return rq.Key == ke || en.isLoaded(rq.Key) })
+}
+
+// isLoaded reports whether some version of an adapter is loaded.
+func (en *Engine) isLoaded(ke Key) bool {
+	_, loaded := en.loaded[ke]
+	return loaded
 }
 
 // memoryFree returns the KV cache tokens that no granted request has reserved.
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -21,6 +21,8 @@
 		return []Action{refusal(&rq, ReasonQueueFull, defaultRetryAfter)}
 	case !now.Before(rq.Deadline):
 		return []Action{refusal(&rq, ReasonDeadline, defaultRetryAfter)}
+	case rq.BacklogMax > 0 && en.backlogBefore(rq.Key, now) > rq.BacklogMax:
+		return []Action{refusal(&rq, ReasonEngineBusy, 0)}
 	}
 	if rq.Key.Adapter != "" {
 		en.popularity[rq.Key] = en.popularity[rq.Key].Plus(now, popularityHalfLife)
--- a/core/reader/zone.go
+++ b/core/reader/zone.go
@@ -63,7 +63,9 @@
 }
 
 // Avoided reports whether a node is excluded from being chosen.
-func (zo *Zone) Avoided(address string, now time.Time) bool { return now.Before(zo.failed[address].until) }
+func (zo *Zone) Avoided(address string, now time.Time) bool {
+	return now.Before(zo.failed[address].until)
+}
 
 // Confirm records that a node has read the log, which makes up for its failures.
 func (zo *Zone) Confirm(address string) { delete(zo.failed, address) }
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/bambooladder/bambooladder/core/grant"
 )
 
@@ -56,6 +54,10 @@
 	waitWeight = 0.4
 	lateWeight = 1.2
 
+	// backlogMargin is by how much the backlog of an engine may exceed the expected one before
+	// another engine is better. A smaller difference is not worth asking a second agent.
+	backlogMargin = 400 * time.Millisecond
+
 	// candidatesMax limits the candidates that are kept for the log.
 	candidatesMax = 3
 )
@@ -120,6 +122,15 @@
 	return es.wait*waitWeight + max(0, es.wait-onTimeWaitSeconds)*lateWeight + es.penalty
 }
 
+// waitAtCost returns the wait, in seconds, at which the estimate would have the given cost.
+func (es estimate) waitAtCost(cost float64) float64 {
+	weighted := cost - es.penalty
+	if weighted <= onTimeWaitSeconds*waitWeight {
+		return weighted / waitWeight
+	}
+	return (weighted + onTimeWaitSeconds*lateWeight) / (waitWeight + lateWeight)
+}
+
 // Candidate is a server with its cost in weighted seconds.
 type Candidate struct {
 	ID   string
@@ -135,10 +146,15 @@
 	Wait time.Duration
 	// QueueWait is the part of Wait that remains once the adapter is loaded.
 	QueueWait time.Duration
+	// BacklogMax is the backlog of a chosen engine beyond which the second candidate is cheaper,
+	// zero if there is no second one.
+	BacklogMax time.Duration
 	// ReportAge is the time since the agent's last report, zero if no agent is available.
 	ReportAge      time.Duration
 	Candidates     [candidatesMax]Candidate
 	CandidateCount int
+	// estimate is that of the chosen server.
+	estimate estimate
 }
 
 // passes are the rounds in which Choose looks for candidates until it finds one. Each field
@@ -151,14 +167,14 @@
 func (fl *Fleet) Choose(rq Request, now time.Time) (Choice, bool) {
 	ch := Choice{}
 	group := fl.services[rq.Service]
-	preferred := preferredHash(group, rq)
+	preferred := preferredEngines(group, &rq)
 	for _, pass := range passes {
 		for _, me := range group {
 			excluded := slices.Contains(rq.Exclude, me.ID)
 			if me.Leaving || me.load.Draining || excluded && !pass.excluded || me.isUnhealthy(now) && !pass.unhealthy {
 				continue
 			}
-			es := me.estimate(&rq, preferred, now)
+			es := me.estimate(&rq, &preferred, now)
 			if es.reason == NoModel {
 				continue
 			}
@@ -168,19 +184,30 @@
 			ch.addCandidate(me, es, now)
 		}
 		if ch.CandidateCount > 0 {
+			ch.limitBacklog(fl.members[ch.ID], now)
 			return ch, true
 		}
 	}
 	return ch, false
 }
 
+// limitBacklog sets BacklogMax. Reports are late, and all entry nodes may have chosen the same
+// engine since the last one; only its agent knows the present backlog.
+func (ch *Choice) limitBacklog(me *member, now time.Time) {
+	if !me.Engine || ch.CandidateCount < 2 {
+		return
+	}
+	margin := ch.estimate.waitAtCost(ch.Candidates[1].Cost) - ch.estimate.wait
+	ch.BacklogMax = me.expectedBacklog(now) + max(backlogMargin, time.Duration(margin/me.latencyRatio*float64(time.Second)))
+}
+
 // isUnhealthy reports whether a server is silent or in a backoff after failures or silence.
 func (me *member) isUnhealthy(now time.Time) bool {
 	return now.Before(me.failureBackoffUntil) || now.Before(me.silenceBackoffUntil) || me.silent(now)
 }
 
 // estimate returns the expected wait and the penalty of sending the request to the server.
-func (me *member) estimate(rq *Request, preferred uint64, now time.Time) estimate {
+func (me *member) estimate(rq *Request, preferred *preference, now time.Time) estimate {
 	es := estimate{penalty: me.failureShare * failureSeconds, reason: PlainService}
 	switch {
 	case rq.Region != me.Region:
@@ -211,16 +238,22 @@
 // prompt: the time to prefill the backlog and this prompt, a share for each running request and
 // the wait for engine memory, scaled by the latency ratio.
 func (me *member) promptWait(rq *Request, now time.Time) float64 {
-	backlog := max(0, me.load.Backlog-now.Sub(me.load.ReportedAt)) + me.addedPrefillTime + grant.PrefillTime(rq.PromptTokens)
-	seconds := backlog.Seconds() + runningSeconds*float64(max(me.load.Running, me.inFlight))
+	prefill := me.expectedBacklog(now) + grant.PrefillTime(rq.PromptTokens)
+	seconds := prefill.Seconds() + runningSeconds*float64(max(me.load.Running, me.inFlight))
 	if me.agentAvailable && me.load.MemoryFree < rq.PromptTokens {
 		seconds += memoryWaitSeconds
 	}
 	return seconds * me.latencyRatio
 }
 
+// expectedBacklog returns the engine's backlog as last reported, less the time since, with the
+// prompts that this node has sent since.
+func (me *member) expectedBacklog(now time.Time) time.Duration {
+	return max(0, me.load.Backlog-now.Sub(me.load.ReportedAt)) + me.addedPrefillTime
+}
+
 // addAdapterWait adds the expected wait and the penalty for loading the adapter.
-func (me *member) addAdapterWait(es *estimate, rq *Request, preferred uint64) {
+func (me *member) addAdapterWait(es *estimate, rq *Request, preferred *preference) {
 	if !me.agentAvailable {
 		me.estimateWithoutAgent(es, rq)
 		return
@@ -248,7 +281,7 @@
 	switch {
 	case me.hostCache.hasAdapter(rq.Adapter, rq.Version):
 		es.wait += cachedLoadSeconds
-	case me.hash == preferred:
+	case preferred.includes(me, rq):
 		es.wait += me.fetchTime()
 	default:
 		es.wait += me.fetchTime()
@@ -304,28 +337,6 @@
 	}
 }
 
-// preferredHash returns the hash of the server that an adapter is loaded on without the
-// penalty for an extra fetch, chosen by rendezvous hashing. For most adapters it is one server
-// for all zones and regions, so that few engines fetch the adapter. For a popular adapter it is
-// one in the request's own region, because sending so many requests to another region costs more
-// than a further fetch. It returns 0 if an engine already has the adapter and the adapter isn't
-// popular: then every further fetch gets the penalty.
-func preferredHash(group []*member, rq Request) uint64 {
-	if rq.Adapter == "" || !rq.Popular && slices.ContainsFunc(group, func(me *member) bool { return me.hasAdapter(&rq) }) {
-		return 0
-	}
-	best, score := uint64(0), uint64(0)
-	for _, me := range group {
-		if me.Leaving || rq.Popular && me.Region != rq.Region {
-			continue
-		}
-		if sc := xxh3.HashStringSeed(rq.Adapter, me.hash); best == 0 || sc > score {
-			best, score = me.hash, sc
-		}
-	}
-	return best
-}
-
 // hasAdapter reports whether an engine with an available agent holds the request's adapter or
 // has it in its host's cache.
 func (me *member) hasAdapter(rq *Request) bool {
@@ -340,7 +351,7 @@
 func (ch *Choice) addCandidate(me *member, es estimate, now time.Time) {
 	ca := Candidate{ID: me.ID, Cost: es.cost()}
 	if ch.CandidateCount == 0 || ca.Cost < ch.Cost {
-		ch.ID, ch.Reason, ch.Cost, ch.ReportAge = me.ID, es.reason, ca.Cost, 0
+		ch.ID, ch.Reason, ch.Cost, ch.ReportAge, ch.estimate = me.ID, es.reason, ca.Cost, 0, es
 		ch.Wait = time.Duration(es.wait * float64(time.Second))
 		ch.QueueWait = time.Duration(es.queueWait * float64(time.Second))
 		if me.agentAvailable {
--- a/core/spread/load_test.go
+++ b/core/spread/load_test.go
@@ -14,21 +14,32 @@
 // deployment that is planned for: streams with adapters of a heavy-tailed popularity, six slots
 // per engine, a weight store that all engines share, and delayed reports.
 const (
-	simEngines           = 18
-	simZones             = 3
-	simSlots             = 6
-	simAdapters          = 3000
-	simParetoExponent    = 1.2
-	simRequestsPerSecond = 100.0
-	simDuration          = 40 * time.Second
-	simReportInterval    = 100 * time.Millisecond
-	simStep              = 5 * time.Millisecond
-	// simStoreLoads is the number of concurrent loads that the store serves at full speed.
-	simStoreLoads    = 8
-	simLoadTime      = 250 * time.Millisecond
-	simLatencyTarget = time.Second
+	simZones          = 3
+	simSlots          = 6
+	simAdapters       = 3000
+	simParetoExponent = 1.2
+	simDuration       = 40 * time.Second
+	simStep           = 5 * time.Millisecond
+	simLoadTime       = 250 * time.Millisecond
+	simLatencyTarget  = time.Second
+	hotAdapter        = "hot"
 )
 
+// simLoad is the size of a simulated deployment and the load on it.
+type simLoad struct {
+	engines, entries  int
+	requestsPerSecond float64
+	reportInterval    time.Duration
+	// storeLoads is the number of concurrent loads that the store serves at full speed.
+	storeLoads float64
+	// hotShare is the share of requests for one adapter that nobody asked for before hotFrom.
+	hotShare        float64
+	hotFrom, hotFor time.Duration
+}
+
+// plannedLoad is that of the larger deployment that is planned for.
+var plannedLoad = simLoad{engines: 18, entries: simZones, requestsPerSecond: 100, reportInterval: 100 * time.Millisecond, storeLoads: 8}
+
 // simRequest is a simulated streaming request.
 type simRequest struct {
 	id       string
@@ -37,6 +48,8 @@
 	duration time.Duration
 	arrived  time.Time
 	entry    int
+	// redirected is true once an agent has refused the request because its engine was busy.
+	redirected bool
 }
 
 // simEngine is a simulated engine with the grants of its agent.
@@ -57,29 +70,33 @@
 
 // simulation is a deployment under load.
 type simulation struct {
+	load     simLoad
+	duration time.Duration
+	start    time.Time
 	now      time.Time
 	rng      *rand.Rand
 	engines  []*simEngine
 	fleets   []*Fleet
 	popular  []*Popularity
 	requests map[string]*simRequest
-	choose   func(sm *simulation, rq *simRequest) (string, bool)
+	choose   func(sm *simulation, rq *simRequest) (Choice, bool)
 
-	fetches, total, onTime, late, refused int
-	distinctAdapters                      map[string]bool
+	fetches, total, onTime, late, refused, redirected int
+	hotOnTime, hotTotal                               int
+	distinctAdapters                                  map[string]bool
 }
 
 // newSimulation returns a deployment whose engines have only the base model loaded.
-func newSimulation(seed uint64, choose func(sm *simulation, rq *simRequest) (string, bool)) *simulation {
+func newSimulation(seed uint64, lo simLoad, choose func(sm *simulation, rq *simRequest) (Choice, bool)) *simulation {
 	sm := &simulation{
-		now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, seed)), requests: map[string]*simRequest{},
+		load: lo, duration: simDuration, start: time.Unix(1_000_000, 0), now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(seed, seed)), requests: map[string]*simRequest{},
 		choose: choose, distinctAdapters: map[string]bool{},
 	}
-	for range simZones {
+	for range lo.entries {
 		sm.fleets = append(sm.fleets, &Fleet{})
 		sm.popular = append(sm.popular, &Popularity{})
 	}
-	for ix := range simEngines {
+	for ix := range lo.engines {
 		se := &simEngine{
 			id: "engine-" + strconv.Itoa(ix), grants: grant.New(sm.now.Add(-time.Minute)), loaded: map[string]int{},
 			loading: map[string]float64{}, cached: map[string]bool{}, endAt: map[string]time.Time{},
@@ -96,34 +113,41 @@
 }
 
 // cheapest is the strategy under test.
-func cheapest(sm *simulation, rq *simRequest) (string, bool) {
-	zone := "zone-" + strconv.Itoa(rq.entry)
+func cheapest(sm *simulation, rq *simRequest) (Choice, bool) {
+	zone := "zone-" + strconv.Itoa(rq.entry%simZones)
 	ch, ok := sm.fleets[rq.entry].Choose(Request{
 		Service: "advice", Model: "m", Adapter: rq.adapter, PromptTokens: rq.tokens, Zone: zone, Region: zone,
-		Popular: sm.popular[rq.entry].CountRequest(rq.adapter, 1, sm.now),
+		Popular: sm.popular[rq.entry].CountRequest(rq.adapter, float64(sm.load.entries)/simZones, sm.now),
 	}, sm.now)
-	return ch.ID, ok && ch.Wait < 3500*time.Millisecond
+	return ch, ok && ch.Wait < 3500*time.Millisecond
+}
+
+// cheapestOnReports is the strategy under test without the agents' knowledge of their backlogs.
+func cheapestOnReports(sm *simulation, rq *simRequest) (Choice, bool) {
+	ch, ok := cheapest(sm, rq)
+	ch.BacklogMax = 0
+	return ch, ok
 }
 
 // leastLoaded chooses the engine with the fewest requests.
-func leastLoaded(sm *simulation, _ *simRequest) (string, bool) {
+func leastLoaded(sm *simulation, _ *simRequest) (Choice, bool) {
 	best := sm.engines[0]
 	for _, se := range sm.engines {
 		if len(se.endAt)+len(se.unprefilled) < len(best.endAt)+len(best.unprefilled) {
 			best = se
 		}
 	}
-	return best.id, true
+	return Choice{ID: best.id}, true
 }
 
 // run simulates requests with random arrival times.
 func (sm *simulation) run() {
-	end := sm.now.Add(simDuration)
+	end := sm.now.Add(sm.duration)
 	next := sm.now
 	for sm.now.Before(end) {
 		for !next.After(sm.now) {
 			sm.handleArrival()
-			next = next.Add(time.Duration(sm.rng.ExpFloat64() / simRequestsPerSecond * float64(time.Second)))
+			next = next.Add(time.Duration(sm.rng.ExpFloat64() / sm.load.requestsPerSecond * float64(time.Second)))
 		}
 		sm.advance()
 		sm.now = sm.now.Add(simStep)
@@ -136,26 +160,52 @@
 	rank := sm.rank()
 	rq := &simRequest{
 		id: strconv.Itoa(sm.total), adapter: "a" + strconv.Itoa(rank), tokens: 500 + sm.rng.IntN(3600),
-		duration: 250 * time.Millisecond, arrived: sm.now, entry: sm.rng.IntN(simZones),
+		duration: 250 * time.Millisecond, arrived: sm.now, entry: sm.rng.IntN(sm.load.entries),
+	}
+	if since := sm.now.Sub(sm.start) - sm.load.hotFrom; sm.load.hotShare > 0 && since >= 0 && since < sm.load.hotFor && sm.rng.Float64() < sm.load.hotShare {
+		rq.adapter = hotAdapter
+		sm.hotTotal++
 	}
 	if sm.rng.Float64() < 0.22 {
 		rq.duration = 2 * time.Second
 	}
 	sm.distinctAdapters[rq.adapter] = true
-	id, ok := sm.choose(sm, rq)
+	sm.requests[rq.id] = rq
+	sm.place(rq)
+}
+
+// place sends a request to the chosen engine. A request is redirected once at most.
+func (sm *simulation) place(rq *simRequest) {
+	ch, ok := sm.choose(sm, rq)
 	if !ok {
 		sm.refused++
+		delete(sm.requests, rq.id)
 		return
 	}
-	sm.requests[rq.id] = rq
-	sm.fleets[rq.entry].Sent(id, rq.tokens, sm.now)
-	se := sm.engine(id)
+	backlogMax := ch.BacklogMax
+	if rq.redirected {
+		backlogMax = 0
+	}
+	sm.fleets[rq.entry].Sent(ch.ID, rq.tokens, sm.now)
+	se := sm.engine(ch.ID)
 	sm.apply(se, se.grants.Reserve(grant.Request{
 		Attempt: rq.id, Entry: "entry", Key: grant.Key{Model: "m", Adapter: rq.adapter}, PromptTokens: rq.tokens, OutputTokens: 60,
-		Deadline: sm.now.Add(3500 * time.Millisecond),
+		BacklogMax: backlogMax, Deadline: sm.now.Add(3500 * time.Millisecond),
 	}, sm.now))
 }
 
+// redirect chooses again for a request that an agent refused because its engine is busier than
+// expected. The refusal carries the engine's load.
+func (sm *simulation) redirect(se *simEngine, id string) {
+	sm.redirected++
+	rq := sm.requests[id]
+	rq.redirected = true
+	fl := sm.fleets[rq.entry]
+	fl.Done(se.id)
+	fl.AgentReported(se.id, Load{Load: se.grants.Load(sm.now), ReportedAt: sm.now}, nil)
+	sm.place(rq)
+}
+
 // rank draws the popularity rank of an adapter from a truncated Pareto distribution.
 func (sm *simulation) rank() int {
 	for {
@@ -177,6 +227,8 @@
 		switch {
 		case ac.Grant != nil:
 			se.unprefilled = append(se.unprefilled, sm.requests[ac.Grant.Attempt])
+		case ac.Refuse != nil && ac.Refuse.Reason == grant.ReasonEngineBusy:
+			sm.redirect(se, ac.Refuse.Attempt)
 		case ac.Refuse != nil:
 			sm.refused++
 			sm.finish(se, ac.Refuse.Attempt)
@@ -234,7 +286,7 @@
 	for _, se := range sm.engines {
 		loadsInFlight += len(se.loading)
 	}
-	speed := min(1, simStoreLoads/float64(max(1, loadsInFlight)))
+	speed := min(1, sm.load.storeLoads/float64(max(1, loadsInFlight)))
 	for _, se := range sm.engines {
 		sm.advanceLoads(se, speed)
 		sm.read(se)
@@ -274,6 +326,9 @@
 		se.read = se.read.Add(grant.PrefillTime(rq.tokens))
 		if se.read.Sub(rq.arrived) <= simLatencyTarget {
 			sm.onTime++
+			if rq.adapter == hotAdapter {
+				sm.hotOnTime++
+			}
 		} else {
 			sm.late++
 		}
@@ -283,7 +338,7 @@
 
 // report sends an engine's state to all entry nodes once per report interval.
 func (sm *simulation) report(se *simEngine) {
-	if sm.now.Sub(se.reportedAt) < simReportInterval {
+	if sm.now.Sub(se.reportedAt) < sm.load.reportInterval {
 		return
 	}
 	se.reportedAt = sm.now
@@ -301,7 +356,7 @@
 // engines have an adapter, so many engines fetch the same ones from the shared weight store.
 func TestMoreRequestsAreOnTimeThanWithLeastLoadedUnderHeavyTailedLoad(t *testing.T) {
 	for seed := range uint64(3) {
-		byCost, byLoad := newSimulation(seed, cheapest), newSimulation(seed, leastLoaded)
+		byCost, byLoad := newSimulation(seed, plannedLoad, cheapest), newSimulation(seed, plannedLoad, leastLoaded)
 		byCost.run()
 		byLoad.run()
 		t.Logf("seed %d: cheapest: %d requests, %d on time, %d late, %d refused, %d fetches of %d adapters; least loaded: %d on time, %d refused, %d fetches",
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -375,6 +375,9 @@
 	// Attempt is the id of the attempt.
 	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
+	// Load corresponds to the JSON schema field "load".
+	Load *EngineLoad `json:"load,omitempty,omitzero" yaml:"load,omitempty" cbor:"4,keyasint,omitempty"`
+
 	// Reason is a short code that says why.
 	Reason string `json:"reason" yaml:"reason" cbor:"2,keyasint,omitempty"`
 
@@ -448,6 +451,10 @@
 	// Attempt is the globally unique id of this attempt; it is never reused.
 	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
+	// BacklogMax is the backlog of the engine, in milliseconds, beyond which the
+	// entry node has a better choice; zero for no limit.
+	BacklogMax int64 `json:"backlog_max" yaml:"backlog_max" cbor:"12,keyasint,omitempty"`
+
 	// Budget is the time after which the entry node has no more use for the grant, in
 	// milliseconds.
 	Budget int64 `json:"budget" yaml:"budget" cbor:"10,keyasint,omitempty"`
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
 )
@@ -82,7 +83,10 @@
 			Int("refused", st.NotRunCount).Str("step", step.String()).Send()
 		switch step {
 		case retry.Again:
-			exclude = append(exclude, at.server)
+			// A busy engine has reported its load with the refusal and may still be the best one.
+			if re.reason != grant.ReasonEngineBusy {
+				exclude = append(exclude, at.server)
+			}
 		case retry.Deliver:
 			rq.deliverFailure(at, re)
 			return
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -66,7 +66,7 @@
 	case fr.Queued != nil:
 		return fr.Queued.Attempt, &fr.Queued.Load
 	case fr.Refusal != nil:
-		return fr.Refusal.Attempt, nil
+		return fr.Refusal.Attempt, fr.Refusal.Load
 	case fr.Holdings != nil:
 		return "", &fr.Holdings.Load
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
@@ -44,8 +45,9 @@
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
 		Attempt: at.id, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: at.version, VersionRequired: settled,
 		Urgency: maxUrgency - rq.route.Rank, PromptTokens: rq.info.PromptTokens, OutputTokens: rq.info.OutputTokens,
-		PauseMax: rq.route.PauseMax.Milliseconds(), Budget: budget.Milliseconds(),
+		PauseMax: rq.route.PauseMax.Milliseconds(), Budget: budget.Milliseconds(), BacklogMax: rq.backlogMax(at).Milliseconds(),
 	})
+	rq.redirected = rq.redirected || gr.reason == grant.ReasonEngineBusy
 	if !gr.granted {
 		return result{outcome: retry.Unsent, reason: gr.reason, retryDelay: gr.retryAfter}, false
 	}
@@ -60,6 +62,15 @@
 	return result{}, true
 }
 
+// backlogMax returns the backlog beyond which the agent refuses the attempt because another engine
+// is a better choice, zero for no limit. A request is redirected once at most.
+func (rq *request) backlogMax(at *attempt) time.Duration {
+	if rq.redirected {
+		return 0
+	}
+	return at.choice.BacklogMax
+}
+
 // release returns the attempt's grant, if it has one, to the agent.
 func (rq *request) release(at *attempt, re result) {
 	if !at.granted {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -47,6 +47,9 @@
 	wr       gin.ResponseWriter
 	// popular is true if this node receives frequent requests for the adapter.
 	popular bool
+	// redirected is true once an agent has refused the request because its engine was busier than
+	// expected.
+	redirected bool
 	// answerStarted is true once any part of an answer has been written.
 	answerStarted bool
 	// stream tracks the events written to the caller, for routes that stream.
