Pass on long answers whole, and skip no part of a long foreign answer

Cause: an answer above 16 MiB was cut off where the buffer ended and delivered as whole, with a matching Content-Length. Of an answer to another request the first MiB was skipped and the rest read as the next head: a caller got bytes of another caller's answer.

Change: beyond the buffer the answer is passed on as it arrives; if it breaks off, the connection to the caller is aborted. An answer to another request that is longer than what is skipped ends its connection. A grant is released also if the answer breaks off.

Ruled out: discardBody, which reads a part of an answer as well: Answer.Close then closes the connection (TestDirectDiscardsLongAnswerWithItsConnection passes on the code before).

Tests: before, TestDirectDeliversLongAnswersWhole got 16,777,216 of 17,825,792 bytes, TestDirectBrokenLongAnswerDoesNotLookComplete took the cut answer for whole, and TestDirectSkipsNoPartOfALongAnswerToAnotherRequest got the planted answer.

--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxAnswerBytes limits an answer that is buffered before it is delivered. A longer one is
-	// cut off there without an error.
+	// maxAnswerBytes limits how much of an answer is buffered before it is delivered. The rest of a
+	// longer one is passed on as it arrives.
 	maxAnswerBytes = 16 << 20
 	// maxDiscardBytes limits how much of a discarded answer is read.
 	maxDiscardBytes = 64 << 10
@@ -32,8 +32,8 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(an.Body, maxDiscardBytes))
 }
 
-// deliverBuffered reads a complete answer and delivers it. A server error, or any answer once a
-// stream has started, is returned instead, as another attempt may succeed.
+// deliverBuffered reads an answer and delivers it. A server error, or any answer once a stream has
+// started, is returned instead, as another attempt may succeed.
 func (rq *request) deliverBuffered(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
 	no := rq.no
 	data, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes))
@@ -48,11 +48,31 @@
 		return result{outcome: retry.Failed, reason: "status_" + strconv.Itoa(an.Status), serverFailure: ans}, false
 	}
 	no.recordSuccess(at, took)
-	rq.deliverAnswer(at, ans)
+	if len(data) == maxAnswerBytes {
+		rq.deliverLongAnswer(at, ans, an.Body)
+	} else {
+		rq.deliverAnswer(at, ans)
+	}
 	// The outcome only makes release report the grant as done.
 	return result{outcome: retry.Failed}, true
 }
 
+// deliverLongAnswer writes the buffered part of an answer to the caller and then the rest. If the
+// rest breaks off, the connection is aborted, so that the answer does not look complete.
+func (rq *request) deliverLongAnswer(at *attempt, ans *bufferedAnswer, rest io.Reader) {
+	copyHeader(rq.wr.Header(), ans.header)
+	if length := ans.header.Get("Content-Length"); length != "" {
+		rq.wr.Header().Set("Content-Length", length)
+	}
+	rq.wr.WriteHeader(ans.status)
+	rq.answerStarted = true
+	delivered := rq.write(ans.body)
+	if _, err := io.Copy(rq.wr, rest); err != nil {
+		rq.respondError(outcomeUnknownError("the answer broke off: " + err.Error()))
+	}
+	rq.logAnswered(at, ans.status, delivered)
+}
+
 // deliverFailure sends a server's own error answer to the caller. If a stream has started, the
 // connection is aborted instead, as another answer can no longer be sent.
 func (rq *request) deliverFailure(at *attempt, re result) {
@@ -68,9 +88,14 @@
 	copyHeader(rq.wr.Header(), ans.header)
 	rq.wr.Header().Set("Content-Length", strconv.Itoa(len(ans.body)))
 	rq.wr.WriteHeader(ans.status)
-	delivered := rq.write(ans.body)
-	rq.logAttempt(at, "request_answered").Int("status", ans.status).Bool("delivered", delivered).Dur("took", time.Since(rq.start)).Send()
-	histogram(histogramWholeAnswer).record(time.Since(rq.start))
+	rq.logAnswered(at, ans.status, rq.write(ans.body))
+}
+
+// logAnswered logs and measures an answer that was written to the caller.
+func (rq *request) logAnswered(at *attempt, status int, delivered bool) {
+	took := time.Since(rq.start)
+	rq.logAttempt(at, "request_answered").Int("status", status).Bool("delivered", delivered).Dur("took", took).Send()
+	histogram(histogramWholeAnswer).record(took)
 }
 
 // hopByHopHeaders lists the headers that apply to a single connection or are set anew.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -33,8 +33,10 @@
 			return re, false
 		}
 	}
-	re, finished := rq.send(ctx, at)
-	rq.release(at, re)
+	// An answer that breaks off midway ends the handler with a panic.
+	re, finished := result{outcome: retry.Unknown}, false
+	defer func() { rq.release(at, re) }()
+	re, finished = rq.send(ctx, at)
 	return re, finished
 }
 
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -115,12 +115,11 @@
 	return nil, &SendError{Written: true, Err: errors.New("the server sent only answers to other requests")}
 }
 
-// skipAnswer reads and discards up to maxSkippedBodyBytes of an answer that belongs to another
-// request. It fails if the answer cannot be read or ends with the connection, but not if a part of
-// a longer body stays unread.
+// skipAnswer reads and discards an answer that belongs to another request. It fails if the answer
+// cannot be read, is longer than maxSkippedBodyBytes or ends with the connection.
 func (co *Conn) skipAnswer(resp *http.Response) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes))
-	if err != nil || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	count, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBodyBytes+1))
+	if err != nil || count > maxSkippedBodyBytes || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return &SendError{Written: true, Err: errors.New("the connection cannot be used after an answer to another request")}
 	}
 	return nil
--- /dev/null
+++ b/proofs/direct_answers_test.go
@@ -0,0 +1,89 @@
+package proofs
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+// longAnswerBytes is more than an entry node buffers of an answer.
+const longAnswerBytes = 17 << 20
+
+func TestDirectDeliversLongAnswersWhole(t *testing.T) {
+	for name, stated := range map[string]bool{"with a length": true, "without a length": false} {
+		t.Run(name, func(t *testing.T) {
+			runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+					writeSealHeaders(wr, rq)
+					if stated {
+						wr.Header().Set("Content-Length", fmt.Sprint(longAnswerBytes))
+					}
+					_, _ = io.WriteString(wr, strings.Repeat("x", longAnswerBytes))
+				})
+				if re := cl.send(t.Context(), http.MethodGet, "/safe/x", "", ""); re.status != http.StatusOK || re.err != nil || len(re.body) != longAnswerBytes {
+					t.Errorf("status %d with %d bytes, error %v, want %d bytes", re.status, len(re.body), re.err, longAnswerBytes)
+				}
+			})
+		})
+	}
+}
+
+func TestDirectBrokenLongAnswerDoesNotLookComplete(t *testing.T) {
+	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			id := rq.Header.Get(headerID)
+			hijack(wr, func(bw *bufio.ReadWriter) {
+				_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: %d\r\n\r\n", headerID, id, headerSeal, longAnswerBytes)
+				_, _ = bw.WriteString(strings.Repeat("x", longAnswerBytes-1))
+			})
+		})
+		if re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release"); re.err == nil {
+			t.Errorf("status %d with %d bytes looks complete, but the server's answer was cut", re.status, len(re.body))
+		}
+		if got := len(ds.allRequests()); got != 1 {
+			t.Errorf("the server received %d requests, want one", got)
+		}
+	})
+}
+
+// The rest of a skipped answer must not be read as the head of the next one.
+func TestDirectSkipsNoPartOfALongAnswerToAnotherRequest(t *testing.T) {
+	const foreignBytes = 3 << 20
+	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			id := rq.Header.Get(headerID)
+			hijack(wr, func(bw *bufio.ReadWriter) {
+				body := strings.Repeat("x", 1<<20) + fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nContent-Length: 4\r\n\r\nfake", headerID, id, headerSeal)
+				body += strings.Repeat("x", foreignBytes-len(body))
+				_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: other\r\nContent-Length: %d\r\n\r\n%s", headerID, foreignBytes, body)
+			})
+		})
+		if re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release"); re.err == nil && re.status == http.StatusOK {
+			t.Errorf("the caller got %q, which is a part of an answer to another request", re.body)
+		}
+	})
+}
+
+// Of a discarded answer only a part is read; the connection must not be used again.
+func TestDirectDiscardsLongAnswerWithItsConnection(t *testing.T) {
+	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			if len(ds.allRequests()) == 1 {
+				wr.Header().Set(headerNotRun, "1")
+				wr.Header().Set(headerID, rq.Header.Get(headerID))
+				wr.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = io.WriteString(wr, strings.Repeat("x", 1<<20))
+				return
+			}
+			defaultAnswer(wr, rq)
+		})
+		for range 3 {
+			if re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release"); re.status != http.StatusOK || re.body != "the whole answer" {
+				t.Errorf("unexpected response %+v", re)
+			}
+		}
+	})
+}
