Leave out servers whose address a later one has

Load pattern: all hosts lose power at once. The log then lists the runs before, until their records expire after 3.6 s, beside the new ones at the same addresses.

Change: of two servers at one address the roster lists the one that started later; the other comes back if that one's record goes.

Tests: on the code before, TestDirectSendsNothingToEarlierRunsOfServers counts 9 requests for 8, TestDirectReadsServersAgainAfterAReplacedOne gets 503.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -144,15 +144,29 @@
 // Unlike Remove, it stores no removal offset, so an older record can add the server again.
 func (ro *Roster) RemoveReplaced(id string) { delete(ro.servers, id) }
 
-// Servers returns all servers, sorted by ID.
+// Servers returns the servers, sorted by ID, without those whose address belongs to another server
+// that started later: their records only have not expired yet.
 func (ro *Roster) Servers() []Server {
+	newest := ro.newestByAddress()
 	list := make([]Server, 0, len(ro.servers))
 	for _, id := range ro.ids() {
-		list = append(list, ro.servers[id].Server)
+		se := ro.servers[id].Server
+		if se.Born == 0 || se.Born >= newest[se.Address] {
+			list = append(list, se)
+		}
 	}
 	return list
 }
 
+// newestByAddress returns the latest start of a server at each address.
+func (ro *Roster) newestByAddress() map[string]int64 {
+	newest := map[string]int64{}
+	for _, ts := range ro.servers {
+		newest[ts.Address] = max(newest[ts.Address], ts.Born)
+	}
+	return newest
+}
+
 // Record is a server with the log offset of its record.
 type Record struct {
 	Server Server
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -80,3 +80,35 @@
 		t.Errorf("servers after the listing: %v, want only b", ro.Servers())
 	}
 }
+
+// After all hosts lost power at once, the records of the earlier runs stay in the log until they
+// expire, beside those of the new runs at the same addresses.
+func TestServerIsNotListedOnceAnotherStartedAtItsAddress(t *testing.T) {
+	earlier, later, elsewhere := server("a"), server("b"), server("c")
+	earlier.Born, later.Born, elsewhere.Born = 1000, 2000, 1000
+	elsewhere.Address = "10.0.0.2:80"
+	for name, order := range map[string][]Server{"in order": {earlier, elsewhere, later}, "late record": {later, elsewhere, earlier}} {
+		ro := &Roster{}
+		for ix, se := range order {
+			ro.Put(se, int64(ix))
+		}
+		if got := ro.Servers(); len(got) != 2 || got[0].ID != "b" || got[1].ID != "c" {
+			t.Errorf("%s: servers %+v, want b and c", name, got)
+		}
+		ro.Remove("b", 9, testStart)
+		if got := ro.Servers(); len(got) != 2 || got[0].ID != "a" {
+			t.Errorf("%s: servers %+v after b was removed, want a and c", name, got)
+		}
+	}
+}
+
+func TestServerWithUnknownStartIsListedBesideAnother(t *testing.T) {
+	ro := &Roster{}
+	known := server("b")
+	known.Born = 2000
+	ro.Put(server("a"), 1)
+	ro.Put(known, 2)
+	if got := ro.Servers(); len(got) != 2 {
+		t.Errorf("servers %+v, want both", got)
+	}
+}
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -29,6 +29,9 @@
 	firstReadTimeout = 700 * time.Millisecond
 	// emptyReadDelay is the least time between reads that return no records.
 	emptyReadDelay = 250 * time.Millisecond
+	// requestedReadInterval is the least time between the starts of two reads that are made because
+	// answers showed that the node's knowledge is out of date.
+	requestedReadInterval = 400 * time.Millisecond
 	// readRetryStep is the delay after a failed read, multiplied by the number of failures in
 	// a row.
 	readRetryStep     = 250 * time.Millisecond
@@ -44,8 +47,8 @@
 	no       *Node
 	topic    Topic
 	schedule reader.Schedule
-	// roleChanged wakes run after the node's role has changed.
-	roleChanged chan struct{}
+	// scheduleChanged wakes run after the time of the next read has changed.
+	scheduleChanged chan struct{}
 	// failures is the number of failed reads in a row; only run uses it.
 	failures int
 
@@ -55,6 +58,8 @@
 	// hasNewest is true once the newest record of each key has been read.
 	hasNewest bool
 	logLost   bool
+	// readAt is when the node's last own read began.
+	readAt time.Time
 	// confirmedAt is when a read last returned all records of the topic.
 	confirmedAt time.Time
 }
@@ -66,7 +71,7 @@
 		limit = serversLimitFraction * float64(no.options.Settings.LeaveMs)
 	}
 	return &follower{
-		no: no, topic: to, roleChanged: make(chan struct{}, 1), schedule: reader.Schedule{
+		no: no, topic: to, scheduleChanged: make(chan struct{}, 1), schedule: reader.Schedule{
 			Limit:       time.Duration(limit * float64(time.Millisecond)),
 			SourceLimit: time.Duration(sourceLimitFraction * limit * float64(time.Millisecond)),
 		},
@@ -110,7 +115,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-fo.roleChanged:
+		case <-fo.scheduleChanged:
 		case <-time.After(wait):
 		}
 	}
@@ -132,11 +137,23 @@
 // wake makes run compute anew when the next read is due.
 func (fo *follower) wake() {
 	select {
-	case fo.roleChanged <- struct{}{}:
+	case fo.scheduleChanged <- struct{}{}:
 	default:
 	}
 }
 
+// readSoon makes the node read the topic at once, unless it has just done so, because an answer
+// showed that its knowledge is out of date.
+func (fo *follower) readSoon(now time.Time) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if now.Sub(fo.readAt) < requestedReadInterval {
+		return
+	}
+	fo.confirmedAt = time.Time{}
+	fo.wake()
+}
+
 // expire records that the log has dropped the records that are to be read next.
 func (fo *follower) expire() {
 	fo.mu.Lock()
@@ -186,6 +203,7 @@
 // so yet.
 func (fo *follower) read(ctx context.Context) (logRead, error) {
 	fo.mu.Lock()
+	fo.readAt = time.Now()
 	rd := logRead{from: fo.nextOffset, listing: !fo.hasNewest}
 	fo.mu.Unlock()
 	metricLogReads.Add(1)
--- a/proofs/direct_feeds_test.go
+++ b/proofs/direct_feeds_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/roster"
 	"github.com/bambooladder/bambooladder/entry/direct"
 )
 
@@ -233,3 +234,61 @@
 		}
 	})
 }
+
+// After a loss of power the records of the earlier runs stay in the log beside those of the new
+// runs, which have the same addresses. Requests for an earlier run are not run by the new one, and
+// a request that only finds such servers is refused although others are free.
+func TestDirectSendsNothingToEarlierRunsOfServers(t *testing.T) {
+	runDirectSimulation(t, 4, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		for ix := range 4 {
+			id := fmt.Sprintf("plain-%d", ix)
+			ds.backends[id].setScript(func(wr http.ResponseWriter, rq *http.Request) {
+				if rq.Header.Get(headerServer) == id {
+					wr.Header().Set(headerServer, id+"-second-run")
+					wr.Header().Set(headerID, rq.Header.Get(headerID))
+					wr.WriteHeader(http.StatusMisdirectedRequest)
+					return
+				}
+				defaultAnswer(wr, rq)
+			})
+			ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{Server: &roster.Server{
+				ID: id + "-second-run", Service: "ledger", Address: id + ":1", Zone: directZone, Places: 4, Born: 2,
+			}})
+		}
+		time.Sleep(1200 * time.Millisecond)
+		for range 8 {
+			if re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release"); re.status != http.StatusOK {
+				t.Errorf("unexpected response %+v", re)
+			}
+		}
+		if got := len(ds.allRequests()); got != 8 {
+			t.Errorf("the servers received %d requests, want each of 8 once", got)
+		}
+	})
+}
+
+// An answer that shows that the list of servers is out of date must not wait for the next regular
+// read.
+func TestDirectReadsServersAgainAfterAReplacedOne(t *testing.T) {
+	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.backends["plain-0"].setScript(func(wr http.ResponseWriter, rq *http.Request) {
+			if rq.Header.Get(headerServer) == "plain-0" {
+				wr.Header().Set(headerServer, "plain-9")
+				wr.Header().Set(headerID, rq.Header.Get(headerID))
+				wr.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			defaultAnswer(wr, rq)
+		})
+		// Half a second has passed since the last regular read, and as long is left until the next.
+		time.Sleep(1700 * time.Millisecond)
+		ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{Server: &roster.Server{
+			ID: "plain-9", Service: "ledger", Address: "plain-0:1", Zone: directZone, Places: 4, Born: 2,
+		}})
+		cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release")
+		time.Sleep(50 * time.Millisecond)
+		if re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release"); re.status != http.StatusOK {
+			t.Errorf("response %+v 50 ms after an answer showed that the server was replaced, want 200", re)
+		}
+	})
+}
