Name the handlers of frames and a few methods after what they do

Of what earlier work left: Frame and Beat of link.Handler are HandleFrame and HandleHeartbeat; the two addAdapterWait of core/spread, read in its load test, and finished, spread, roster and table of entry/direct have names of their own. The reason of a choice without an agent is agent_unavailable; agent_silent stands for a missing reply only. Behaviour is unchanged.

--- a/agent/direct/link.go
+++ b/agent/direct/link.go
@@ -48,13 +48,13 @@
 	se *session
 }
 
-// Frame queues a frame for the broker.
-func (rc *frameReceiver) Frame(fr *wire.Frame) {
+// HandleFrame queues a frame for the broker.
+func (rc *frameReceiver) HandleFrame(fr *wire.Frame) {
 	rc.ag.br.postEvent(rc.ag.ctx, event{frameReceived: &sessionFrame{se: rc.se, fr: fr}})
 }
 
-// Beat ignores the entry node's heartbeat, which carries nothing that this agent needs.
-func (rc *frameReceiver) Beat(*wire.Heartbeat) {}
+// HandleHeartbeat ignores the entry node's heartbeat, which carries nothing that this agent needs.
+func (rc *frameReceiver) HandleHeartbeat(*wire.Heartbeat) {}
 
 // Heartbeat returns the agent's heartbeat, which is empty.
 func (rc *frameReceiver) Heartbeat() wire.Heartbeat { return wire.Heartbeat{} }
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -109,8 +109,8 @@
 	br.postEvent(ctx, event{closed: &sessionClosed{se: se}})
 }
 
-// Frame queues a frame that an entry node sent.
-func (br *Broker) Frame(ctx context.Context, se Session, fr *wire.Frame) {
+// HandleFrame queues a frame that an entry node sent.
+func (br *Broker) HandleFrame(ctx context.Context, se Session, fr *wire.Frame) {
 	br.postEvent(ctx, event{frameReceived: &sessionFrame{se: se, fr: fr}})
 }
 
--- a/agent/internal/server/server.go
+++ b/agent/internal/server/server.go
@@ -70,11 +70,11 @@
 	logTime int64
 }
 
-// Frame queues a frame for the broker.
-func (rc *frameReceiver) Frame(fr *wire.Frame) { rc.br.Frame(rc.ctx, rc.co, fr) }
+// HandleFrame queues a frame for the broker.
+func (rc *frameReceiver) HandleFrame(fr *wire.Frame) { rc.br.HandleFrame(rc.ctx, rc.co, fr) }
 
-// Beat passes the log time in the entry node's heartbeat to the broker if it has advanced.
-func (rc *frameReceiver) Beat(he *wire.Heartbeat) {
+// HandleHeartbeat passes the log time in the entry node's heartbeat to the broker if it has advanced.
+func (rc *frameReceiver) HandleHeartbeat(he *wire.Heartbeat) {
 	if he.LogTime > rc.logTime {
 		rc.logTime = he.LogTime
 		rc.br.LogTime(rc.ctx, he.LogTime)
--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -140,7 +140,7 @@
 	MetricsAddress string `json:"metrics_address" yaml:"metrics_address"`
 
 	// PeerAddress is the listen address for other entry nodes that ask for this
-	// node's state, as IP:port.
+	// node's state or have its reads of the log forwarded, as IP:port.
 	PeerAddress string `json:"peer_address" yaml:"peer_address"`
 
 	// Peers lists the peer addresses of some of the other entry nodes.
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -40,11 +40,11 @@
 
 // Handler receives the frames of a connection in order.
 type Handler interface {
-	// Frame handles a frame that is not a heartbeat. It must not block, because it is called by the
+	// HandleFrame handles a frame that is not a heartbeat. It must not block, because it is called by the
 	// goroutine that reads the connection.
-	Frame(fr *wire.Frame)
-	// Beat handles a heartbeat received from the peer.
-	Beat(he *wire.Heartbeat)
+	HandleFrame(fr *wire.Frame)
+	// HandleHeartbeat handles a heartbeat received from the peer.
+	HandleHeartbeat(he *wire.Heartbeat)
 	// Heartbeat returns the next heartbeat to send to the peer.
 	Heartbeat() wire.Heartbeat
 }
@@ -193,10 +193,10 @@
 		}
 		data = rest
 		if fr.Heartbeat != nil {
-			ha.Beat(fr.Heartbeat)
+			ha.HandleHeartbeat(fr.Heartbeat)
 			continue
 		}
-		ha.Frame(fr)
+		ha.HandleFrame(fr)
 	}
 	return nil
 }
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -99,7 +99,7 @@
 	// SlotsInUse is for an engine whose slots all have adapters in use.
 	SlotsInUse Reason = "all_in_use"
 	// AgentUnavailable is for an engine that is used without a grant because its agent is unavailable.
-	AgentUnavailable Reason = "agent_silent"
+	AgentUnavailable Reason = "agent_unavailable"
 	// NoModel is for an engine that cannot serve the request.
 	NoModel Reason = "no_model"
 )
@@ -270,7 +270,7 @@
 	for ix := range me.resident {
 		sl := &me.resident[ix]
 		if sl.Adapter == rq.Adapter {
-			sl.addAdapterWait(es, rq)
+			sl.addLoadWait(es, rq)
 			return
 		}
 		if sl.Users == 0 {
@@ -304,8 +304,8 @@
 // that the agent reports, but at least adapterLoadSeconds.
 func (me *member) fetchTime() float64 { return max(adapterLoadSeconds, me.load.LoadTime.Seconds()) }
 
-// addAdapterWait adds the wait for an adapter that occupies a slot of the engine.
-func (sl *AdapterSlot) addAdapterWait(es *estimate, rq *Request) {
+// addLoadWait adds the wait for an adapter that occupies a slot of the engine.
+func (sl *AdapterSlot) addLoadWait(es *estimate, rq *Request) {
 	switch {
 	case !sl.Ready:
 		// On average, half of a load in flight is over.
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -215,7 +215,7 @@
 	report(fl, "e1", AdapterSlot{Adapter: "x", Version: 1, Ready: true})
 	fl.AgentLost("e1")
 	if ch := mustChoose(t, fl, requestFor("x"), start); ch.Reason != AgentUnavailable {
-		t.Errorf("chose %+v, want agent_silent", ch)
+		t.Errorf("chose %+v, want agent_unavailable", ch)
 	}
 	if ch, ok := fl.Choose(requestFor("y"), start); ok {
 		t.Errorf("chose %+v for an adapter that cannot be loaded without an agent", ch)
--- a/core/spread/load_test.go
+++ b/core/spread/load_test.go
@@ -60,12 +60,12 @@
 	loaded   map[string]int
 	loading  map[string]float64
 	cached   map[string]bool
-	// unprefilled holds the granted requests whose prompts are not prefilled yet, read is when the
+	// unprefilled holds the granted requests whose prompts are not prefilled yet, prefilledUntil is when the
 	// prompt in progress is, and endAt maps the IDs of running streams to their ends.
-	unprefilled []*simRequest
-	read        time.Time
-	endAt       map[string]time.Time
-	reportedAt  time.Time
+	unprefilled    []*simRequest
+	prefilledUntil time.Time
+	endAt          map[string]time.Time
+	reportedAt     time.Time
 }
 
 // simulation is a deployment under load.
@@ -289,7 +289,7 @@
 	speed := min(1, sm.load.storeLoads/float64(max(1, loadsInFlight)))
 	for _, se := range sm.engines {
 		sm.advanceLoads(se, speed)
-		sm.read(se)
+		sm.prefill(se)
 		for id, at := range se.endAt {
 			if !sm.now.Before(at) {
 				delete(se.endAt, id)
@@ -315,16 +315,16 @@
 	}
 }
 
-// read prefills prompts one after the other and counts the requests that are on time.
-func (sm *simulation) read(se *simEngine) {
-	if se.read.Before(sm.now) {
-		se.read = sm.now
+// prefill prefills prompts one after the other and counts the requests that are on time.
+func (sm *simulation) prefill(se *simEngine) {
+	if se.prefilledUntil.Before(sm.now) {
+		se.prefilledUntil = sm.now
 	}
-	for len(se.unprefilled) > 0 && !se.read.After(sm.now) {
+	for len(se.unprefilled) > 0 && !se.prefilledUntil.After(sm.now) {
 		rq := se.unprefilled[0]
 		se.unprefilled = se.unprefilled[1:]
-		se.read = se.read.Add(grant.PrefillTime(rq.tokens))
-		if se.read.Sub(rq.arrived) <= simLatencyTarget {
+		se.prefilledUntil = se.prefilledUntil.Add(grant.PrefillTime(rq.tokens))
+		if se.prefilledUntil.Sub(rq.arrived) <= simLatencyTarget {
 			sm.onTime++
 			if rq.adapter == hotAdapter {
 				sm.hotOnTime++
@@ -332,7 +332,7 @@
 		} else {
 			sm.late++
 		}
-		se.endAt[rq.id] = se.read.Add(rq.duration)
+		se.endAt[rq.id] = se.prefilledUntil.Add(rq.duration)
 	}
 }
 
--- a/entry/direct/accounting.go
+++ b/entry/direct/accounting.go
@@ -6,8 +6,8 @@
 	"github.com/bambooladder/bambooladder/core/retry"
 )
 
-// finished removes an ended attempt from its server's count of requests in flight.
-func (no *Node) finished(id string) {
+// recordAttemptEnd removes an ended attempt from its server's count of requests in flight.
+func (no *Node) recordAttemptEnd(id string) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	no.fleet.Done(id)
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -29,7 +29,7 @@
 		no.applyServerRecord(lr)
 	case lr.RemovedServer != "":
 		no.logger.Info().Str("server", lr.RemovedServer).Int64("offset", lr.Offset).Msg("server_record_removed")
-		no.view.roster(func(ro *roster.Roster) { ro.Remove(lr.RemovedServer, lr.Offset, now) })
+		no.view.withRoster(func(ro *roster.Roster) { ro.Remove(lr.RemovedServer, lr.Offset, now) })
 	}
 }
 
@@ -44,14 +44,14 @@
 			Str("zone", lr.Server.Zone).Int64("born", lr.Server.Born).Bool("leaving", lr.Server.Leaving).
 			Int64("offset", lr.Offset).Msg("server_record_applied")
 	}
-	no.view.roster(func(ro *roster.Roster) { ro.Put(*lr.Server, lr.Offset) })
+	no.view.withRoster(func(ro *roster.Roster) { ro.Put(*lr.Server, lr.Offset) })
 }
 
 // syncServers passes the current list of servers to server selection and to the agent
 // connections.
 func (no *Node) syncServers(now time.Time) {
 	servers := []roster.Server(nil)
-	no.view.roster(func(ro *roster.Roster) { servers = ro.Servers() })
+	no.view.withRoster(func(ro *roster.Roster) { servers = ro.Servers() })
 	ids := map[string]bool{}
 	no.mu.Lock()
 	for ix := range servers {
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -136,7 +136,7 @@
 	now := time.Now()
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	sr := rq.spread(now, exclude)
+	sr := rq.spreadRequest(now, exclude)
 	ch, ok := no.fleet.Choose(sr, now)
 	if !ok {
 		return nil, fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
@@ -150,7 +150,7 @@
 		id: rq.attemptID(number), server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
 	}
 	rq.logAttempt(at, "route_chosen").Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
-		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.ReportAge).Str("candidates", formatCandidates(&ch)).Int64("routes_version", rq.table).Send()
+		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.ReportAge).Str("candidates", formatCandidates(&ch)).Int64("routes_version", rq.routesVersion).Send()
 	no.fleet.Sent(ch.ID, rq.info.PromptTokens, now)
 	return at, nil
 }
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -187,7 +187,7 @@
 	case OperatorsTopic:
 		fo.no.view.routesLogDown.Store(true)
 	case ServersTopic:
-		fo.no.view.roster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
+		fo.no.view.withRoster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
 	}
 }
 
--- a/entry/direct/forward.go
+++ b/entry/direct/forward.go
@@ -70,11 +70,11 @@
 // idleReceiver ignores the frames of a subscriber, which sends only heartbeats.
 type idleReceiver struct{}
 
-// Frame ignores a frame.
-func (idleReceiver) Frame(*wire.Frame) {}
+// HandleFrame ignores a frame.
+func (idleReceiver) HandleFrame(*wire.Frame) {}
 
-// Beat ignores a heartbeat.
-func (idleReceiver) Beat(*wire.Heartbeat) {}
+// HandleHeartbeat ignores a heartbeat.
+func (idleReceiver) HandleHeartbeat(*wire.Heartbeat) {}
 
 // Heartbeat returns the node's heartbeat, which carries no data.
 func (idleReceiver) Heartbeat() wire.Heartbeat { return wire.Heartbeat{} }
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -15,8 +15,8 @@
 	ac   *agentConn
 }
 
-// Beat handles the agent's heartbeat. An agent that had stopped responding is used again.
-func (rc *frameReceiver) Beat(*wire.Heartbeat) {
+// HandleHeartbeat handles the agent's heartbeat. An agent that had stopped responding is used again.
+func (rc *frameReceiver) HandleHeartbeat(*wire.Heartbeat) {
 	rc.as.mu.Lock()
 	id, silent := rc.as.servers[rc.host], rc.ac.silent
 	rc.ac.silent = false
@@ -30,8 +30,8 @@
 // Heartbeat returns the entry node's heartbeat, which carries no data.
 func (rc *frameReceiver) Heartbeat() wire.Heartbeat { return wire.Heartbeat{} }
 
-// Frame handles one frame from the agent.
-func (rc *frameReceiver) Frame(fr *wire.Frame) {
+// HandleFrame handles one frame from the agent.
+func (rc *frameReceiver) HandleFrame(fr *wire.Frame) {
 	as := rc.as
 	as.mu.Lock()
 	id := as.servers[rc.host]
--- a/entry/direct/logread.go
+++ b/entry/direct/logread.go
@@ -50,7 +50,7 @@
 	}
 	if rd.afterFailure && fo.topic == ServersTopic {
 		// Servers may be missing only because they could not write their records.
-		fo.no.view.roster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
+		fo.no.view.withRoster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
 	}
 	metricForwardedReads.Add(1)
 	fo.apply(rd, time.Now())
@@ -85,7 +85,7 @@
 			present[lr.Server.ID] = true
 		}
 	}
-	fo.no.view.roster(func(ro *roster.Roster) { ro.ApplyListing(present, ba.End, now) })
+	fo.no.view.withRoster(func(ro *roster.Roster) { ro.ApplyListing(present, ba.End, now) })
 }
 
 // confirm records that all records of the topic up to now are known. For the servers it also
@@ -101,7 +101,7 @@
 	case OperatorsTopic:
 		fo.no.view.routesLogDown.Store(false)
 	case ServersTopic:
-		fo.no.view.roster(func(ro *roster.Roster) {
+		fo.no.view.withRoster(func(ro *roster.Roster) {
 			ro.MarkLogReadable(now)
 			ro.Expire(now)
 		})
@@ -116,7 +116,7 @@
 		return nil
 	}
 	records := make([]LogRecord, 0, len(rd.batch.Records))
-	fo.no.view.roster(func(ro *roster.Roster) {
+	fo.no.view.withRoster(func(ro *roster.Roster) {
 		for _, lr := range rd.batch.Records {
 			if rd.listing || lr.Server == nil || ro.Changes(*lr.Server) {
 				records = append(records, lr)
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -70,8 +70,8 @@
 	return an.version, an.version > 0 && (an.initial || now.Sub(an.learnedAt) >= settleTime)
 }
 
-// roster calls a function on the list of servers while holding the lock.
-func (lv *logView) roster(fn func(ro *roster.Roster)) {
+// withRoster calls a function on the list of servers while holding the lock.
+func (lv *logView) withRoster(fn func(ro *roster.Roster)) {
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
 	fn(&lv.servers)
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -116,7 +116,7 @@
 	}
 	for ix := range ps.Servers {
 		re := &ps.Servers[ix]
-		no.view.roster(func(ro *roster.Roster) { ro.Put(re.Server, re.Offset) })
+		no.view.withRoster(func(ro *roster.Roster) { ro.Put(re.Server, re.Offset) })
 	}
 	if len(ps.Servers) > 0 {
 		no.view.setServersListed()
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -27,7 +27,7 @@
 // makeAttempt runs one attempt and reports whether an answer was delivered. Requests to
 // engines need a grant first, unless the engine's agent is unavailable.
 func (rq *request) makeAttempt(ctx context.Context, at *attempt) (result, bool) {
-	defer rq.no.finished(at.server)
+	defer rq.no.recordAttemptEnd(at.server)
 	if at.choice.Reason != spread.PlainService && at.choice.Reason != spread.AgentUnavailable {
 		if re, ok := rq.reserve(ctx, at); !ok {
 			return re, false
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -33,13 +33,13 @@
 	route   *paths.Route
 	service *paths.Service
 	// table is the version of the routing table that matched the request.
-	table      int64
-	method     string
-	target     string
-	hostHeader string
-	header     http.Header
-	body       []byte
-	start      time.Time
+	routesVersion int64
+	method        string
+	target        string
+	hostHeader    string
+	header        http.Header
+	body          []byte
+	start         time.Time
 	// deadline is when the caller must be answered: answerMargin before the end of its timeout, or
 	// at the end of defaultTimeout if it states none, but no later than the end of the route's
 	// timeout.
@@ -87,7 +87,7 @@
 		return no.notReadyError()
 	}
 	rq.method, rq.target, rq.hostHeader, rq.header = hr.Method, hr.RequestURI, hr.Host, hr.Header
-	rq.table = ta.Version
+	rq.routesVersion = ta.Version
 	path, _, _ := strings.Cut(rq.target, "?")
 	route, ok := ta.Match(hr.Host, path)
 	if !ok {
@@ -146,8 +146,8 @@
 	return nil
 }
 
-// spread returns the request in the form that server selection needs.
-func (rq *request) spread(now time.Time, exclude []string) spread.Request {
+// spreadRequest returns the request in the form that server selection needs.
+func (rq *request) spreadRequest(now time.Time, exclude []string) spread.Request {
 	place := &rq.no.options.Settings.Place
 	version, settled := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), now)
 	return spread.Request{
@@ -171,7 +171,7 @@
 	}
 	metricFailures.Add(string(fe.Kind), 1)
 	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("reason", string(fe.Kind)).Str("outcome", string(fe.Outcome)).
-		Str("detail", fe.Message).Dur("retry_after", fe.RetryAfter).Dur("held", time.Since(rq.start)).Int64("routes_version", rq.table)
+		Str("detail", fe.Message).Dur("retry_after", fe.RetryAfter).Dur("held", time.Since(rq.start)).Int64("routes_version", rq.routesVersion)
 	if rq.answerStarted {
 		ev.Msg("answer_aborted")
 		panic(http.ErrAbortHandler)
--- a/entry/direct/subscribe.go
+++ b/entry/direct/subscribe.go
@@ -36,14 +36,14 @@
 	fd *feed
 }
 
-// Beat ignores the source's heartbeat: only forwarded reads show that it reads the log.
-func (fr *feedReceiver) Beat(*wire.Heartbeat) {}
+// HandleHeartbeat ignores the source's heartbeat: only forwarded reads show that it reads the log.
+func (fr *feedReceiver) HandleHeartbeat(*wire.Heartbeat) {}
 
 // Heartbeat returns the node's heartbeat, which carries no data.
 func (fr *feedReceiver) Heartbeat() wire.Heartbeat { return wire.Heartbeat{} }
 
-// Frame applies a forwarded read.
-func (fr *feedReceiver) Frame(frame *wire.Frame) {
+// HandleFrame applies a forwarded read.
+func (fr *feedReceiver) HandleFrame(frame *wire.Frame) {
 	lb := frame.LogBatch
 	if lb == nil || fr.fe.followers[lb.Topic] == nil {
 		fr.fe.no.logger.Warn().Str("source", fr.fd.peer.Name).Msg("frame_unknown")
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -74,7 +74,7 @@
 // view of the server is wrong.
 func (no *Node) correctServerState(at *attempt, kind AnswerKind, adapter string) {
 	if kind == Replaced {
-		no.view.roster(func(ro *roster.Roster) { ro.RemoveReplaced(at.server) })
+		no.view.withRoster(func(ro *roster.Roster) { ro.RemoveReplaced(at.server) })
 		no.feeds.followers[ServersTopic.String()].readSoon(time.Now())
 	}
 	no.mu.Lock()
--- a/entry/internal/links/frames.go
+++ b/entry/internal/links/frames.go
@@ -15,17 +15,17 @@
 	ac   *agentConn
 }
 
-// Beat ignores the agent's heartbeat.
-func (rc *frameReceiver) Beat(*wire.Heartbeat) {}
+// HandleHeartbeat ignores the agent's heartbeat.
+func (rc *frameReceiver) HandleHeartbeat(*wire.Heartbeat) {}
 
 // Heartbeat returns the heartbeat that is sent to the agent.
 func (rc *frameReceiver) Heartbeat() wire.Heartbeat {
 	return wire.Heartbeat{ConfigRevision: rc.ls.revision.Load(), LogTime: rc.ls.logTime.Load()}
 }
 
-// Frame handles a frame from the agent: it applies a report and delivers other frames to their
+// HandleFrame handles a frame from the agent: it applies a report and delivers other frames to their
 // attempts.
-func (rc *frameReceiver) Frame(fr *wire.Frame) {
+func (rc *frameReceiver) HandleFrame(fr *wire.Frame) {
 	if fr.Report != nil {
 		rc.applyReport(fr.Report)
 		return
