Bound the reports of an agent to entry nodes of other regions

Cause: agents reported to other regions every second whatever the size of the fleet.

Change: an agent sends 25 reports a second to other regions together, so the period is 0.3 s at up to 7 entry nodes there and 1.8 s at 45. Its cost no longer grows with their number, and a stale report costs a redirected reservation at most.

--- a/agent/direct/actions.go
+++ b/agent/direct/actions.go
@@ -83,7 +83,7 @@
 	if !se.holdingsStale {
 		return time.Time{}
 	}
-	if due := se.holdingsSentAt.Add(se.holdingsPeriod); now.Before(due) {
+	if due := se.holdingsSentAt.Add(br.holdingsPeriod(se)); now.Before(due) {
 		return due
 	}
 	if se.co.TrySend(&wire.Frame{Holdings: &wire.Holdings{Load: br.engineLoad(), Slots: br.slotReports()}}) {
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -66,6 +66,8 @@
 	en *grant.Engine
 	// sessions maps the names of the connected entry nodes to their connections.
 	sessions map[string]*session
+	// otherRegionSessions is the number of them in other regions.
+	otherRegionSessions int
 	// engineBorn is the start time of the engine process in Unix milliseconds, as last reported.
 	engineBorn int64
 	// engineSilent is true if the last inspection failed.
@@ -144,12 +146,12 @@
 	switch {
 	case ev.sessionOpened != nil:
 		br.sessions[ev.sessionOpened.name] = ev.sessionOpened
-		br.markPeersStale()
+		br.sessionsChanged()
 		br.markHoldingsStale()
 	case ev.sessionClosed != nil:
 		if br.sessions[ev.sessionClosed.name] == ev.sessionClosed {
 			delete(br.sessions, ev.sessionClosed.name)
-			br.markPeersStale()
+			br.sessionsChanged()
 			br.en.EntryDisconnected(ev.sessionClosed.name, now)
 		}
 	case ev.frameReceived != nil:
--- a/agent/direct/session.go
+++ b/agent/direct/session.go
@@ -14,10 +14,12 @@
 	// sameZonePeriod is the shortest time between two Holdings frames to an entry node in the same
 	// zone.
 	sameZonePeriod = 100 * time.Millisecond
-	// otherZonePeriod and otherRegionPeriod are the same for entry nodes further away. They are
-	// longer because traffic between zones and regions is billed by volume.
-	otherZonePeriod   = 300 * time.Millisecond
-	otherRegionPeriod = time.Second
+	// otherZonePeriod is the same for entry nodes further away. It is longer because traffic between
+	// zones is billed by volume.
+	otherZonePeriod = 300 * time.Millisecond
+	// otherRegionsRate is the number of Holdings frames that an agent sends to all entry nodes of
+	// other regions together in a second, so that this traffic does not grow with their number.
+	otherRegionsRate = 25
 	// peersDelay is how long a change of the connected entry nodes is held back, so that those
 	// which connect at the same time are reported together.
 	peersDelay = 300 * time.Millisecond
@@ -32,8 +34,8 @@
 	peer wire.Peer
 	// sameZone is true if the entry node is in the agent's zone.
 	sameZone bool
-	// holdingsPeriod is the shortest time between two Holdings frames.
-	holdingsPeriod time.Duration
+	// otherRegion is true if the entry node is known to be in another region.
+	otherRegion bool
 	// holdingsSentAt is when the last Holdings frame was sent; holdingsStale is true if the engine's
 	// state may have changed since.
 	holdingsSentAt time.Time
@@ -44,17 +46,37 @@
 
 // newSession returns the session of an entry node that sent hello to the agent at a place.
 func newSession(co *link.Conn, hello *wire.Hello, place *conf.Place) *session {
-	se := &session{
+	return &session{
 		co: co, name: hello.Entry + "/" + hello.EntryBoot, peer: wire.Peer{Name: hello.Entry, Address: hello.PeerAddress},
-		sameZone: hello.Zone == place.Zone, holdingsPeriod: otherZonePeriod,
+		sameZone: hello.Zone == place.Zone, otherRegion: hello.Region != "" && hello.Region != place.Region,
 	}
+}
+
+// holdingsPeriod returns the shortest time between two Holdings frames to an entry node.
+func (br *Broker) holdingsPeriod(se *session) time.Duration {
 	switch {
 	case se.sameZone:
-		se.holdingsPeriod = sameZonePeriod
-	case hello.Region != "" && hello.Region != place.Region:
-		se.holdingsPeriod = otherRegionPeriod
+		return sameZonePeriod
+	case se.otherRegion:
+		return max(otherZonePeriod, time.Second*time.Duration(br.otherRegionSessions)/otherRegionsRate)
+	}
+	return otherZonePeriod
+}
+
+// sessionsChanged handles that an entry node has connected or disconnected.
+func (br *Broker) sessionsChanged() {
+	br.countSessions()
+	br.markPeersStale()
+}
+
+// countSessions counts the entry nodes in other regions after one has connected or disconnected.
+func (br *Broker) countSessions() {
+	br.otherRegionSessions = 0
+	for _, se := range br.sessions {
+		if se.otherRegion {
+			br.otherRegionSessions++
+		}
 	}
-	return se
 }
 
 // markPeersStale makes every entry node of the zone get a new Peers frame.
