Test reloads on real processes and resets in the middle of calls

TestDirectSaysThatAResetCallMayHaveRun resets all connections to the servers in the middle of such calls: each is answered, or said to be unknown, and reaches a server once.

--- a/proofs/direct_answers_test.go
+++ b/proofs/direct_answers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // longAnswerBytes is more than an entry node buffers of an answer.
@@ -87,3 +88,53 @@
 		}
 	})
 }
+
+// All connections between the entry node and the servers are reset in the middle of calls that must
+// not be repeated. Each call runs at most once, and no answer says that it has not run.
+func TestDirectSaysThatAResetCallMayHaveRun(t *testing.T) {
+	const callCount = 12
+	runDirectSimulation(t, 3, 0, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			time.Sleep(300 * time.Millisecond)
+			defaultAnswer(wr, rq)
+		})
+		replies := make(chan directReply)
+		for number := range callCount {
+			go func() {
+				time.Sleep(time.Duration(number) * 40 * time.Millisecond)
+				cl := ds.newCaller("entry-1")
+				defer cl.client.CloseIdleConnections()
+				cl.count = 100 * number
+				replies <- cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release")
+			}()
+		}
+		time.Sleep(400 * time.Millisecond)
+		for id := range ds.backends {
+			ds.net.cut("entry-1", id)
+		}
+		unknown := 0
+		for range callCount {
+			re := <-replies
+			switch {
+			case re.status == http.StatusOK && re.err == nil:
+			case re.status == http.StatusBadGateway && strings.Contains(re.body, `"outcome":"unknown"`):
+				unknown++
+			default:
+				t.Errorf("unexpected response %+v to a call whose connection was reset", re)
+			}
+		}
+		if unknown == 0 {
+			t.Error("no call was reset")
+		}
+		runs := map[string]int{}
+		for _, rq := range ds.allRequests() {
+			id, _, _ := strings.Cut(rq, " ")
+			runs[id]++
+		}
+		for id, count := range runs {
+			if count != 1 {
+				t.Errorf("call %s reached servers %d times, want once", id, count)
+			}
+		}
+	})
+}
--- a/proofs/path_test.go
+++ b/proofs/path_test.go
@@ -180,6 +180,7 @@
 	t.Run("claimed call", func(t *testing.T) { testClaimedCall(t, de) })
 	t.Run("settings change", func(t *testing.T) { testSettingsChange(t, de) })
 	t.Run("decision logs", func(t *testing.T) { testDecisionLogs(t, de) })
+	t.Run("reload", func(t *testing.T) { testReload(t, de) })
 	t.Run("graceful stop", func(t *testing.T) { testStopFinishesOpenStream(t, de) })
 }
 
@@ -446,7 +447,13 @@
 // terminate sends SIGTERM to a process of the deployment.
 func terminate(tb testing.TB, de *deployment, name string) {
 	tb.Helper()
-	if err := syscall.Kill(de.processID(tb, name), syscall.SIGTERM); err != nil {
+	signalProgram(tb, de, name, syscall.SIGTERM)
+}
+
+// signalProgram sends a signal to a process of the deployment.
+func signalProgram(tb testing.TB, de *deployment, name string, sig syscall.Signal) {
+	tb.Helper()
+	if err := syscall.Kill(de.processID(tb, name), sig); err != nil {
 		tb.Fatal(err)
 	}
 }
