--- a/core/limit/teams.go
+++ b/core/limit/teams.go
@@ -12,6 +12,10 @@
 // inFlightRetryAfter is the suggested wait after a refusal because of requests in flight.
 const inFlightRetryAfter = 250 * time.Millisecond
 
+// unlimitedRate is the rate of a team without a limit, in requests a second. It is finite, because a
+// bucket keeps its level only between finite rates.
+const unlimitedRate rate.Limit = 1e9
+
 // usage is what one team uses of its limits on an entry node.
 type usage struct {
 	limits   conf.Limits
@@ -55,8 +59,9 @@
 	return 0
 }
 
-// usage returns the usage of a team, which is created if it does not exist. If the limits
-// have changed, the team gets a new, full token bucket.
+// usage returns the usage of a team, which is created with a full token bucket if it does not
+// exist. If the limits have changed, the bucket keeps its level, so that a change gives no team
+// more requests than either limit allows.
 func (ts *Teams) usage(name string, li conf.Limits, now time.Time) *usage {
 	if ts.teams == nil {
 		ts.teams = map[string]*usage{}
@@ -66,19 +71,23 @@
 		us = &usage{}
 		ts.teams[name] = us
 	}
-	if us.bucket == nil || us.limits != li {
-		us.limits = li
+	switch {
+	case us.bucket == nil:
 		us.bucket = rate.NewLimiter(rateOf(li), max(1, li.Burst))
 		// NewLimiter starts at the zero time; this moves the bucket to now.
 		us.bucket.SetLimitAt(now, rateOf(li))
+	case us.limits != li:
+		us.bucket.SetLimitAt(now, rateOf(li))
+		us.bucket.SetBurstAt(now, max(1, li.Burst))
 	}
+	us.limits = li
 	return us
 }
 
-// rateOf returns the rate of the limits, which is unlimited if it is zero.
+// rateOf returns the rate of the limits, which is unlimitedRate if it is zero.
 func rateOf(li conf.Limits) rate.Limit {
 	if li.RequestsPerSecond <= 0 {
-		return rate.Inf
+		return unlimitedRate
 	}
 	return rate.Limit(li.RequestsPerSecond)
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -10,6 +10,10 @@
 // is alive has written its record again. The platform promises about two seconds.
 const MaxRewriteDelay = 2300 * time.Millisecond
 
+// maxRemovals is the number of removals that are remembered. Records arrive late by seconds, in which
+// far fewer servers are removed.
+const maxRemovals = 4096
+
 // Adapter is an adapter version that an engine has loaded.
 type Adapter struct {
 	Name    string
@@ -62,7 +66,6 @@
 func (ro *Roster) Put(se Server, offset int64) bool {
 	if ro.servers == nil {
 		ro.servers = map[string]*trackedServer{}
-		ro.removalOffsets = map[string]int64{}
 	}
 	if offset < ro.removalOffsets[se.ID] {
 		return false
@@ -92,17 +95,39 @@
 // dropped now, or by a later Expire if the log is or was recently unreadable.
 func (ro *Roster) Remove(id string, offset int64, now time.Time) {
 	ts := ro.servers[id]
-	if ts == nil || offset < ts.offset {
+	if ts == nil {
+		ro.recordRemoval(id, offset)
+		return
+	}
+	if offset < ts.offset {
 		return
 	}
 	ts.offset = offset
 	if ts.missingSince.IsZero() {
 		ts.missingSince = now
 	}
-	ro.removalOffsets[id] = offset
+	ro.recordRemoval(id, offset)
 	ro.Expire(now)
 }
 
+// recordRemoval remembers a removal, and forgets the oldest one beyond maxRemovals.
+func (ro *Roster) recordRemoval(id string, offset int64) {
+	if ro.removalOffsets == nil {
+		ro.removalOffsets = map[string]int64{}
+	}
+	ro.removalOffsets[id] = max(offset, ro.removalOffsets[id])
+	if len(ro.removalOffsets) <= maxRemovals {
+		return
+	}
+	oldest := id
+	for other, at := range ro.removalOffsets {
+		if at < ro.removalOffsets[oldest] || at == ro.removalOffsets[oldest] && other < oldest {
+			oldest = other
+		}
+	}
+	delete(ro.removalOffsets, oldest)
+}
+
 // ApplyListing handles a listing of all server records in the log as of the given offset.
 // Servers whose ID is not in present are handled like removed ones.
 func (ro *Roster) ApplyListing(present map[string]bool, offset int64, now time.Time) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"strconv"
 	"testing"
 	"time"
 )
@@ -112,3 +113,29 @@
 		t.Errorf("servers %+v, want both", got)
 	}
 }
+
+// A node that starts may hear of a removal before an older record of the server, which a peer
+// sent to it.
+func TestRecordOlderThanTheRemovalOfAnUnknownServerIsIgnored(t *testing.T) {
+	ro := &Roster{}
+	ro.Remove("a", 7, testStart)
+	if ro.Put(server("a"), 6) {
+		t.Error("a record older than the removal added the server")
+	}
+	if !ro.Put(server("a"), 8) {
+		t.Error("a record newer than the removal was ignored")
+	}
+}
+
+func TestRememberedRemovalsAreBounded(t *testing.T) {
+	ro := &Roster{}
+	for ix := range maxRemovals + 100 {
+		ro.Remove(strconv.Itoa(ix), int64(ix), testStart)
+	}
+	if got := len(ro.removalOffsets); got != maxRemovals {
+		t.Errorf("%d removals are remembered, want %d", got, maxRemovals)
+	}
+	if ro.Put(server(strconv.Itoa(maxRemovals+99)), 5) {
+		t.Error("the newest removal was forgotten")
+	}
+}
--- a/core/runs/table.go
+++ b/core/runs/table.go
@@ -58,6 +58,9 @@
 	phase Phase
 	// claimedAt is the log time of the claim in Unix milliseconds, zero without a claim.
 	claimedAt int64
+	// keepUntil is until when an ended attempt without a claim stays in the table. A void after
+	// the end extends it.
+	keepUntil time.Time
 }
 
 // endedRun is an attempt that has ended, with what decides when it is deleted.
@@ -169,7 +172,8 @@
 
 // scheduleRemoval adds an attempt that has ended to those that removeExpired deletes.
 func (ta *Table) scheduleRemoval(attempt string, ru *run, now time.Time) {
-	er := endedRun{attempt: attempt, claimedAt: ru.claimedAt, keepUntil: now.Add(UnclaimedRetention)}
+	ru.keepUntil = now.Add(UnclaimedRetention)
+	er := endedRun{attempt: attempt, claimedAt: ru.claimedAt, keepUntil: ru.keepUntil}
 	if ru.claimedAt > 0 {
 		ta.endedClaimed = append(ta.endedClaimed, er)
 		return
@@ -182,7 +186,10 @@
 // claimRetention, by log time, and longer if an attempt with a newer claim ended before them.
 func (ta *Table) removeExpired(now time.Time) {
 	for len(ta.endedUnclaimed) > 0 && !now.Before(ta.endedUnclaimed[0].keepUntil) {
-		delete(ta.runs, ta.endedUnclaimed[0].attempt)
+		attempt := ta.endedUnclaimed[0].attempt
+		if ru := ta.runs[attempt]; ru != nil && !now.Before(ru.keepUntil) {
+			delete(ta.runs, attempt)
+		}
 		ta.endedUnclaimed = ta.endedUnclaimed[1:]
 	}
 	for len(ta.endedClaimed) > 0 && ta.logTime-ta.endedClaimed[0].claimedAt > claimRetention.Milliseconds() {
--- a/core/runs/table_test.go
+++ b/core/runs/table_test.go
@@ -86,3 +86,22 @@
 		t.Fatalf("Void of an attempt for another boot = %s, want unknown", got)
 	}
 }
+
+// The sender of a void counts the retention from the void, not from the end of the attempt before.
+func TestVoidedAttemptIsKeptForTheRetentionAfterTheVoid(t *testing.T) {
+	ta := NewTable("boot")
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	di := &wire.Dispatch{Boot: "boot", Attempt: "a"}
+	ta.Admit(di, now)
+	ta.End("a", Refused, now)
+	voided := now.Add(UnclaimedRetention - time.Second)
+	if got := ta.Void(&wire.Void{Boot: "boot", Attempt: "a"}, voided); got != wire.VerdictOutcomeVoided {
+		t.Fatalf("verdict %s, want voided", got)
+	}
+	if got := ta.Admit(di, now.Add(UnclaimedRetention)); got != WasVoided {
+		t.Errorf("decision %s a second after the void, want %s", got, WasVoided)
+	}
+	if got := ta.Admit(di, voided.Add(UnclaimedRetention)); got != Accept {
+		t.Errorf("decision %s after the retention, want %s", got, Accept)
+	}
+}
