Let nodes read the log sooner when their source falls silent

Cause: a node whose source froze relied on its last forwarded read for as long as a node may that reads for itself, 0.6 of routes_ms. A version of an adapter heard of that late would be required 0.1 s before version_ms is over.

Change: the limit of a subscriber is three quarters of that; a source reads after 0.55 of it.

Test: TestDirectNodesReadSoonAfterTheirSourceFroze, over ten phases of the reads; with the limit before it fails from 300 ms on.

--- a/core/reader/zone_test.go
+++ b/core/reader/zone_test.go
@@ -123,8 +123,8 @@
 }
 
 func TestSourceReadsBeforeSubscribersReachTheirLimit(t *testing.T) {
-	sc := Schedule{Limit: 2 * time.Second, SourceLimit: time.Second}
-	for role, want := range map[Role]time.Duration{Alone: 2 * time.Second, Source: time.Second, Subscriber: 2 * time.Second} {
+	sc := Schedule{Limit: 2 * time.Second, SourceLimit: time.Second, SubscriberLimit: 1500 * time.Millisecond}
+	for role, want := range map[Role]time.Duration{Alone: 2 * time.Second, Source: time.Second, Subscriber: 1500 * time.Millisecond} {
 		if got := sc.NextRead(role, testStart).Sub(testStart); got != want {
 			t.Errorf("%s reads after %s, want %s", role, got, want)
 		}
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -20,8 +20,10 @@
 	// the servers' records. A leaving server must be noticed within leave_ms.
 	serversLimitFraction = 0.45
 	// sourceLimitFraction is the part of these limits after which a node reads that reads for
-	// others.
-	sourceLimitFraction = 0.55
+	// others, subscriberLimitFraction the part after which another one no longer relies on it. A
+	// node that stopped silently must be noticed while there is time for a read.
+	sourceLimitFraction     = 0.55
+	subscriberLimitFraction = 0.75
 	// readTimeout limits a read, in addition to the time that it waits for new records.
 	readTimeout = 1500 * time.Millisecond
 	// firstReadTimeout limits the first and then every second read of the newest records while
@@ -72,8 +74,9 @@
 	}
 	return &follower{
 		no: no, topic: to, scheduleChanged: make(chan struct{}, 1), schedule: reader.Schedule{
-			Limit:       time.Duration(limit * float64(time.Millisecond)),
-			SourceLimit: time.Duration(sourceLimitFraction * limit * float64(time.Millisecond)),
+			Limit:           time.Duration(limit * float64(time.Millisecond)),
+			SourceLimit:     time.Duration(sourceLimitFraction * limit * float64(time.Millisecond)),
+			SubscriberLimit: time.Duration(subscriberLimitFraction * limit * float64(time.Millisecond)),
 		},
 	}
 }
--- a/proofs/direct_feeds_test.go
+++ b/proofs/direct_feeds_test.go
@@ -189,6 +189,27 @@
 	}
 }
 
+// Routes are changed just as the node that reads for the zone freezes. The others must read them
+// themselves within half of routes_ms (2.5 s), so that a read that fails can be repeated in time.
+func TestDirectNodesReadSoonAfterTheirSourceFroze(t *testing.T) {
+	const heardWithin = 1250 * time.Millisecond
+	for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+		runDirectSimulation(t, 1, 2, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+			readers := startFeedNodes(ds)
+			time.Sleep(phase)
+			ds.net.freeze("entry-2", 10*time.Second)
+			removeRoutes(ds, 2)
+			delete(readers, "entry-2")
+			time.Sleep(heardWithin)
+			for node, status := range statuses(t, ds, readers, http.MethodPost, "/unsafe/x") {
+				if status != http.StatusNotFound {
+					t.Errorf("phase %s: %s answers %d, so it has not read the routes %s after its source froze", phase, node, status, heardWithin)
+				}
+			}
+		})
+	}
+}
+
 // A server's record vanishes while the node that reads for the zone cannot read the log. The other
 // nodes were not told of the outage, and must keep the server until it has had time to return.
 func TestDirectNodesKeepServersThatVanishedInAnOutage(t *testing.T) {
