Drop a connection to a node that is not to be relied on any more

Cause: while a node was connecting to another one whose reads it wanted, it could become the one that has to read; the connection stayed, and the first read forwarded over it made the node rely on the other until the next check. Found by reading.

--- a/entry/direct/feeds.go
+++ b/entry/direct/feeds.go
@@ -136,12 +136,13 @@
 	}
 	target, ok := fe.zone.Source(fe.self(), now)
 	switch {
-	case !ok && fe.source != nil:
+	case !ok:
 		fe.dropFeed(fe.source)
-	case ok && (fe.source == nil || fe.source.peer != target) && (fe.candidate == nil || fe.candidate.peer != target):
-		if fe.candidate != nil {
-			fe.dropFeed(fe.candidate)
-		}
+		fe.dropFeed(fe.candidate)
+	case fe.source.isTo(target):
+		fe.dropFeed(fe.candidate)
+	case !fe.candidate.isTo(target):
+		fe.dropFeed(fe.candidate)
 		feedCtx, cancel := context.WithCancel(ctx)
 		fe.candidate = &feed{peer: target, cancel: cancel, lastForward: now}
 		go fe.subscribe(feedCtx, fe.candidate)
@@ -149,6 +150,9 @@
 	fe.updateRole()
 }
 
+// isTo reports whether a connection exists and leads to a node.
+func (fd *feed) isTo(pe reader.Peer) bool { return fd != nil && fd.peer == pe }
+
 // endFeed ends a connection that failed, and avoids the node for a while.
 func (fe *feeds) endFeed(fd *feed, reason string, now time.Time) {
 	fe.no.logger.Info().Str("dependency", "log_source").Str("source", fd.peer.Name).Str("address", fd.peer.Address).
@@ -157,8 +161,11 @@
 	fe.dropFeed(fd)
 }
 
-// dropFeed ends a connection.
+// dropFeed ends a connection, if there is one.
 func (fe *feeds) dropFeed(fd *feed) {
+	if fd == nil {
+		return
+	}
 	fd.cancel()
 	if fe.source == fd {
 		fe.source = nil
@@ -177,9 +184,7 @@
 	if fe.candidate != fd {
 		return
 	}
-	if fe.source != nil {
-		fe.dropFeed(fe.source)
-	}
+	fe.dropFeed(fe.source)
 	fe.source, fe.candidate = fd, nil
 	fe.no.logger.Info().Str("dependency", "log_source").Str("source", fd.peer.Name).Str("address", fd.peer.Address).Msg("dependency_regained")
 	fe.updateRole()
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -145,6 +145,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errServerSilent):
 		reason = "server_silent"
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		reason = reasonCallerGone
 	case ctx.Err() != nil:
 		reason = "time_over"
 	}
