--- a/core/poison/table.go
+++ b/core/poison/table.go
@@ -49,6 +49,19 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// RequestFingerprint returns a hash, in hex, of what makes two requests the same one to a backend
+// server: how it is addressed, the adapter and the body.
+func RequestFingerprint(method, host, target, adapter string, body []byte) string {
+	ha := xxh3.New()
+	for _, part := range [...]string{method, host, target, adapter} {
+		_, _ = ha.WriteString(part)
+		_, _ = ha.Write([]byte{0})
+	}
+	_, _ = ha.Write(body)
+	sum := ha.Sum128().Bytes()
+	return hex.EncodeToString(sum[:])
+}
+
 // quarantine is the state of a fingerprint that was in flight at a crash. Its times are log
 // times in Unix milliseconds.
 type quarantine struct {
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -129,6 +129,16 @@
 	return Server{}, false
 }
 
+// RunStart returns when a server's present run started, in Unix milliseconds: the later of what its
+// record and its agent say, zero if neither does.
+func (fl *Fleet) RunStart(id string) int64 {
+	me := fl.members[id]
+	if me == nil {
+		return 0
+	}
+	return max(me.Born, me.load.Born)
+}
+
 // AgentReported applies an agent's report on its engine; resident is nil if the report
 // contains only the load.
 func (fl *Fleet) AgentReported(id string, lo Load, resident []AdapterSlot) {
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -39,7 +39,7 @@
 	no.mu.Lock()
 	old, known := no.fleet.Server(lr.Server.ID)
 	no.mu.Unlock()
-	if !known || old.Leaving != lr.Server.Leaving {
+	if !known || old.Leaving != lr.Server.Leaving || old.Born != lr.Server.Born {
 		no.logger.Info().Str("server", lr.Server.ID).Str("service", lr.Server.Service).Str("address", lr.Server.Address).
 			Str("zone", lr.Server.Zone).Int64("born", lr.Server.Born).Bool("leaving", lr.Server.Leaving).
 			Int64("offset", lr.Offset).Msg("server_record_applied")
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -30,6 +30,8 @@
 	id      string
 	server  string
 	address string
+	// born is the start of the server's run, in Unix milliseconds, as last reported.
+	born    int64
 	choice  spread.Choice
 	version int
 	granted bool
@@ -148,6 +150,7 @@
 	}
 	at := &attempt{
 		id: rq.attemptID(number), server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
+		born: no.fleet.RunStart(ch.ID),
 	}
 	rq.logAttempt(at, "route_chosen").Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
 		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.ReportAge).Str("candidates", formatCandidates(&ch)).Int64("routes_version", rq.routesVersion).Send()
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -153,7 +153,7 @@
 	if !errors.Is(context.Cause(ctx), context.Canceled) {
 		rq.no.recordFailure(at.server)
 	}
-	rq.logAttempt(at, "exchange_failed").Str("error", err.Error()).Send()
+	rq.logAttempt(at, "exchange_failed").Str("error", err.Error()).Str("fingerprint", rq.fingerprint()).Int64("born", at.born).Send()
 	return result{outcome: outcome, reason: reason}
 }
 
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -14,6 +14,7 @@
 
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/spread"
 )
 
@@ -50,6 +51,8 @@
 	// redirected is true once an agent has refused the request because its engine was busier than
 	// expected.
 	redirected bool
+	// contentFingerprint is the result of fingerprint, empty until it is first needed.
+	contentFingerprint string
 	// answerStarted is true once any part of an answer has been written.
 	answerStarted bool
 	// stream tracks the events written to the caller, for routes that stream.
@@ -146,6 +149,14 @@
 	return nil
 }
 
+// fingerprint returns a hash by which the request is recognized when its caller sends it again.
+func (rq *request) fingerprint() string {
+	if rq.contentFingerprint == "" {
+		rq.contentFingerprint = poison.RequestFingerprint(rq.method, rq.hostHeader, rq.target, rq.info.Model+"/"+rq.info.Adapter, rq.body)
+	}
+	return rq.contentFingerprint
+}
+
 // spreadRequest returns the request in the form that server selection needs.
 func (rq *request) spreadRequest(now time.Time, exclude []string) spread.Request {
 	place := &rq.no.options.Settings.Place
