--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -157,6 +157,11 @@
 	canceled int
 	loaded   map[string]int
 	seq      int64
+	// born is the start of the server's present run, zero while it is down.
+	born int64
+	// service and model are those that the server announces; httpServer is that of its present run.
+	service, model string
+	httpServer     *http.Server
 }
 
 // setScript sets the function that writes the responses.
@@ -202,11 +207,14 @@
 func (ba *backend) Inspect(context.Context) (grant.Observation, error) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
+	if ba.born == 0 {
+		return grant.Observation{}, errConnectionRefused
+	}
 	mo := grant.Model{Name: testModel, Adapters: map[string]int{}}
 	for name, version := range ba.loaded {
 		mo.Adapters[name] = version
 	}
-	return grant.Observation{Born: 1, Models: []grant.Model{mo}, Sequence: ba.seq, MemoryTotal: 100_000, Coming: map[grant.Key]int{}}, nil
+	return grant.Observation{Born: ba.born, Models: []grant.Model{mo}, Sequence: ba.seq, MemoryTotal: 100_000, Coming: map[grant.Key]int{}}, nil
 }
 
 // Order implements the Engine interface of the agent: it loads or unloads an adapter.
@@ -339,21 +347,60 @@
 // announceServer appends a record about a backend server to the log.
 func (ds *directSimulation) announceServer(id, service, model string, leaving bool) {
 	ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{Server: &roster.Server{
-		ID: id, Service: service, Address: id + ":1", Zone: directZone, Places: 4, Born: 1, Model: model, Leaving: leaving,
+		ID: id, Service: service, Address: id + ":1", Zone: directZone, Places: 4, Born: ds.backends[id].bornAt(), Model: model, Leaving: leaving,
 	}})
 }
 
-// startServer starts a backend server and, if it is an engine, its agent.
-func (ds *directSimulation) startServer(id, service, model string) {
-	ba := &backend{id: id, loaded: map[string]int{}}
-	ds.backends[id] = ba
-	ls, err := ds.net.forHost(id).Listen(id + ":1")
+// bornAt returns the start of the server's present run.
+func (ba *backend) bornAt() int64 {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return ba.born
+}
+
+// listen starts a run of a backend server.
+func (ds *directSimulation) listen(ba *backend) {
+	ls, err := ds.net.forHost(ba.id).Listen(ba.id + ":1")
 	if err != nil {
-		ds.tb.Fatal(err)
+		ds.tb.Error(err)
+		return
 	}
 	sv := &http.Server{Handler: ba}
+	ba.mu.Lock()
+	ba.httpServer = sv
+	ba.mu.Unlock()
 	go func() { _ = sv.Serve(ls) }()
-	ds.tb.Cleanup(func() { _ = sv.Close() })
+}
+
+// crashServer ends a run of a backend server without notice: its connections break, and new ones are
+// refused until it starts again after downtime, with nothing loaded and under the same ID.
+func (ds *directSimulation) crashServer(id string, downtime time.Duration) {
+	ba := ds.backends[id]
+	ba.mu.Lock()
+	born := ba.born
+	ba.born, ba.seq, ba.loaded = 0, 0, map[string]int{}
+	sv := ba.httpServer
+	ba.mu.Unlock()
+	if born == 0 {
+		return
+	}
+	_ = sv.Close()
+	go func() {
+		time.Sleep(downtime)
+		ba.mu.Lock()
+		ba.born = born + 1
+		ba.mu.Unlock()
+		ds.listen(ba)
+		ds.announceServer(id, ba.service, ba.model, false)
+	}()
+}
+
+// startServer starts a backend server and, if it is an engine, its agent.
+func (ds *directSimulation) startServer(id, service, model string) {
+	ba := &backend{id: id, loaded: map[string]int{}, born: 1, service: service, model: model}
+	ds.backends[id] = ba
+	ds.listen(ba)
+	ds.tb.Cleanup(func() { _ = ba.httpServer.Close() })
 	ds.announceServer(id, service, model, false)
 	if model == "" {
 		return
