--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -75,6 +75,8 @@
 	// burstLimited is true while the number of prompt tokens that are granted without a break is
 	// limited.
 	burstLimited bool
+	// crashes holds the crash reports that were passed on, for entry nodes that connect later.
+	crashes []passedCrash
 	// boot is the ID of this run of the agent.
 	boot string
 }
@@ -148,6 +150,7 @@
 		br.sessions[ev.sessionOpened.name] = ev.sessionOpened
 		br.sessionsChanged()
 		br.markHoldingsStale()
+		br.sendCrashes(ctx, ev.sessionOpened, now)
 	case ev.sessionClosed != nil:
 		if br.sessions[ev.sessionClosed.name] == ev.sessionClosed {
 			delete(br.sessions, ev.sessionClosed.name)
@@ -219,6 +222,9 @@
 		br.executeActions(ctx, br.en.Prepare(grant.Assignment{
 			Model: fr.Prepare.Model, Slots: fr.Prepare.Slots, Server: fr.Prepare.Server, Born: fr.Prepare.Born,
 		}, now))
+	case fr.CrashReport != nil:
+		br.passCrash(ctx, se, fr.CrashReport, now)
+		return
 	}
 	br.markHoldingsStale()
 }
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -35,6 +35,9 @@
 	NotReady Kind = "not_ready"
 	// Blocked means that the request was in flight at too many engine crashes (package poison).
 	Blocked Kind = "blocked"
+	// Quarantined means the same on platforms whose callers take any 4xx status as final, although
+	// the request is accepted again after a while.
+	Quarantined Kind = "quarantined"
 )
 
 // Outcome says whether a failed request has run, over all its attempts.
@@ -68,6 +71,7 @@
 	OutcomeUnknown: http.StatusBadGateway,
 	NotReady:       http.StatusServiceUnavailable,
 	Blocked:        http.StatusUnprocessableEntity,
+	Quarantined:    http.StatusServiceUnavailable,
 }
 
 // Error is an error for a caller or operator, with what to do about it.
--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -5,5 +5,11 @@
 // request with that fingerprint may then run, on its own, which is called a probe. A second
 // crash blocks the fingerprint. Retention after its last crash, a fingerprint is deleted. The
 // Table is built from the records of a log stream, so that all entry nodes reach the same
-// verdict. The package does no I/O and reads no clock.
+// verdict.
+//
+// Suspects gives a verdict without the log, for entry nodes that see crashes themselves and tell
+// each other: a fingerprint that was in flight at SuspectCrashes crashes, with no answer between
+// them, is refused until Retention after the last one.
+//
+// The package does no I/O and reads no clock.
 package poison
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -129,6 +129,13 @@
 	return Server{}, false
 }
 
+// Accepts reports whether a server is known and takes new requests: neither its record nor its agent
+// says that it is leaving.
+func (fl *Fleet) Accepts(id string) bool {
+	me := fl.members[id]
+	return me != nil && !me.Leaving && !me.load.Draining
+}
+
 // RunStart returns when a server's present run started, in Unix milliseconds: the later of what its
 // record and its agent say, zero if neither does.
 func (fl *Fleet) RunStart(id string) int64 {
--- a/core/wire/codec_test.go
+++ b/core/wire/codec_test.go
@@ -38,6 +38,7 @@
 		{Chunk: &Chunk{}}, {End: &End{}}, {Holdings: &Holdings{}}, {Reserve: &Reserve{}}, {Grant: &Grant{}}, {Queued: &Queued{}},
 		{Release: &Release{}}, {Prepare: &Prepare{}}, {Started: &Started{Attempt: "a"}},
 		{Peers: &Peers{Entries: []Peer{{Name: "e", Address: "10.0.0.1:7"}}}}, {LogBatch: &LogBatch{Topic: "servers", From: 1, End: 2, Records: []byte("x")}},
+		{CrashReport: &CrashReport{Server: "s", Born: 1, Age: 2, Fingerprints: []string{"f"}}},
 	} {
 		buf := bytes.Buffer{}
 		if err := Append(&buf, fr); err != nil {
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -20,6 +20,24 @@
 	Sequence uint64 `json:"sequence" yaml:"sequence" cbor:"2,keyasint,omitempty"`
 }
 
+// CrashReport tells of requests that were in flight when a backend server crashed.
+// An entry node sends it to an agent, which passes it on to the other entry nodes,
+// also to those that connect later.
+type CrashReport struct {
+	// Age is the time since the crash, in milliseconds.
+	Age int64 `json:"age" yaml:"age" cbor:"3,keyasint,omitempty"`
+
+	// Born identifies the run of the backend server that crashed, by its start time
+	// in Unix milliseconds.
+	Born int64 `json:"born" yaml:"born" cbor:"2,keyasint,omitempty"`
+
+	// Fingerprints lists the fingerprints of the requests.
+	Fingerprints []string `json:"fingerprints" yaml:"fingerprints" cbor:"4,keyasint,omitempty"`
+
+	// Server is the id of the backend server.
+	Server string `json:"server" yaml:"server" cbor:"1,keyasint,omitempty"`
+}
+
 // Credit acknowledges chunks; with Replay it also asks for the chunks after
 // Received to be sent again.
 type Credit struct {
@@ -171,6 +189,9 @@
 	// Chunk corresponds to the JSON schema field "chunk".
 	Chunk *Chunk `json:"chunk,omitempty,omitzero" yaml:"chunk,omitempty" cbor:"12,keyasint,omitempty"`
 
+	// CrashReport corresponds to the JSON schema field "crash_report".
+	CrashReport *CrashReport `json:"crash_report,omitempty,omitzero" yaml:"crash_report,omitempty" cbor:"23,keyasint,omitempty"`
+
 	// Credit corresponds to the JSON schema field "credit".
 	Credit *Credit `json:"credit,omitempty,omitzero" yaml:"credit,omitempty" cbor:"6,keyasint,omitempty"`
 
--- a/entry/direct/accounting.go
+++ b/entry/direct/accounting.go
@@ -94,6 +94,5 @@
 func (no *Node) acceptsRequests(id string) bool {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	se, ok := no.fleet.Server(id)
-	return ok && !se.Leaving
+	return no.fleet.Accepts(id)
 }
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -48,6 +48,8 @@
 	links      map[string]*agentConn
 	// servers maps each agent's host to the ID of the server on it.
 	servers map[string]string
+	// zones maps each agent's host to its availability zone.
+	zones map[string]string
 	// waiting holds the attempts that wait for a grant, granted those that have one; both are
 	// keyed by attempt ID.
 	waiting map[string]*grantWaiter
@@ -100,14 +102,14 @@
 		return
 	}
 	hosts := make([]member.Host, 0, len(servers))
-	byHost := map[string]string{}
+	byHost, zones := map[string]string{}, map[string]string{}
 	for ix := range servers {
 		se := &servers[ix]
 		host := hostOf(se.Address)
 		if !ta.Services[se.Service].Engine || host == "" {
 			continue
 		}
-		byHost[host] = se.ID
+		byHost[host], zones[host] = se.ID, se.Zone
 		hosts = append(hosts, member.Host{
 			Name: host, Address: net.JoinHostPort(host, strconv.Itoa(as.no.options.Settings.AgentPort)), Zone: se.Zone,
 		})
@@ -116,7 +118,7 @@
 	defer as.mu.Unlock()
 	as.members.ApplyList(hosts, now)
 	previous := as.servers
-	as.servers = byHost
+	as.servers, as.zones = byHost, zones
 	for host, ac := range as.links {
 		if previous[host] == byHost[host] {
 			continue
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return rq.classifySendError(ctx, at, err), false
 	}
+	no.crashes.recordAnswered(rq)
 	took := time.Since(at.start)
 	histogram(histogramFirstByte).record(took)
 	ans := &bufferedAnswer{status: an.Status, header: an.Header, body: data}
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -68,6 +68,7 @@
 	}
 	no.mu.Unlock()
 	no.agents.setServers(servers, now)
+	no.crashes.recordServers(servers)
 }
 
 // spreadServer converts a server's record to the form that server selection needs.
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -50,6 +50,8 @@
 	reason  string
 	// retryDelay is the delay that the server or agent asks for, zero for none.
 	retryDelay time.Duration
+	// serverLost is true if the server stopped answering after it may have begun to run the request.
+	serverLost bool
 	// serverFailure is the server's own error answer. It is delivered if no other attempt
 	// follows.
 	serverFailure *bufferedAnswer
@@ -75,6 +77,9 @@
 		if delivered {
 			return
 		}
+		if re.serverLost {
+			no.crashes.recordLost(rq, at, re.reason)
+		}
 		st = st.WithOutcome(re.outcome)
 		st.TimeLeft = time.Until(rq.deadline)
 		if ctx.Err() != nil {
@@ -135,6 +140,9 @@
 // or the expected wait is too long for the caller.
 func (rq *request) chooseServer(number int, exclude []string) (*attempt, error) {
 	no := rq.no
+	if err := no.crashes.verdict(rq); err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	no.mu.Lock()
 	defer no.mu.Unlock()
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -45,6 +45,9 @@
 	if fr.Peers != nil {
 		as.no.feeds.applyPeers(rc.host, fr.Peers)
 	}
+	if fr.CrashReport != nil {
+		as.no.crashes.applyReport(fr.CrashReport)
+	}
 	if lo != nil {
 		holds := []spread.AdapterSlot(nil)
 		if fr.Holdings != nil {
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -29,7 +29,11 @@
 	// node forwarded to it.
 	metricLogReads       = newCounter("log_reads")
 	metricForwardedReads = newCounter("forwarded_log_reads")
-	histograms           = map[string]*latencyHistogram{
+	// metricCrashes counts the crashes that this node has seen, metricQuarantined the requests refused
+	// because of crashes.
+	metricCrashes     = newCounter("server_crashes")
+	metricQuarantined = newCounter("quarantined_requests")
+	histograms        = map[string]*latencyHistogram{
 		histogramFirstByte: newLatencyHistogram(histogramFirstByte), histogramWholeAnswer: newLatencyHistogram(histogramWholeAnswer), histogramGrant: newLatencyHistogram(histogramGrant),
 	}
 )
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
@@ -59,6 +60,7 @@
 	view    *logView
 	agents  *agents
 	feeds   *feeds
+	crashes *crashes
 	pool    *pool.Pool
 	// boot identifies this run of the node.
 	boot   string
@@ -104,6 +106,7 @@
 		ctx: ctx, cancel: cancel, addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.agents = newAgents(no)
+	no.crashes = newCrashes(no)
 	no.feeds = newFeeds(no, newFollower(no, OperatorsTopic), newFollower(no, ServersTopic))
 	return no
 }
@@ -240,6 +243,7 @@
 
 // recordEngineReport updates an engine's load and adapters from its agent's report.
 func (no *Node) recordEngineReport(id string, lo spread.Load, holds []spread.AdapterSlot) {
+	no.crashes.recordStarted(poison.Run{Server: id, Born: lo.Born}, "")
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	no.fleet.AgentReported(id, lo, holds)
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -15,6 +15,7 @@
 	reasonGrantLate     = "grant_late"
 	reasonCallerGone    = "caller_gone"
 	reasonServerLeaving = "server_leaving"
+	reasonQuarantined   = "quarantined"
 )
 
 // grantResult is the outcome of a reservation.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -57,11 +57,17 @@
 	at.granted = true
 	at.grantWait = gr.took
 	at.version = gr.version
-	if !rq.no.acceptsRequests(at.server) {
-		rq.no.agents.release(at.id, wire.ReleaseEndingWithdrawn, 0)
-		return result{outcome: retry.Unsent, reason: reasonServerLeaving}, false
+	reason := ""
+	switch {
+	case !rq.no.acceptsRequests(at.server):
+		reason = reasonServerLeaving
+	case rq.no.crashes.verdict(rq) != nil:
+		reason = reasonQuarantined
+	default:
+		return result{}, true
 	}
-	return result{}, true
+	rq.no.agents.release(at.id, wire.ReleaseEndingWithdrawn, 0)
+	return result{outcome: retry.Unsent, reason: reason}, false
 }
 
 // backlogMax returns the backlog beyond which the agent refuses the attempt because another engine
@@ -141,20 +147,20 @@
 	if errors.As(err, &se) && !se.Written {
 		outcome = retry.Unsent
 	}
-	reason := "connection_lost"
+	reason, callerGone := "connection_lost", false
 	switch {
 	case errors.Is(context.Cause(ctx), errServerSilent):
 		reason = "server_silent"
 	case errors.Is(context.Cause(ctx), context.Canceled):
-		reason = reasonCallerGone
+		reason, callerGone = reasonCallerGone, true
 	case ctx.Err() != nil:
 		reason = "time_over"
 	}
-	if !errors.Is(context.Cause(ctx), context.Canceled) {
+	if !callerGone {
 		rq.no.recordFailure(at.server)
 	}
 	rq.logAttempt(at, "exchange_failed").Str("error", err.Error()).Str("fingerprint", rq.fingerprint()).Int64("born", at.born).Send()
-	return result{outcome: outcome, reason: reason}
+	return result{outcome: outcome, reason: reason, serverLost: outcome == retry.Unknown && !callerGone}
 }
 
 // handleAnswer classifies an answer by its status and headers, and delivers it if it is the
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -126,6 +126,7 @@
 // finishStream completes the answer.
 func (rq *request) finishStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.writeStreamHeader(an)
+	rq.no.crashes.recordAnswered(rq)
 	rq.logAttempt(at, "request_answered").Int("status", http.StatusOK).Int("events", rq.stream.count).Dur("longest_pause", rq.stream.longestPause).Dur("took", time.Since(rq.start)).Send()
 	histogram(histogramWholeAnswer).record(time.Since(rq.start))
 	// The outcome only makes release report the grant as done.
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -76,6 +76,7 @@
 	if kind == Replaced {
 		no.view.withRoster(func(ro *roster.Roster) { ro.RemoveReplaced(at.server) })
 		no.feeds.followers[ServersTopic.String()].readSoon(time.Now())
+		no.crashes.recordEnded(at.run(), evidenceReplaced)
 	}
 	no.mu.Lock()
 	defer no.mu.Unlock()
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -86,6 +86,9 @@
 	return &Conn{po: po, address: address, nc: nc, br: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
 }
 
+// PutBack keeps a connection that has carried no exchange since Get for the next one.
+func (co *Conn) PutBack() { co.po.putIdle(co) }
+
 // takeIdle removes and returns the idle connection that was used last. It closes connections that
 // are about to reach the server's idle timeout. It returns nil if none is left, or if recentlyUsed
 // is set and the connection has been idle for longer than maxRecentIdle.
--- a/proofs/direct_crash_test.go
+++ b/proofs/direct_crash_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync"
@@ -98,6 +99,14 @@
 				if all < 3 || late > lateArrivalsMax {
 					t.Errorf("%d arrivals later than %v after the third crash, want at most %d; %d in all", late, verdictTime, lateArrivalsMax, all)
 				}
+				// A node that starts later must learn the verdict before it is ready for long.
+				ds.startEntry("entry-4")
+				newest := ds.newCaller("entry-4")
+				re := newest.send(t.Context(), http.MethodPost, tc.target, tc.adapter, crashingBody)
+				if after, _ := cl.afterThirdCrash(); after != all || re.status != http.StatusServiceUnavailable || !strings.Contains(re.body, "quarantined") {
+					t.Errorf("a node that started later sent the request on, or answered %+v", re)
+				}
+				newest.client.CloseIdleConnections()
 				for ix, caller := range callers {
 					if re := caller.send(t.Context(), http.MethodPost, tc.target, tc.adapter, "another body"); re.status != http.StatusOK || re.err != nil {
 						t.Errorf("entry node %d: another request got %+v", ix+1, re)
@@ -108,3 +117,65 @@
 		})
 	}
 }
+
+// Requests that were in flight at crashes by chance, the same ones again and again, must not be
+// refused for that: each of them is answered between two crashes.
+func TestDirectRequestsBesideCrashesAreNotRefused(t *testing.T) {
+	runDirectSimulation(t, 3, 3, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			time.Sleep(150 * time.Millisecond)
+			defaultAnswer(wr, rq)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		crashed := 0
+		go func() {
+			for ctx.Err() == nil {
+				for _, id := range []string{"plain-0", "engine-0", "plain-1", "engine-1", "plain-2", "engine-2"} {
+					time.Sleep(2500 * time.Millisecond)
+					if ctx.Err() == nil {
+						ds.crashServer(id, time.Second)
+						crashed++
+					}
+				}
+			}
+		}()
+		answered := 0
+		for range 100 {
+			for _, rq := range [...]struct{ target, adapter string }{{"/safe/x", ""}, {"/unsafe/x", ""}, {"/stream/x", "a1"}, {"/once/x", "a2"}} {
+				re := cl.send(t.Context(), http.MethodPost, rq.target, rq.adapter, "always the same")
+				if strings.Contains(re.body, "quarantined") {
+					t.Errorf("%s was refused after crashes that it had not caused", rq.target)
+				}
+				if re.status == http.StatusOK && re.err == nil {
+					answered++
+				}
+			}
+		}
+		if crashed < 10 || answered < 360 {
+			t.Errorf("%d crashes, %d of 400 requests answered; want at least 10 and 360", crashed, answered)
+		}
+	})
+}
+
+// The agent that passes reports on freezes before the crashes; the other one must do.
+func TestDirectCrashVerdictReachesAllNodesPastAFrozenAgent(t *testing.T) {
+	runDirectSimulation(t, 5, 3, func(t *testing.T, ds *directSimulation, first *directCaller) {
+		ds.startEntry("entry-2")
+		ds.startEntry("entry-3")
+		cl := &crashLog{}
+		ds.crashOnBody(cl)
+		ds.net.freeze("engine-0", 30*time.Second)
+		callers := []*directCaller{first, ds.newCaller("entry-2"), ds.newCaller("entry-3")}
+		for round := range 30 {
+			callers[round%len(callers)].send(t.Context(), http.MethodPost, "/safe/x", "", crashingBody)
+			time.Sleep(600 * time.Millisecond)
+		}
+		if all, late := cl.afterThirdCrash(); all < 3 || late > lateArrivalsMax {
+			t.Errorf("%d arrivals later than %v after the third crash, want at most %d; %d in all", late, verdictTime, lateArrivalsMax, all)
+		}
+		for _, caller := range callers {
+			caller.client.CloseIdleConnections()
+		}
+	})
+}
