--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -188,6 +189,30 @@
 	if co.br.Buffered() > 0 {
 		return false
 	}
+	if sc, ok := co.nc.(syscall.Conn); ok {
+		return nothingToRead(sc)
+	}
+	return co.quiet()
+}
+
+// nothingToRead reads from a socket without waiting, and reports whether that shows an open
+// connection without unread data. A read with an expired deadline would not reach the socket.
+func nothingToRead(sc syscall.Conn) bool {
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	open := false
+	err = rc.Read(func(fd uintptr) bool {
+		_, readErr := syscall.Read(int(fd), make([]byte, 1))
+		open = errors.Is(readErr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && open
+}
+
+// quiet reports whether a connection that is no socket is open and has no unread data.
+func (co *Conn) quiet() bool {
 	if err := co.nc.SetReadDeadline(time.Unix(1, 0)); err != nil {
 		return false
 	}
--- /dev/null
+++ b/entry/internal/pool/pool_test.go
@@ -0,0 +1,65 @@
+package pool
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// deliveryTime is more than loopback takes to deliver a byte or the end of a connection.
+const deliveryTime = 50 * time.Millisecond
+
+// newIdleConn returns a pool with one idle connection and the server's end of that connection.
+func newIdleConn(t *testing.T) (*Pool, string, net.Conn) {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ls.Close() })
+	po := New(&net.Dialer{})
+	co, err := po.Get(t.Context(), ls.Addr().String(), false, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := ls.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = far.Close() })
+	co.PutBack()
+	return po, ls.Addr().String(), far
+}
+
+func TestOpenIdleConnectionIsUsedAgain(t *testing.T) {
+	po, address, _ := newIdleConn(t)
+	co, err := po.Get(t.Context(), address, true, 0)
+	if err != nil || !co.Reused {
+		t.Errorf("connection %+v, error %v, want the idle one", co, err)
+	}
+}
+
+// A request that is sent on a connection that the server has closed is lost, and may not be sent again
+// if it must not run twice.
+func TestIdleConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
+	for name, end := range map[string]func(far net.Conn){
+		"closed": func(far net.Conn) { _ = far.Close() },
+		"reset": func(far net.Conn) {
+			if tc, ok := far.(*net.TCPConn); ok {
+				_ = tc.SetLinger(0)
+			}
+			_ = far.Close()
+		},
+		"with bytes that belong to no request": func(far net.Conn) { _, _ = far.Write([]byte("HTTP/1.1 200 OK\r\n\r\n")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			po, address, far := newIdleConn(t)
+			end(far)
+			time.Sleep(deliveryTime)
+			co, err := po.Get(t.Context(), address, true, 0)
+			if err != nil || co.Reused {
+				t.Errorf("the idle connection is used again, error %v", err)
+			}
+		})
+	}
+}
