--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -68,6 +68,14 @@
 // String returns the name of the kind as it appears in logs.
 func (ak AnswerKind) String() string { return answerKindNames[ak] }
 
+// Demands is what a backend server asks of the entry nodes in the headers of an answer.
+type Demands struct {
+	// Limited is true if the server names a limit on requests.
+	Limited bool
+	// Limit is the number of requests that it takes in a second from all entry nodes together.
+	Limit float64
+}
+
 // Protocol translates between HTTP messages and the node's view of requests and answers.
 type Protocol interface {
 	// RequestInfo reads the description of a caller's request.
@@ -78,6 +86,9 @@
 	MatchesRequest(hd http.Header, ri *RequestInfo) bool
 	// AnswerKind classifies the answer to a request that was sent to the given server.
 	AnswerKind(status int, hd http.Header, server string) AnswerKind
+	// Demands reads what a server asks for in the headers of an answer. If it also returns an
+	// error, values were invalid and are left out.
+	Demands(status int, hd http.Header) (Demands, error)
 }
 
 // Topic is one topic of the platform's log.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -168,6 +168,9 @@
 func (rq *request) handleAnswer(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
 	no := rq.no
 	kind := no.options.Protocol.AnswerKind(an.Status, an.Header, at.server)
+	if kind != Foreign && kind != Replaced {
+		rq.readDemands(at, an)
+	}
 	switch kind {
 	case NotRun, Misdirected, Replaced:
 		discardBody(an)
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -35,6 +35,7 @@
 	headerNotRun    = "T-Not-Run"
 	headerLastEvent = "T-Last"
 	headerTimeLeft  = "T-Left"
+	headerLimit     = "T-Limit"
 	testModel       = "base"
 )
 
@@ -82,6 +83,14 @@
 	return direct.Genuine
 }
 
+func (testProtocol) Demands(_ int, hd http.Header) (direct.Demands, error) {
+	limit, err := strconv.ParseFloat(hd.Get(headerLimit), 64)
+	if err != nil {
+		return direct.Demands{}, nil
+	}
+	return direct.Demands{Limited: true, Limit: limit}, nil
+}
+
 // testSource implements direct.Source in memory.
 type testSource struct {
 	mu      sync.Mutex
