--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -487,13 +487,18 @@
 // send sends one request and reads the whole response.
 func (cl *directCaller) send(ctx context.Context, method, target, adapter, body string) directReply {
 	cl.count++
+	return cl.sendAs(ctx, fmt.Sprintf("id-%d", cl.count), method, target, adapter, body)
+}
+
+// sendAs sends one request with an ID and reads the whole response.
+func (cl *directCaller) sendAs(ctx context.Context, id, method, target, adapter, body string) directReply {
 	rq, err := http.NewRequestWithContext(ctx, method, "http://"+cl.entry+":1/", strings.NewReader(body))
 	if err != nil {
 		cl.ds.tb.Fatal(err)
 	}
 	rq.URL.Opaque = target
 	rq.Host = directHost
-	rq.Header.Set(headerID, fmt.Sprintf("id-%d", cl.count))
+	rq.Header.Set(headerID, id)
 	rq.Header.Set(headerTimeout, "4000")
 	if adapter != "" {
 		rq.Header.Set(headerAdapter, adapter)
