--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -88,7 +88,8 @@
 
 // Choose returns the cheapest server for a request, or false if no server can take it.
 // Unhealthy servers are candidates only if no healthy one is left that is not excluded. Excluded
-// servers, healthy or not, are candidates only if no other server is left at all.
+// servers, healthy or not, are candidates only if no other server is left at all. A server that has
+// got this node's share of its limit is never a candidate.
 func (fl *Fleet) Choose(rq Request, now time.Time) (Choice, bool) {
 	ch := Choice{}
 	group := fl.services[rq.Service]
@@ -96,7 +97,7 @@
 	for _, pass := range passes {
 		for _, me := range group {
 			excluded := slices.Contains(rq.Exclude, me.ID)
-			if me.Leaving || me.load.Draining || excluded && !pass.excluded || me.isUnhealthy(now) && !pass.unhealthy {
+			if me.Leaving || me.load.Draining || !me.limit.allows(now) || excluded && !pass.excluded || me.isUnhealthy(now) && !pass.unhealthy {
 				continue
 			}
 			es := me.estimate(&rq, &preferred, now)
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -72,6 +72,7 @@
 	failureShare        float64
 	consecutiveFailures int
 	failureBackoffUntil time.Time
+	limit               limit
 }
 
 // Fleet is an entry node's view of the backend servers; its zero value is empty.
@@ -79,6 +80,8 @@
 	members map[string]*member
 	// services holds the servers of each service, sorted by ID.
 	services map[string][]*member
+	// nodes is the number of entry nodes that share the limits of servers.
+	nodes int
 }
 
 // Put adds a server or replaces its record.
@@ -99,6 +102,10 @@
 		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
 		fl.services[se.Service] = slices.Insert(group, ix, me)
 	}
+	if se.Born != me.Born {
+		// A new run of the server has named no limit yet.
+		me.limit = limit{}
+	}
 	me.Server = se
 }
 
@@ -192,6 +199,9 @@
 			// No other request is in flight, so the wait for a sign of life begins now.
 			me.lastSeen = now
 		}
+		if me.limit.active() {
+			me.limit = me.limit.WithSent(now)
+		}
 		me.inFlight++
 		me.addedPrefillTime += grant.PrefillTime(promptTokens)
 	}
--- /dev/null
+++ b/core/spread/limit_test.go
@@ -0,0 +1,114 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Whatever the limit, the number of nodes and the times of requests are, a node sends no more than its
+// share, one request and what limitBurst allows in any window.
+func TestNodeSendsNoMoreThanItsShareOfALimit(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("at most the share", prop.ForAll(func(perSecond, random float64, nodes int, gaps []int) string {
+		li, now := limit{}.WithNamed(perSecond, nodes, random, start), start
+		sent := []time.Time(nil)
+		for _, gap := range gaps {
+			now = now.Add(time.Duration(gap) * time.Millisecond)
+			if li.allows(now) {
+				li = li.WithSent(now)
+				sent = append(sent, now)
+			}
+		}
+		share := max(limitMin, perSecond) / float64(nodes)
+		for first := range sent {
+			for last := first; last < len(sent); last++ {
+				window := sent[last].Sub(sent[first]) + limitBurst
+				if allowed := share*window.Seconds() + 1.001; float64(last-first+1) > allowed {
+					return fmt.Sprintf("%d requests in %v, allowed %.2f", last-first+1, window, allowed)
+				}
+			}
+		}
+		return ""
+	}, gen.Float64Range(0, 50), gen.Float64Range(0, 1), gen.IntRange(1, 70), gen.SliceOfN(300, gen.IntRange(0, 400))))
+	properties.TestingRun(t)
+}
+
+// Nodes that have had nothing to send for long must not send all at once.
+func TestUnusedSharesOfRareRequestsDoNotAddUp(t *testing.T) {
+	const nodes, perSecond = 68, 1.6
+	limits := make([]limit, nodes)
+	for ix := range limits {
+		limits[ix] = limit{}.WithNamed(perSecond, nodes, float64(ix)/nodes, start)
+	}
+	sent := 0
+	for millis := range 4000 {
+		now := start.Add(10*time.Minute + time.Duration(millis)*time.Millisecond)
+		for ix := range limits {
+			if limits[ix].allows(now) {
+				limits[ix] = limits[ix].WithSent(now)
+				sent++
+			}
+		}
+	}
+	if allowed := 1.5*perSecond*4 + 5; float64(sent) > allowed {
+		t.Errorf("%d nodes send %d requests in 4 s after a pause, want at most %.1f", nodes, sent, allowed)
+	}
+}
+
+func TestServerWithALimitIsNoCandidateUntilTheNextShare(t *testing.T) {
+	fl := fleetOf("e1", "e2")
+	report(fl, "e1", AdapterSlot{Adapter: "x", Version: 1, Ready: true})
+	fl.SetNodes(2, start)
+	fl.LimitNamed("e1", 1, 1, start)
+	if ch := mustChoose(t, fl, requestFor("x"), start); ch.ID != "e2" {
+		t.Errorf("chose %s, which takes no request yet", ch.ID)
+	}
+	only := fleetOf("e1")
+	only.SetNodes(2, start)
+	only.LimitNamed("e1", 1, 1, start)
+	if ch, ok := only.Choose(requestFor("x"), start); ok {
+		t.Errorf("chose %s as a last resort", ch.ID)
+	}
+	until, limited := only.LimitedUntil("advice", start)
+	if !limited || !until.Equal(start.Add(2*time.Second)) {
+		t.Errorf("limited %v until %v, want until two seconds later", limited, until)
+	}
+	if ch := mustChoose(t, only, requestFor("x"), until); ch.ID != "e1" {
+		t.Errorf("chose %s", ch.ID)
+	}
+}
+
+func TestOnlyALaterAnswerWithoutALimitEndsIt(t *testing.T) {
+	fl := fleetOf("e1")
+	fl.LimitNamed("e1", 1, 1, start)
+	if fl.LimitEnded("e1", start.Add(-time.Second)) {
+		t.Error("an answer to an earlier request ended the limit")
+	}
+	if !fl.LimitEnded("e1", start.Add(time.Second)) || !fl.members["e1"].limit.allows(start) {
+		t.Error("an answer to a later request did not end the limit")
+	}
+}
+
+func TestNewRunOfAServerHasNoLimit(t *testing.T) {
+	fl := fleetOf("e1")
+	fl.LimitNamed("e1", 1, 1, start)
+	fl.Put(Server{ID: "e1", Service: "advice", Zone: "z1", Region: "r1", Engine: true, Model: "m", Born: 2})
+	if _, ok := fl.Choose(requestFor("x"), start); !ok {
+		t.Error("a new run of the server is kept to the limit of the one before")
+	}
+}
+
+func TestRequestThatWasNotSentCountsForNothing(t *testing.T) {
+	li := limit{}.WithNamed(1, 1, 0, start)
+	if li = li.WithSent(start); li.allows(start) {
+		t.Fatal("a second request is allowed at once")
+	}
+	if li = li.WithUnsent(); !li.allows(start) {
+		t.Error("no request is allowed after one that was not sent")
+	}
+}
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -149,8 +149,7 @@
 	sr := rq.spreadRequest(now, exclude)
 	ch, ok := no.fleet.Choose(sr, now)
 	if !ok {
-		return nil, fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
-			WithRetryAfter(notReadyRetryAfter)
+		return nil, no.noServerError(rq.service.Name, now)
 	}
 	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -33,7 +33,9 @@
 	// because of crashes.
 	metricCrashes     = newCounter("server_crashes")
 	metricQuarantined = newCounter("quarantined_requests")
-	histograms        = map[string]*latencyHistogram{
+	// metricLimited counts the requests refused because of the limits of servers.
+	metricLimited = newCounter("limited_requests")
+	histograms    = map[string]*latencyHistogram{
 		histogramFirstByte: newLatencyHistogram(histogramFirstByte), histogramWholeAnswer: newLatencyHistogram(histogramWholeAnswer), histogramGrant: newLatencyHistogram(histogramGrant),
 	}
 )
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -76,8 +76,6 @@
 	popularity spread.Popularity
 	// addresses maps server IDs to addresses.
 	addresses map[string]string
-	// limits holds the limits that servers have named, by server ID.
-	limits map[string]Demands
 	// retryWindows counts the retries of each service.
 	retryWindows map[string]*retry.Window
 }
@@ -105,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, addresses: map[string]string{}, limits: map[string]Demands{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.agents = newAgents(no)
 	no.crashes = newCrashes(no)
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -27,14 +27,16 @@
 // makeAttempt runs one attempt and reports whether an answer was delivered. Requests to
 // engines need a grant first, unless the engine's agent is unavailable.
 func (rq *request) makeAttempt(ctx context.Context, at *attempt) (result, bool) {
-	defer rq.no.recordAttemptEnd(at.server)
+	re, finished := result{outcome: retry.Unknown}, false
+	defer func() { rq.no.recordAttemptEnd(at.server, re.outcome) }()
 	if at.choice.Reason != spread.PlainService && at.choice.Reason != spread.AgentUnavailable {
-		if re, ok := rq.reserve(ctx, at); !ok {
+		granted := false
+		if re, granted = rq.reserve(ctx, at); !granted {
 			return re, false
 		}
 	}
 	// An answer that breaks off midway ends the handler with a panic.
-	re, finished := result{outcome: retry.Unknown}, false
+	re.outcome = retry.Unknown
 	defer func() { rq.release(at, re) }()
 	re, finished = rq.send(ctx, at)
 	return re, finished
@@ -169,7 +171,7 @@
 	no := rq.no
 	kind := no.options.Protocol.AnswerKind(an.Status, an.Header, at.server)
 	if kind != Foreign && kind != Replaced {
-		rq.readDemands(at, an)
+		rq.applyDemands(at, an)
 	}
 	switch kind {
 	case NotRun, Misdirected, Replaced:
