--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -129,6 +129,9 @@
 	Records []LogRecord
 	// End is the offset after the last record read.
 	End int64
+	// Era is the number of times that the log has come back from an older copy of itself. Offsets are
+	// given out again in each era. It is zero if the answer did not state a valid one.
+	Era int64
 }
 
 // ErrExpired means that the log no longer holds records from the given offset on; the caller
@@ -141,7 +144,8 @@
 	// the batch.
 	ReadNewest(ctx context.Context, to Topic) (LogBatch, error)
 	// After reads the records from an offset on, and waits for the first one if there is none
-	// yet. It fails with ErrExpired if records from that offset on have been deleted.
+	// yet. It fails with ErrExpired if the log does not hold records from that offset on; the batch
+	// then has only the era.
 	After(ctx context.Context, to Topic, from int64, wait time.Duration) (LogBatch, error)
 }
 
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -101,6 +101,8 @@
 	// log whose end is behind the records that it returned before.
 	returnsNothing bool
 	reads          int
+	// era rises with each restore.
+	era int64
 }
 
 // appendRecord appends a record and wakes waiting reads.
@@ -120,6 +122,26 @@
 	so.records[to] = append(so.records[to], lr)
 }
 
+// copyLengths returns the numbers of records as of now, for restore.
+func (so *testSource) copyLengths() [2]int {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	return [2]int{len(so.records[direct.OperatorsTopic]), len(so.records[direct.ServersTopic])}
+}
+
+// restore replaces the log by a copy from the time at which copyLengths returned the lengths. Records
+// since then are lost, and their offsets are given out again.
+func (so *testSource) restore(lengths [2]int) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	for to := range so.records {
+		so.records[to] = append([]direct.LogRecord(nil), so.records[to][:lengths[to]]...)
+	}
+	so.era++
+	close(so.changed)
+	so.changed = make(chan struct{})
+}
+
 // setDown sets whether reads of the log fail.
 func (so *testSource) setDown(down bool) {
 	so.mu.Lock()
@@ -136,15 +158,17 @@
 	for {
 		so.mu.Lock()
 		so.reads++
-		list, changed, down, returnsNothing := so.records[to], so.changed, so.down, so.returnsNothing
+		list, changed, down, returnsNothing, era := so.records[to], so.changed, so.down, so.returnsNothing, so.era
 		so.mu.Unlock()
 		switch {
 		case down:
 			return direct.LogBatch{}, fmt.Errorf("log is down")
 		case returnsNothing:
-			return direct.LogBatch{End: 0}, nil
+			return direct.LogBatch{End: 0, Era: era}, nil
+		case int(from) > len(list):
+			return direct.LogBatch{Era: era}, direct.ErrExpired
 		case int(from) < len(list) || !time.Now().Before(end):
-			return direct.LogBatch{Records: list[min(int(from), len(list)):], End: int64(len(list))}, nil
+			return direct.LogBatch{Records: list[min(int(from), len(list)):], End: int64(len(list)), Era: era}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -315,7 +339,7 @@
 func newDirectSimulation(tb testing.TB, plain, engines int) *directSimulation {
 	tb.Helper()
 	ds := &directSimulation{
-		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{})}, backends: map[string]*backend{},
+		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{}), era: 1}, backends: map[string]*backend{},
 		readers: map[string]direct.LogReader{}, lg: zerolog.Nop(),
 	}
 	if os.Getenv("PROOF_LOG") != "" {
