--- /dev/null
+++ b/core/roster/era_test.go
@@ -0,0 +1,83 @@
+package roster
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Whatever the order of records, removals, listings and restores is, and however late records of
+// earlier eras arrive, a run that was removed is not listed again by a record of the copy, and a
+// leaving run never becomes ready.
+func TestRecordsOfAnEarlierEraOrOfTheCopyUndoNothing(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("nothing is undone", prop.ForAll(func(codes []int) string {
+		ro, now := &Roster{}, testStart
+		era, offset := int64(1), int64(100)
+		left := map[string]int64{}
+		for _, code := range codes {
+			now = now.Add(50 * time.Millisecond)
+			id, born := strconv.Itoa(code%3), int64(code/3%3)+1
+			offset++
+			switch code / 9 % 5 {
+			case 0:
+				if born > left[id] {
+					ro.Put(Server{ID: id, Born: born}, Position{Era: era, Offset: offset})
+				}
+			case 1:
+				if born > left[id] && ro.Put(Server{ID: id, Born: born, Leaving: true}, Position{Era: era, Offset: offset}) {
+					left[id] = born
+				}
+			case 2:
+				if ts := ro.servers[id]; ts != nil {
+					left[id] = max(left[id], ts.Born)
+					ro.Remove(id, Position{Era: era, Offset: offset}, now)
+				}
+			case 3:
+				era++
+				offset = 50
+				ro.MarkRestored(Position{Era: era, Offset: offset}, now)
+			case 4:
+				// A record of the copy, or one of an earlier era that arrives late.
+				ro.Put(Server{ID: id, Born: born}, Position{Era: era - int64(code%2), Offset: int64(code % 50)})
+			}
+			for _, se := range ro.Servers() {
+				if ts := ro.servers[se.ID]; se.Born <= left[se.ID] && !se.Leaving && ts.missingSince.IsZero() {
+					return fmt.Sprintf("after %d in era %d, run %d of %s is ready, but run %d has left", code, era, se.Born, se.ID, left[se.ID])
+				}
+			}
+		}
+		return ""
+	}, gen.SliceOfN(60, gen.IntRange(0, 449))))
+	properties.TestingRun(t)
+}
+
+func TestServerMissingInTheCopyIsKeptForMaxRewriteDelay(t *testing.T) {
+	ro := &Roster{}
+	ro.Put(Server{ID: "a"}, Position{Era: 1, Offset: 90})
+	end := Position{Era: 2, Offset: 40}
+	ro.MarkRestored(end, testStart)
+	ro.ApplyListing(map[string]bool{}, end, testStart)
+	ro.Expire(testStart.Add(MaxRewriteDelay - time.Millisecond))
+	if ro.Len() != 1 {
+		t.Fatal("the server is gone before it could write its record again")
+	}
+	ro.Expire(testStart.Add(MaxRewriteDelay))
+	if ro.Len() != 0 {
+		t.Fatal("the server is still listed")
+	}
+	if !ro.Put(Server{ID: "a"}, Position{Era: 2, Offset: 41}) {
+		t.Error("a record that was written after the restore is refused")
+	}
+}
+
+func TestPositionsOfALaterEraAreLater(t *testing.T) {
+	if !(Position{Era: 1, Offset: 9}).Before(Position{Era: 2, Offset: 1}) || (Position{Era: 2, Offset: 1}).Before(Position{Era: 2, Offset: 1}) {
+		t.Error("positions are not ordered by era and then by offset")
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -39,10 +39,28 @@
 	Adapters []Adapter
 }
 
-// trackedServer is a server with the log offset of its record.
+// Position is where a record stands in the log. In each era, the log gives out all offsets again.
+type Position struct {
+	Era    int64
+	Offset int64
+}
+
+// Before reports whether a position is older than another one.
+func (po Position) Before(other Position) bool {
+	return po.Era < other.Era || po.Era == other.Era && po.Offset < other.Offset
+}
+
+// removal is the removal of a server's record.
+type removal struct {
+	position Position
+	// born is the start of the run that was removed, zero if it is not known.
+	born int64
+}
+
+// trackedServer is a server with the position of its record.
 type trackedServer struct {
 	Server
-	offset int64
+	position Position
 	// missingSince is when the record was found to be gone, zero while it exists.
 	missingSince time.Time
 }
@@ -50,9 +68,11 @@
 // Roster is the set of backend servers that one entry node knows. The zero value is empty.
 type Roster struct {
 	servers map[string]*trackedServer
-	// removalOffsets holds the log offsets of removals by server ID, so that an older record
-	// does not add a removed server again.
-	removalOffsets map[string]int64
+	// removals holds the removals by server ID, so that an older record does not add a removed server
+	// again.
+	removals map[string]removal
+	// copyEnd is the end of the older copy from which the log last came back, zero if it did not.
+	copyEnd Position
 	// logUnreadable is true while the log cannot be read.
 	logUnreadable bool
 	// logBackAt is when the log could be read again after the last outage, zero if there
@@ -60,29 +80,39 @@
 	logBackAt time.Time
 }
 
-// Put stores the record of a server that was written at the given log offset. It returns
-// false and changes nothing if a newer record or removal of the server is known. A server that
-// was leaving stays leaving until its Born changes.
-func (ro *Roster) Put(se Server, offset int64) bool {
+// Put stores the record of a server that was written at the given position. It returns false and
+// changes nothing if a newer record or removal of the server is known. A server that was leaving
+// stays leaving until its Born changes.
+func (ro *Roster) Put(se Server, at Position) bool {
 	if ro.servers == nil {
 		ro.servers = map[string]*trackedServer{}
 	}
-	if offset < ro.removalOffsets[se.ID] {
-		return false
-	}
 	ts := ro.servers[se.ID]
-	if ts != nil && offset < ts.offset {
+	if at.Before(ro.removals[se.ID].position) || ts != nil && at.Before(ts.position) || ro.undoes(&se, at) {
 		return false
 	}
 	if ts != nil && ts.Born == se.Born && ts.Leaving {
 		// A run that has announced its drain never becomes ready again.
 		se.Leaving = true
 	}
-	ro.servers[se.ID] = &trackedServer{Server: se, offset: offset}
-	delete(ro.removalOffsets, se.ID)
+	ro.servers[se.ID] = &trackedServer{Server: se, position: at}
+	delete(ro.removals, se.ID)
 	return true
 }
 
+// undoes reports whether a record from before the log came back from an older copy contradicts what
+// was known before that: the server's run has been removed, or a later run has started.
+func (ro *Roster) undoes(se *Server, at Position) bool {
+	if !at.Before(ro.copyEnd) {
+		return false
+	}
+	if re, ok := ro.removals[se.ID]; ok {
+		return re.born == 0 || se.Born <= re.born
+	}
+	ts := ro.servers[se.ID]
+	return ts != nil && (se.Born < ts.Born || !ts.missingSince.IsZero())
+}
+
 // Changes reports whether a record says anything new about a server, its adapters aside. Agents
 // report the adapters of their engines sooner than the records do.
 func (ro *Roster) Changes(se Server) bool {
@@ -91,53 +121,73 @@
 		ts.Places != se.Places || ts.Leaving != se.Leaving || ts.Born != se.Born || ts.Model != se.Model
 }
 
-// Remove handles the removal of a server's record at the given log offset. The server is
-// dropped now, or by a later Expire if the log is or was recently unreadable.
-func (ro *Roster) Remove(id string, offset int64, now time.Time) {
+// Remove handles the removal of a server's record at the given position. The server is dropped now,
+// or by a later Expire if the log is or was recently unreadable.
+func (ro *Roster) Remove(id string, at Position, now time.Time) {
 	ts := ro.servers[id]
 	if ts == nil {
-		ro.recordRemoval(id, offset)
+		ro.recordRemoval(id, removal{position: at})
 		return
 	}
-	if offset < ts.offset {
+	if at.Before(ts.position) {
 		return
 	}
-	ts.offset = offset
+	ts.position = at
 	if ts.missingSince.IsZero() {
 		ts.missingSince = now
 	}
-	ro.recordRemoval(id, offset)
+	ro.recordRemoval(id, removal{position: at, born: ts.Born})
 	ro.Expire(now)
 }
 
 // recordRemoval remembers a removal, and forgets the oldest one beyond maxRemovals.
-func (ro *Roster) recordRemoval(id string, offset int64) {
-	if ro.removalOffsets == nil {
-		ro.removalOffsets = map[string]int64{}
+func (ro *Roster) recordRemoval(id string, re removal) {
+	if ro.removals == nil {
+		ro.removals = map[string]removal{}
 	}
-	ro.removalOffsets[id] = max(offset, ro.removalOffsets[id])
-	if len(ro.removalOffsets) <= maxRemovals {
+	if earlier := ro.removals[id]; re.position.Before(earlier.position) {
+		return
+	}
+	ro.removals[id] = re
+	if len(ro.removals) <= maxRemovals {
 		return
 	}
 	oldest := id
-	for other, at := range ro.removalOffsets {
-		if at < ro.removalOffsets[oldest] || at == ro.removalOffsets[oldest] && other < oldest {
+	for other, re := range ro.removals {
+		first := ro.removals[oldest].position
+		if re.position.Before(first) || re.position == first && other < oldest {
 			oldest = other
 		}
 	}
-	delete(ro.removalOffsets, oldest)
+	delete(ro.removals, oldest)
 }
 
-// ApplyListing handles a listing of all server records in the log as of the given offset.
+// ApplyListing handles a listing of all server records in the log that ends at the given position.
 // Servers whose ID is not in present are handled like removed ones.
-func (ro *Roster) ApplyListing(present map[string]bool, offset int64, now time.Time) {
+func (ro *Roster) ApplyListing(present map[string]bool, end Position, now time.Time) {
 	for _, id := range ro.ids() {
 		if !present[id] {
-			ro.Remove(id, offset, now)
+			ro.Remove(id, end, now)
 		}
 	}
 }
 
+// Era returns the latest era of the servers' records, zero if there are none.
+func (ro *Roster) Era() int64 {
+	latest := int64(0)
+	for _, ts := range ro.servers {
+		latest = max(latest, ts.position.Era)
+	}
+	return latest
+}
+
+// MarkRestored records that the log has come back from an older copy, whose first listing ends at the
+// given position. Servers that are missing in it have MaxRewriteDelay to write their records again.
+func (ro *Roster) MarkRestored(end Position, now time.Time) {
+	ro.copyEnd = end
+	ro.logUnreadable, ro.logBackAt = false, now
+}
+
 // MarkLogUnreadable records that a read of the log failed.
 func (ro *Roster) MarkLogUnreadable() { ro.logUnreadable = true }
 
@@ -166,7 +216,7 @@
 }
 
 // RemoveReplaced drops a server at once, because the caller found another one at its address.
-// Unlike Remove, it stores no removal offset, so an older record can add the server again.
+// Unlike Remove, it remembers no removal, so an older record can add the server again.
 func (ro *Roster) RemoveReplaced(id string) { delete(ro.servers, id) }
 
 // Servers returns the servers, sorted by ID, without those whose address belongs to another server
@@ -192,19 +242,20 @@
 	return newest
 }
 
-// Record is a server with the log offset of its record.
+// Record is a server with the position of its record.
 type Record struct {
 	Server Server
+	Era    int64
 	Offset int64
 }
 
-// Records returns all servers with their offsets, sorted by ID. An entry node that starts
+// Records returns all servers with the positions of their records, sorted by ID. An entry node that starts
 // while the log is unreadable gets them from a peer.
 func (ro *Roster) Records() []Record {
 	list := make([]Record, 0, len(ro.servers))
 	for _, id := range ro.ids() {
 		ts := ro.servers[id]
-		list = append(list, Record{Server: ts.Server, Offset: ts.offset})
+		list = append(list, Record{Server: ts.Server, Era: ts.position.Era, Offset: ts.position.Offset})
 	}
 	return list
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -12,8 +12,8 @@
 
 func TestRemoveDropsServerAtOnceWhileLogIsReadable(t *testing.T) {
 	ro := &Roster{}
-	ro.Put(server("a"), 1)
-	ro.Remove("a", 2, testStart)
+	ro.Put(server("a"), Position{Offset: 1})
+	ro.Remove("a", Position{Offset: 2}, testStart)
 	if ro.Len() != 0 {
 		t.Error("the removed server is still listed")
 	}
@@ -21,23 +21,23 @@
 
 func TestPutIgnoresRecordOlderThanRemoval(t *testing.T) {
 	ro := &Roster{}
-	ro.Put(server("a"), 5)
-	ro.Remove("a", 7, testStart)
-	if ro.Put(server("a"), 6) {
+	ro.Put(server("a"), Position{Offset: 5})
+	ro.Remove("a", Position{Offset: 7}, testStart)
+	if ro.Put(server("a"), Position{Offset: 6}) {
 		t.Error("a record older than the removal added the server again")
 	}
-	if !ro.Put(server("a"), 8) {
+	if !ro.Put(server("a"), Position{Offset: 8}) {
 		t.Error("a record newer than the removal was ignored")
 	}
 }
 
 func TestServersRemovedDuringLogOutageAreKeptUntilRewriteDelayHasPassed(t *testing.T) {
 	ro := &Roster{}
-	ro.Put(server("a"), 1)
-	ro.Put(server("b"), 2)
+	ro.Put(server("a"), Position{Offset: 1})
+	ro.Put(server("b"), Position{Offset: 2})
 	ro.MarkLogUnreadable()
-	ro.Remove("a", 3, testStart)
-	ro.Remove("b", 4, testStart)
+	ro.Remove("a", Position{Offset: 3}, testStart)
+	ro.Remove("b", Position{Offset: 4}, testStart)
 	if ro.Len() != 2 {
 		t.Fatal("servers were dropped during the outage of the log")
 	}
@@ -47,7 +47,7 @@
 	if ro.Len() != 2 {
 		t.Fatal("servers were dropped before the rewrite delay had passed")
 	}
-	ro.Put(server("a"), 5)
+	ro.Put(server("a"), Position{Offset: 5})
 	ro.Expire(back.Add(MaxRewriteDelay))
 	if ro.Len() != 1 || ro.Servers()[0].ID != "a" {
 		t.Errorf("servers after the rewrite delay: %v, want only a", ro.Servers())
@@ -58,15 +58,15 @@
 	ro := &Roster{}
 	leaving := server("a")
 	leaving.Born, leaving.Leaving = 7, true
-	ro.Put(leaving, 1)
+	ro.Put(leaving, Position{Offset: 1})
 	ready := server("a")
 	ready.Born = 7
-	ro.Put(ready, 2)
+	ro.Put(ready, Position{Offset: 2})
 	if !ro.Servers()[0].Leaving {
 		t.Error("a later record of the same run ended the drain")
 	}
 	ready.Born = 9
-	ro.Put(ready, 3)
+	ro.Put(ready, Position{Offset: 3})
 	if ro.Servers()[0].Leaving {
 		t.Error("a new run of the server is still marked as leaving")
 	}
@@ -74,9 +74,9 @@
 
 func TestListingRemovesServersThatItDoesNotContain(t *testing.T) {
 	ro := &Roster{}
-	ro.Put(server("a"), 1)
-	ro.Put(server("b"), 2)
-	ro.ApplyListing(map[string]bool{"b": true}, 9, testStart)
+	ro.Put(server("a"), Position{Offset: 1})
+	ro.Put(server("b"), Position{Offset: 2})
+	ro.ApplyListing(map[string]bool{"b": true}, Position{Offset: 9}, testStart)
 	if ro.Len() != 1 || ro.Servers()[0].ID != "b" {
 		t.Errorf("servers after the listing: %v, want only b", ro.Servers())
 	}
@@ -91,12 +91,12 @@
 	for name, order := range map[string][]Server{"in order": {earlier, elsewhere, later}, "late record": {later, elsewhere, earlier}} {
 		ro := &Roster{}
 		for ix, se := range order {
-			ro.Put(se, int64(ix))
+			ro.Put(se, Position{Offset: int64(ix)})
 		}
 		if got := ro.Servers(); len(got) != 2 || got[0].ID != "b" || got[1].ID != "c" {
 			t.Errorf("%s: servers %+v, want b and c", name, got)
 		}
-		ro.Remove("b", 9, testStart)
+		ro.Remove("b", Position{Offset: 9}, testStart)
 		if got := ro.Servers(); len(got) != 2 || got[0].ID != "a" {
 			t.Errorf("%s: servers %+v after b was removed, want a and c", name, got)
 		}
@@ -107,8 +107,8 @@
 	ro := &Roster{}
 	known := server("b")
 	known.Born = 2000
-	ro.Put(server("a"), 1)
-	ro.Put(known, 2)
+	ro.Put(server("a"), Position{Offset: 1})
+	ro.Put(known, Position{Offset: 2})
 	if got := ro.Servers(); len(got) != 2 {
 		t.Errorf("servers %+v, want both", got)
 	}
@@ -118,11 +118,11 @@
 // sent to it.
 func TestRecordOlderThanTheRemovalOfAnUnknownServerIsIgnored(t *testing.T) {
 	ro := &Roster{}
-	ro.Remove("a", 7, testStart)
-	if ro.Put(server("a"), 6) {
+	ro.Remove("a", Position{Offset: 7}, testStart)
+	if ro.Put(server("a"), Position{Offset: 6}) {
 		t.Error("a record older than the removal added the server")
 	}
-	if !ro.Put(server("a"), 8) {
+	if !ro.Put(server("a"), Position{Offset: 8}) {
 		t.Error("a record newer than the removal was ignored")
 	}
 }
@@ -130,12 +130,12 @@
 func TestRememberedRemovalsAreBounded(t *testing.T) {
 	ro := &Roster{}
 	for ix := range maxRemovals + 100 {
-		ro.Remove(strconv.Itoa(ix), int64(ix), testStart)
+		ro.Remove(strconv.Itoa(ix), Position{Offset: int64(ix)}, testStart)
 	}
-	if got := len(ro.removalOffsets); got != maxRemovals {
+	if got := len(ro.removals); got != maxRemovals {
 		t.Errorf("%d removals are remembered, want %d", got, maxRemovals)
 	}
-	if ro.Put(server(strconv.Itoa(maxRemovals+99)), 5) {
+	if ro.Put(server(strconv.Itoa(maxRemovals+99)), Position{Offset: 5}) {
 		t.Error("the newest removal was forgotten")
 	}
 }
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -7,13 +7,14 @@
 	"github.com/bambooladder/bambooladder/core/spread"
 )
 
-// applyRecord updates the node's view with one record of the log. The flag initial marks
+// applyRecord updates the node's view with one record of an era of the log. The flag initial marks
 // records that existed when the node started.
-func (no *Node) applyRecord(lr *LogRecord, initial bool, now time.Time) {
+func (no *Node) applyRecord(lr *LogRecord, era int64, initial bool, now time.Time) {
+	at := roster.Position{Era: era, Offset: lr.Offset}
 	switch {
 	case lr.Table != nil:
 		if no.view.setTable(lr.Table) {
-			no.logger.Info().Int64("version", lr.Table.Version).Int64("offset", lr.Offset).Int("routes", len(lr.Table.Routes)).
+			no.logger.Info().Int64("version", lr.Table.Version).Int64("era", era).Int64("offset", lr.Offset).Int("routes", len(lr.Table.Routes)).
 				Int("services", len(lr.Table.Services)).Msg("routes_in_force")
 			// The table defines which services run engines, so all servers are evaluated
 			// again.
@@ -26,16 +27,16 @@
 				Int64("offset", lr.Offset).Bool("listed", initial).Msg("adapter_version_announced")
 		}
 	case lr.Server != nil:
-		no.applyServerRecord(lr)
+		no.applyServerRecord(lr, at)
 	case lr.RemovedServer != "":
 		no.logger.Info().Str("server", lr.RemovedServer).Int64("offset", lr.Offset).Msg("server_record_removed")
-		no.view.withRoster(func(ro *roster.Roster) { ro.Remove(lr.RemovedServer, lr.Offset, now) })
+		no.view.withRoster(func(ro *roster.Roster) { ro.Remove(lr.RemovedServer, at, now) })
 	}
 }
 
 // applyServerRecord puts the record of a backend server into the roster. The change reaches
 // server selection when syncServers runs next.
-func (no *Node) applyServerRecord(lr *LogRecord) {
+func (no *Node) applyServerRecord(lr *LogRecord, at roster.Position) {
 	no.mu.Lock()
 	old, known := no.fleet.Server(lr.Server.ID)
 	no.mu.Unlock()
@@ -44,7 +45,7 @@
 			Str("zone", lr.Server.Zone).Int64("born", lr.Server.Born).Bool("leaving", lr.Server.Leaving).
 			Int64("offset", lr.Offset).Msg("server_record_applied")
 	}
-	no.view.withRoster(func(ro *roster.Roster) { ro.Put(*lr.Server, lr.Offset) })
+	no.view.withRoster(func(ro *roster.Roster) { ro.Put(*lr.Server, at) })
 }
 
 // syncServers passes the current list of servers to server selection and to the agent
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -55,8 +55,13 @@
 	failures int
 
 	// mu guards the fields below.
-	mu         sync.Mutex
+	mu sync.Mutex
+	// era is the era of the log that nextOffset belongs to. If it is lower than that of the node's
+	// view, the topic has to be read again from the start.
+	era        int64
 	nextOffset int64
+	// listed is true once any listing has been applied; unlike hasNewest, it stays so.
+	listed bool
 	// hasNewest is true once the newest record of each key has been read.
 	hasNewest bool
 	logLost   bool
@@ -89,6 +94,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if (err == nil || errors.Is(err, ErrExpired)) && !fo.acceptEra(rd.batch.Era) {
+			err = errEraInvalid
+		}
 		if err == nil {
 			rd.afterFailure = fo.failures > 0
 			fo.failures = 0
@@ -109,6 +117,38 @@
 	}
 }
 
+// errEraInvalid means that an answer of the log cannot be placed in its present era.
+var errEraInvalid = errors.New("direct: the answer of the log is of an earlier era or of none; read again")
+
+// acceptEra records the era that an answer of the log stated, and reports whether it is the present
+// one. If it has risen, all topics are read again from the start; what is known stays in use.
+func (fo *follower) acceptEra(era int64) bool {
+	verdict, present := fo.no.view.observeEra(era)
+	switch verdict {
+	case reader.EraInvalid:
+		fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("era", era).Int64("present_era", present).Msg("log_era_invalid")
+		return false
+	case reader.EraRisen:
+		metricEraChanges.Add(1)
+		fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("era", era).Msg("log_era_risen")
+		for _, other := range fo.no.feeds.followers {
+			other.wake()
+		}
+	case reader.EraPresent:
+	}
+	return true
+}
+
+// enterEra makes the follower start again if the log has entered a later era. The caller must hold
+// the follower's lock.
+func (fo *follower) enterEra() {
+	present := fo.no.view.presentEra()
+	if fo.era == present {
+		return
+	}
+	fo.era, fo.nextOffset, fo.hasNewest = present, 0, false
+}
+
 // awaitDue waits until the next read of the topic is due, and returns false if the context ended.
 func (fo *follower) awaitDue(ctx context.Context) bool {
 	for ctx.Err() == nil {
@@ -131,6 +171,7 @@
 	role := fo.no.feeds.currentRole()
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
+	fo.enterEra()
 	if !fo.hasNewest || fo.topic == OperatorsTopic && role != reader.Subscriber {
 		return time.Time{}
 	}
@@ -206,6 +247,7 @@
 // so yet.
 func (fo *follower) read(ctx context.Context) (logRead, error) {
 	fo.mu.Lock()
+	fo.enterEra()
 	fo.readAt = time.Now()
 	rd := logRead{from: fo.nextOffset, listing: !fo.hasNewest}
 	fo.mu.Unlock()
--- a/entry/direct/logread.go
+++ b/entry/direct/logread.go
@@ -25,6 +25,11 @@
 func (fo *follower) applyOwnRead(rd logRead) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
+	fo.enterEra()
+	if !rd.listing && !fo.hasNewest {
+		// The log has come back from an older copy since the read began.
+		return
+	}
 	forwarded := fo.forwardedFrame(rd)
 	fo.apply(rd, time.Now())
 	fo.no.feeds.forward(forwarded)
@@ -33,7 +38,7 @@
 // applyForwarded applies a read that another node forwarded. A read that does not begin where
 // this node's knowledge ends is ignored: the node's own next read closes the gap.
 func (fo *follower) applyForwarded(lb *wire.LogBatch) error {
-	rd := logRead{from: lb.From, listing: lb.Listing, afterFailure: lb.AfterFailure, batch: LogBatch{End: lb.End}}
+	rd := logRead{from: lb.From, listing: lb.Listing, afterFailure: lb.AfterFailure, batch: LogBatch{End: lb.End, Era: lb.Era}}
 	if err := cbor.Unmarshal(lb.Records, &rd.batch.Records); err != nil {
 		return errors.Wrap(err, "direct: decode forwarded records")
 	}
@@ -42,9 +47,14 @@
 			rd.batch.Records[ix].Table = ta.Build()
 		}
 	}
+	if !fo.acceptEra(lb.Era) {
+		return nil
+	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	if !fo.hasNewest || !rd.listing && rd.from > fo.nextOffset {
+	fo.enterEra()
+	mayStart := rd.listing && fo.listed
+	if !fo.hasNewest && !mayStart || !rd.listing && rd.from > fo.nextOffset {
 		fo.no.logger.Debug().Str("topic", lb.Topic).Int64("from", lb.From).Int64("offset", fo.nextOffset).Msg("forwarded_read_ignored")
 		return nil
 	}
@@ -59,13 +69,14 @@
 
 // apply applies a read. Records that are older than those already read have no effect.
 func (fo *follower) apply(rd logRead, now time.Time) {
-	first := rd.listing && fo.nextOffset == 0
+	first := rd.listing && !fo.listed
 	if rd.listing && rd.batch.End >= fo.nextOffset {
-		fo.hasNewest = true
+		fo.markRestored(rd.batch, now)
+		fo.hasNewest, fo.listed = true, true
 		fo.removeMissing(rd.batch, now)
 	}
 	for ix := range rd.batch.Records {
-		fo.no.applyRecord(&rd.batch.Records[ix], first, now)
+		fo.no.applyRecord(&rd.batch.Records[ix], fo.era, first, now)
 	}
 	fo.nextOffset = max(fo.nextOffset, rd.batch.End)
 	if rd.listing && fo.topic == ServersTopic {
@@ -74,6 +85,19 @@
 	fo.confirm(now)
 }
 
+// markRestored records that a listing is the first one after the log came back from an older copy, if
+// the node knew servers from before.
+func (fo *follower) markRestored(ba LogBatch, now time.Time) {
+	if fo.topic != ServersTopic || fo.hasNewest || fo.nextOffset > 0 {
+		return
+	}
+	fo.no.view.withRoster(func(ro *roster.Roster) {
+		if ro.Len() > 0 && ro.Era() < fo.era {
+			ro.MarkRestored(roster.Position{Era: fo.era, Offset: ba.End}, now)
+		}
+	})
+}
+
 // removeMissing removes the servers that a listing does not contain.
 func (fo *follower) removeMissing(ba LogBatch, now time.Time) {
 	if fo.topic != ServersTopic {
@@ -85,7 +109,7 @@
 			present[lr.Server.ID] = true
 		}
 	}
-	fo.no.view.withRoster(func(ro *roster.Roster) { ro.ApplyListing(present, ba.End, now) })
+	fo.no.view.withRoster(func(ro *roster.Roster) { ro.ApplyListing(present, roster.Position{Era: fo.era, Offset: ba.End}, now) })
 }
 
 // confirm records that all records of the topic up to now are known. For the servers it also
@@ -129,6 +153,6 @@
 		return nil
 	}
 	return &wire.Frame{LogBatch: &wire.LogBatch{
-		Topic: fo.topic.String(), From: rd.from, End: rd.batch.End, Listing: rd.listing, AfterFailure: rd.afterFailure, Records: data,
+		Topic: fo.topic.String(), Era: rd.batch.Era, From: rd.from, End: rd.batch.End, Listing: rd.listing, AfterFailure: rd.afterFailure, Records: data,
 	}}
 }
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -7,6 +7,7 @@
 
 	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/reader"
 	"github.com/bambooladder/bambooladder/core/roster"
 )
 
@@ -26,6 +27,7 @@
 	routesLogDown atomic.Bool
 
 	mu            sync.Mutex
+	eras          reader.Eras
 	versions      map[grant.Key]announcedVersion
 	servers       roster.Roster
 	serversListed bool
@@ -84,6 +86,23 @@
 	lv.serversListed = true
 }
 
+// observeEra records the era that an answer of the log stated, and returns the verdict on it and the
+// present era.
+func (lv *logView) observeEra(era int64) (reader.EraVerdict, int64) {
+	lv.mu.Lock()
+	defer lv.mu.Unlock()
+	eras, verdict := lv.eras.WithAnswer(era)
+	lv.eras = eras
+	return verdict, eras.Present()
+}
+
+// presentEra returns the highest era of the log that the node has seen, zero for none.
+func (lv *logView) presentEra() int64 {
+	lv.mu.Lock()
+	defer lv.mu.Unlock()
+	return lv.eras.Present()
+}
+
 // ready reports whether the node has read the routes and the list of servers.
 func (lv *logView) ready() bool {
 	lv.mu.Lock()
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -142,6 +142,13 @@
 	so.changed = make(chan struct{})
 }
 
+// setEra sets the era that answers state.
+func (so *testSource) setEra(era int64) {
+	so.mu.Lock()
+	defer so.mu.Unlock()
+	so.era = era
+}
+
 // setDown sets whether reads of the log fail.
 func (so *testSource) setDown(down bool) {
 	so.mu.Lock()
