--- a/core/reader/era.go
+++ b/core/reader/era.go
@@ -14,9 +14,11 @@
 	EraInvalid
 )
 
-// Eras is the highest era that a node has seen; the zero value has seen none.
+// Eras is the highest era that a node has seen. The zero value has seen no answer.
 type Eras struct {
 	present int64
+	// answered is true once there was any answer, with or without an era.
+	answered bool
 }
 
 // Present returns the highest era seen, zero for none.
@@ -25,13 +27,13 @@
 // WithAnswer returns the eras after an answer that stated an era, zero for none, and the verdict on
 // the answer.
 func (er Eras) WithAnswer(era int64) (Eras, EraVerdict) {
-	switch {
-	case era == er.present:
-		return er, EraPresent
-	case era < er.present:
+	if era < er.present {
 		return er, EraInvalid
-	case er.present == 0:
-		return Eras{present: era}, EraPresent
 	}
-	return Eras{present: era}, EraRisen
+	risen := er.answered && era > er.present
+	er.present, er.answered = era, true
+	if risen {
+		return er, EraRisen
+	}
+	return er, EraPresent
 }
--- a/core/reader/era_test.go
+++ b/core/reader/era_test.go
@@ -8,19 +8,19 @@
 	"github.com/leanovate/gopter/prop"
 )
 
-// Whatever eras answers state, in any order, the present one never falls, and only a later one than
-// the first counts as risen.
+// Whatever eras answers state, in any order, the present one never falls, and each later one than the
+// first answer's counts as risen, also if that answer stated none.
 func TestPresentEraNeverFalls(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
 	properties.Property("never falls", prop.ForAll(func(eras []int64) bool {
 		er, highest := Eras{}, int64(0)
-		for _, era := range eras {
+		for ix, era := range eras {
 			next, verdict := er.WithAnswer(era)
 			want := EraPresent
 			switch {
 			case era < highest:
 				want = EraInvalid
-			case era > highest && highest > 0:
+			case era > highest && ix > 0:
 				want = EraRisen
 			}
 			highest = max(highest, era)
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -129,8 +129,8 @@
 	Records []LogRecord
 	// End is the offset after the last record read.
 	End int64
-	// Era is the number of times that the log has come back from an older copy of itself. Offsets are
-	// given out again in each era. It is zero if the answer did not state a valid one.
+	// Era rises each time the log comes back from an older copy of itself. Offsets are given out again
+	// in each era. It is zero if the answer did not state a valid one.
 	Era int64
 }
 
--- a/proofs/direct_era_test.go
+++ b/proofs/direct_era_test.go
@@ -100,6 +100,27 @@
 	})
 }
 
+// A log that states its era from the first restore on only must be followed like any other.
+func TestDirectFollowsALogThatStatesNoEraBeforeTheFirstRestore(t *testing.T) {
+	runDirectSimulation(t, 2, 1, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.source.setEra(0)
+		ds.startEntry("entry-2")
+		other := ds.newCaller("entry-2")
+		defer other.client.CloseIdleConnections()
+		lengths := ds.source.copyLengths()
+		for range 10 {
+			ds.announceAll()
+		}
+		time.Sleep(2 * time.Second)
+		ds.restoreAndRewrite(lengths, "")
+		ds.announceServer("plain-0", "ledger", "", true)
+		time.Sleep(2500 * time.Millisecond)
+		if got := countArrivals(t, ds, other, "plain-0", "/safe/x"); got != 0 {
+			t.Errorf("%d requests reached a server that announced its leaving after the restore", got)
+		}
+	})
+}
+
 // A server that is not in the copy must be used until it can be taken to be gone, and not after that.
 func TestDirectServerMissingInTheCopyIsUsedUntilItsTimeToRewriteIsOver(t *testing.T) {
 	runDirectSimulation(t, 2, 1, func(t *testing.T, ds *directSimulation, cl *directCaller) {
