--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -53,8 +53,10 @@
 // removal is the removal of a server's record.
 type removal struct {
 	position Position
-	// born is the start of the run that was removed, zero if it is not known.
-	born int64
+	// born is the start of the run that was removed, zero if it is not known; leaving is true if that
+	// run was leaving.
+	born    int64
+	leaving bool
 }
 
 // trackedServer is a server with the position of its record.
@@ -91,7 +93,7 @@
 	if at.Before(ro.removals[se.ID].position) || ts != nil && at.Before(ts.position) || ro.undoes(&se, at) {
 		return false
 	}
-	if ts != nil && ts.Born == se.Born && ts.Leaving {
+	if re, ok := ro.removals[se.ID]; ok && re.leaving && re.born == se.Born || ts != nil && ts.Born == se.Born && ts.Leaving {
 		// A run that has announced its drain never becomes ready again.
 		se.Leaving = true
 	}
@@ -113,6 +115,19 @@
 	return ts != nil && (se.Born < ts.Born || !ts.missingSince.IsZero())
 }
 
+// MarkLeaving records that the run of a server that started at born has said by itself that it is
+// leaving, and reports whether that is news. What a record says of this run does not change it.
+func (ro *Roster) MarkLeaving(id string, born int64) bool {
+	ts := ro.servers[id]
+	if ts == nil || ts.Leaving || ts.Born > born {
+		return false
+	}
+	marked := *ts
+	marked.Leaving = true
+	ro.servers[id] = &marked
+	return true
+}
+
 // Changes reports whether a record says anything new about a server, its adapters aside. Agents
 // report the adapters of their engines sooner than the records do.
 func (ro *Roster) Changes(se Server) bool {
@@ -136,7 +151,7 @@
 	if ts.missingSince.IsZero() {
 		ts.missingSince = now
 	}
-	ro.recordRemoval(id, removal{position: at, born: ts.Born})
+	ro.recordRemoval(id, removal{position: at, born: ts.Born, leaving: ts.Leaving})
 	ro.Expire(now)
 }
 
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -88,8 +88,8 @@
 
 // Choose returns the cheapest server for a request, or false if no server can take it.
 // Unhealthy servers are candidates only if no healthy one is left that is not excluded. Excluded
-// servers, healthy or not, are candidates only if no other server is left at all. A server that has
-// got this node's share of its limit is never a candidate.
+// servers, healthy or not, are candidates only if no other server is left at all. A server that is
+// leaving, has asked for a pause or has got this node's share of its limit is never a candidate.
 func (fl *Fleet) Choose(rq Request, now time.Time) (Choice, bool) {
 	ch := Choice{}
 	group := fl.services[rq.Service]
@@ -97,7 +97,7 @@
 	for _, pass := range passes {
 		for _, me := range group {
 			excluded := slices.Contains(rq.Exclude, me.ID)
-			if me.Leaving || me.load.Draining || !me.limit.allows(now) || excluded && !pass.excluded || me.isUnhealthy(now) && !pass.unhealthy {
+			if !me.takesNow(now) || excluded && !pass.excluded || me.isUnhealthy(now) && !pass.unhealthy {
 				continue
 			}
 			es := me.estimate(&rq, &preferred, now)
@@ -135,7 +135,7 @@
 // hasAdapter reports whether an engine with an available agent holds the request's adapter or
 // has it in its host's cache.
 func (me *member) hasAdapter(rq *Request) bool {
-	if me.Leaving || me.load.Draining || !me.agentAvailable {
+	if me.leaving() || !me.agentAvailable {
 		return false
 	}
 	resident := slices.ContainsFunc(me.resident, func(sl AdapterSlot) bool { return sl.Adapter == rq.Adapter && sl.Version >= rq.Version })
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -73,6 +73,8 @@
 	consecutiveFailures int
 	failureBackoffUntil time.Time
 	limit               limit
+	// pausedUntil is the end of the pause that the server has asked this node for.
+	pausedUntil time.Time
 }
 
 // Fleet is an entry node's view of the backend servers; its zero value is empty.
@@ -103,8 +105,8 @@
 		fl.services[se.Service] = slices.Insert(group, ix, me)
 	}
 	if se.Born != me.Born {
-		// A new run of the server has named no limit yet.
-		me.limit = limit{}
+		// A new run of the server has asked for nothing yet.
+		me.limit, me.pausedUntil = limit{}, time.Time{}
 	}
 	me.Server = se
 }
@@ -136,13 +138,6 @@
 	return Server{}, false
 }
 
-// Accepts reports whether a server is known and takes new requests: neither its record nor its agent
-// says that it is leaving.
-func (fl *Fleet) Accepts(id string) bool {
-	me := fl.members[id]
-	return me != nil && !me.Leaving && !me.load.Draining
-}
-
 // RunStart returns when a server's present run started, in Unix milliseconds: the later of what its
 // record and its agent say, zero if neither does.
 func (fl *Fleet) RunStart(id string) int64 {
--- a/core/spread/limit.go
+++ b/core/spread/limit.go
@@ -128,21 +128,6 @@
 	return true
 }
 
-// LimitedUntil returns the earliest time at which a server of a service that is kept from this node's
-// requests by its limit takes one again, or false if there is none.
-func (fl *Fleet) LimitedUntil(service string, now time.Time) (time.Time, bool) {
-	earliest := time.Time{}
-	for _, me := range fl.services[service] {
-		if me.Leaving || me.load.Draining || me.limit.allows(now) {
-			continue
-		}
-		if next := me.limit.next(now); earliest.IsZero() || next.Before(earliest) {
-			earliest = next
-		}
-	}
-	return earliest, !earliest.IsZero()
-}
-
 // Unsent records that a request that Sent has counted was not sent to the server.
 func (fl *Fleet) Unsent(id string) {
 	if me := fl.members[id]; me != nil && me.limit.active() {
--- a/core/spread/limit_test.go
+++ b/core/spread/limit_test.go
@@ -74,7 +74,7 @@
 	if ch, ok := only.Choose(requestFor("x"), start); ok {
 		t.Errorf("chose %s as a last resort", ch.ID)
 	}
-	until, limited := only.LimitedUntil("advice", start)
+	until, limited := only.TakesAgainAt("advice", start)
 	if !limited || !until.Equal(start.Add(2*time.Second)) {
 		t.Errorf("limited %v until %v, want until two seconds later", limited, until)
 	}
--- /dev/null
+++ b/core/spread/pause.go
@@ -0,0 +1,58 @@
+package spread
+
+import "time"
+
+// PauseAsked records that a server wants no requests from this node until a time. A shorter pause than
+// one that is under way changes nothing. It reports whether the end of the pause has changed.
+func (fl *Fleet) PauseAsked(id string, until time.Time) bool {
+	me := fl.members[id]
+	if me == nil || !until.After(me.pausedUntil) {
+		return false
+	}
+	me.pausedUntil = until
+	return true
+}
+
+// paused reports whether the server wants no requests from this node.
+func (me *member) paused(now time.Time) bool { return now.Before(me.pausedUntil) }
+
+// takesNow reports whether the server takes a request of this node now: it is neither leaving nor
+// paused, and this node's share of its limit is not used up.
+func (me *member) takesNow(now time.Time) bool {
+	return !me.leaving() && !me.paused(now) && me.limit.allows(now)
+}
+
+// leaving reports whether the server is leaving by its record or its agent's report.
+func (me *member) leaving() bool { return me.Leaving || me.load.Draining }
+
+// Accepts reports whether a request that was meant for a server may still be sent to it: the server is
+// known, and neither leaving nor paused.
+func (fl *Fleet) Accepts(id string, now time.Time) bool {
+	me := fl.members[id]
+	return me != nil && !me.leaving() && !me.paused(now)
+}
+
+// Leaving reports whether a server is unknown or leaving.
+func (fl *Fleet) Leaving(id string) bool {
+	me := fl.members[id]
+	return me == nil || me.leaving()
+}
+
+// TakesAgainAt returns the earliest time at which a server of a service that takes no request of this
+// node now, because of a pause or its limit, takes one again. It returns false if there is none.
+func (fl *Fleet) TakesAgainAt(service string, now time.Time) (time.Time, bool) {
+	earliest := time.Time{}
+	for _, me := range fl.services[service] {
+		if me.leaving() || me.takesNow(now) {
+			continue
+		}
+		next := me.pausedUntil
+		if me.limit.active() && me.limit.next(now).After(next) {
+			next = me.limit.next(now)
+		}
+		if earliest.IsZero() || next.Before(earliest) {
+			earliest = next
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
--- a/entry/direct/accounting.go
+++ b/entry/direct/accounting.go
@@ -93,9 +93,16 @@
 	}
 }
 
-// acceptsRequests reports whether a server is known and not leaving.
+// acceptsRequests reports whether a server is known and neither leaving nor paused.
 func (no *Node) acceptsRequests(id string) bool {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	return no.fleet.Accepts(id)
+	return no.fleet.Accepts(id, time.Now())
+}
+
+// isLeaving reports whether a server is unknown or leaving.
+func (no *Node) isLeaving(id string) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.fleet.Leaving(id)
 }
--- a/entry/direct/crashes.go
+++ b/entry/direct/crashes.go
@@ -44,7 +44,7 @@
 // server has crashed. It waits for the check if one more crash decides on the request, so that the
 // request is not sent once more before that. A server that is leaving ends its run without a crash.
 func (cr *crashes) recordLost(rq *request, at *attempt, reason string) {
-	if !cr.no.acceptsRequests(at.server) {
+	if cr.no.isLeaving(at.server) {
 		return
 	}
 	cr.no.logger.Info().Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server).Str("fingerprint", rq.fingerprint()).
--- a/entry/direct/demands.go
+++ b/entry/direct/demands.go
@@ -4,16 +4,58 @@
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/roster"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
-// applyDemands records what the attempt's server asks for in the headers of its answer.
-func (rq *request) applyDemands(at *attempt, an *pool.Answer) {
+// pauseSpread is the part of a pause by which a node prolongs it at most, so that not all entry nodes
+// return to the server at the same time.
+const pauseSpread = 0.2
+
+// applyDemands records what the attempt's server asks for in the headers of its answer, and returns
+// it.
+func (rq *request) applyDemands(at *attempt, an *pool.Answer) Demands {
 	no := rq.no
 	de, err := no.options.Protocol.Demands(an.Status, an.Header)
 	if err != nil {
 		no.logger.Warn().Str("attempt", at.id).Str("server", at.server).Str("error", err.Error()).Msg("server_demand_invalid")
 	}
+	if de.Leaving {
+		no.applyLeaving(at)
+	}
+	if de.Pause > 0 {
+		no.applyPause(at, de.Pause)
+	}
+	no.applyLimit(at, de)
+	return de
+}
+
+// applyLeaving records that the server of an attempt is leaving, like its record would.
+func (no *Node) applyLeaving(at *attempt) {
+	news := false
+	no.view.withRoster(func(ro *roster.Roster) { news = ro.MarkLeaving(at.server, at.born) })
+	if !news {
+		return
+	}
+	no.logger.Info().Str("attempt", at.id).Str("server", at.server).Int64("born", at.born).Msg("server_leaving_answered")
+	no.syncServers(time.Now())
+}
+
+// applyPause records that the server of an attempt wants no requests for a while.
+func (no *Node) applyPause(at *attempt, pause time.Duration) {
+	longer := time.Duration(pauseSpread * no.options.Random() * float64(pause))
+	now := time.Now()
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	if no.fleet.PauseAsked(at.server, now.Add(pause+longer)) {
+		metricPauses.Add(1)
+		no.logger.Info().Str("attempt", at.id).Str("server", at.server).Int64("born", at.born).Dur("asked", pause).
+			Dur("kept", pause+longer).Msg("server_paused")
+	}
+}
+
+// applyLimit records the limit that the server of an attempt names, or that it names none.
+func (no *Node) applyLimit(at *attempt, de Demands) {
 	nodes := no.agents.entryCount()
 	no.mu.Lock()
 	defer no.mu.Unlock()
@@ -30,17 +72,19 @@
 	}
 }
 
-// noServerError returns the error for a request that no server can take. If servers would, but for the
-// limits that they have named, the caller is told when the first of them takes a request again, at a
-// random time after that, so that callers do not return together. The node's lock must be held.
+// noServerError returns the error for a request that no server can take. If servers would, but for a
+// pause or a limit that they have asked for, the caller is told when the first of them takes a request
+// again, at a random time after that, so that callers do not return together. The node's lock must be
+// held.
 func (no *Node) noServerError(service string, now time.Time) error {
-	until, limited := no.fleet.LimitedUntil(service, now)
-	if !limited {
+	until, heldBack := no.fleet.TakesAgainAt(service, now)
+	if !heldBack {
 		return fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
 			WithRetryAfter(notReadyRetryAfter)
 	}
-	metricLimited.Add(1)
-	wait := time.Duration((1 + no.options.Random()) * float64(until.Sub(now)))
-	return fault.New(fault.Overloaded, "the backend servers of the service have got as many requests as they take", "send it again").
-		WithRetryAfter(max(defaultRetryAfter, wait))
+	metricHeldBack.Add(1)
+	wait := max(defaultRetryAfter, until.Sub(now))
+	wait += time.Duration(pauseSpread * no.options.Random() * float64(max(time.Second, wait)))
+	return fault.New(fault.Overloaded, "the backend servers of the service take no more requests for now", "send it again").
+		WithRetryAfter(wait)
 }
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -35,9 +35,11 @@
 	// because of crashes.
 	metricCrashes     = newCounter("server_crashes")
 	metricQuarantined = newCounter("quarantined_requests")
-	// metricLimited counts the requests refused because of the limits of servers.
-	metricLimited = newCounter("limited_requests")
-	histograms    = map[string]*latencyHistogram{
+	// metricPauses counts the pauses that servers have asked for, metricHeldBack the requests refused
+	// because of pauses and limits of servers.
+	metricPauses   = newCounter("server_pauses")
+	metricHeldBack = newCounter("held_back_requests")
+	histograms     = map[string]*latencyHistogram{
 		histogramFirstByte: newLatencyHistogram(histogramFirstByte), histogramWholeAnswer: newLatencyHistogram(histogramWholeAnswer), histogramGrant: newLatencyHistogram(histogramGrant),
 	}
 )
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -74,6 +74,10 @@
 	Limited bool
 	// Limit is the number of requests that it takes in a second from all entry nodes together.
 	Limit float64
+	// Leaving is true if the server is about to stop and takes no new requests.
+	Leaving bool
+	// Pause is how long the server wants no request from this node, zero for no pause.
+	Pause time.Duration
 }
 
 // Protocol translates between HTTP messages and the node's view of requests and answers.
@@ -87,7 +91,7 @@
 	// AnswerKind classifies the answer to a request that was sent to the given server.
 	AnswerKind(status int, hd http.Header, server string) AnswerKind
 	// Demands reads what a server asks for in the headers of an answer. If it also returns an
-	// error, values were invalid and are left out.
+	// error, values were invalid and are bounded or left out.
 	Demands(status int, hd http.Header) (Demands, error)
 }
 
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -15,7 +15,10 @@
 	reasonGrantLate     = "grant_late"
 	reasonCallerGone    = "caller_gone"
 	reasonServerLeaving = "server_leaving"
-	reasonQuarantined   = "quarantined"
+	// reasonServerDeclines means that the server has begun to leave or has asked for a pause while the
+	// attempt waited for its grant.
+	reasonServerDeclines = "server_declines"
+	reasonQuarantined    = "quarantined"
 )
 
 // grantResult is the outcome of a reservation.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -62,7 +62,7 @@
 	reason := ""
 	switch {
 	case !rq.no.acceptsRequests(at.server):
-		reason = reasonServerLeaving
+		reason = reasonServerDeclines
 	case rq.no.crashes.verdict(rq) != nil:
 		reason = reasonQuarantined
 	default:
@@ -170,14 +170,15 @@
 func (rq *request) handleAnswer(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
 	no := rq.no
 	kind := no.options.Protocol.AnswerKind(an.Status, an.Header, at.server)
+	demands := Demands{}
 	if kind != Foreign && kind != Replaced {
-		rq.applyDemands(at, an)
+		demands = rq.applyDemands(at, an)
 	}
 	switch kind {
 	case NotRun, Misdirected, Replaced:
 		discardBody(an)
 		no.correctServerState(at, kind, rq.info.Adapter)
-		return result{outcome: retry.NotRun, reason: kind.String()}, false
+		return result{outcome: retry.NotRun, reason: kind.String(), retryDelay: demands.Pause}, false
 	case Foreign:
 		no.recordFailure(at.server)
 		return result{outcome: retry.Unknown, reason: kind.String()}, false
--- a/proofs/direct_era_test.go
+++ b/proofs/direct_era_test.go
@@ -102,7 +102,7 @@
 
 // A log that states its era from the first restore on only must be followed like any other.
 func TestDirectFollowsALogThatStatesNoEraBeforeTheFirstRestore(t *testing.T) {
-	runDirectSimulation(t, 2, 1, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+	runDirectSimulation(t, 2, 1, func(t *testing.T, ds *directSimulation, _ *directCaller) {
 		ds.source.setEra(0)
 		ds.startEntry("entry-2")
 		other := ds.newCaller("entry-2")
--- a/proofs/direct_limit_test.go
+++ b/proofs/direct_limit_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -72,6 +73,9 @@
 	return most
 }
 
+// loadAdapters is the number of adapters that a load with "*" in its adapter's name is spread over.
+const loadAdapters = 4
+
 // directLoad sends requests through several entry nodes until its context ends.
 type directLoad struct {
 	target, adapter string
@@ -94,8 +98,9 @@
 			for number := 0; ctx.Err() == nil; number++ {
 				time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 				id := fmt.Sprintf("load-%d-%d", ix, number)
+				adapter := strings.Replace(dl.adapter, "*", strconv.Itoa(number%loadAdapters), 1)
 				wg.Go(func() {
-					dl.record(cl.sendAs(context.WithoutCancel(ctx), id, http.MethodPost, dl.target, dl.adapter, id))
+					dl.record(cl.sendAs(context.WithoutCancel(ctx), id, http.MethodPost, dl.target, adapter, id))
 				})
 			}
 		})
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -36,6 +36,7 @@
 	headerLastEvent = "T-Last"
 	headerTimeLeft  = "T-Left"
 	headerLimit     = "T-Limit"
+	headerLeaving   = "T-Leaving"
 	testModel       = "base"
 )
 
@@ -83,12 +84,15 @@
 	return direct.Genuine
 }
 
-func (testProtocol) Demands(_ int, hd http.Header) (direct.Demands, error) {
-	limit, err := strconv.ParseFloat(hd.Get(headerLimit), 64)
-	if err != nil {
-		return direct.Demands{}, nil
+func (testProtocol) Demands(status int, hd http.Header) (direct.Demands, error) {
+	de := direct.Demands{Leaving: hd.Get(headerLeaving) != ""}
+	if limit, err := strconv.ParseFloat(hd.Get(headerLimit), 64); err == nil {
+		de.Limited, de.Limit = true, limit
+	}
+	if seconds, err := strconv.ParseFloat(hd.Get("Retry-After"), 64); err == nil && status == http.StatusServiceUnavailable {
+		de.Pause = time.Duration(seconds * float64(time.Second))
 	}
-	return direct.Demands{Limited: true, Limit: limit}, nil
+	return de, nil
 }
 
 // testSource implements direct.Source in memory.
