--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/grant"
+	"github.com/bambooladder/bambooladder/core/lease"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -77,6 +78,8 @@
 	burstLimited bool
 	// crashes holds the crash reports that were passed on, for entry nodes that connect later.
 	crashes []passedCrash
+	// buckets holds what may be sent to servers with limits whose entry nodes ask this agent.
+	buckets map[serverRun]lease.Bucket
 	// boot is the ID of this run of the agent.
 	boot string
 }
@@ -85,7 +88,7 @@
 func NewBroker(eg Engine, boot string, lg zerolog.Logger) *Broker {
 	return &Broker{
 		eg: eg, lg: lg, events: make(chan event, eventQueueMax), en: grant.New(time.Now()),
-		sessions: map[string]*session{}, boot: boot,
+		sessions: map[string]*session{}, buckets: map[serverRun]lease.Bucket{}, boot: boot,
 	}
 }
 
@@ -225,6 +228,9 @@
 	case fr.CrashReport != nil:
 		br.passCrash(ctx, se, fr.CrashReport, now)
 		return
+	case fr.LeaseAsk != nil:
+		br.answerLeaseAsk(ctx, se, fr.LeaseAsk, now)
+		return
 	}
 	br.markHoldingsStale()
 }
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -194,9 +194,6 @@
 			// No other request is in flight, so the wait for a sign of life begins now.
 			me.lastSeen = now
 		}
-		if me.limit.active() {
-			me.limit = me.limit.WithSent(now)
-		}
 		me.inFlight++
 		me.addedPrefillTime += grant.PrefillTime(promptTokens)
 	}
--- a/core/spread/pause.go
+++ b/core/spread/pause.go
@@ -47,8 +47,8 @@
 			continue
 		}
 		next := me.pausedUntil
-		if me.limit.active() && me.limit.next(now).After(next) {
-			next = me.limit.next(now)
+		if allowed := me.limit.allowedAt(now); me.limit.active() && allowed.After(next) {
+			next = allowed
 		}
 		if earliest.IsZero() || next.Before(earliest) {
 			earliest = next
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -216,6 +216,12 @@
 	// Holdings corresponds to the JSON schema field "holdings".
 	Holdings *Holdings `json:"holdings,omitempty,omitzero" yaml:"holdings,omitempty" cbor:"14,keyasint,omitempty"`
 
+	// LeaseAnswer corresponds to the JSON schema field "lease_answer".
+	LeaseAnswer *LeaseAnswer `json:"lease_answer,omitempty,omitzero" yaml:"lease_answer,omitempty" cbor:"25,keyasint,omitempty"`
+
+	// LeaseAsk corresponds to the JSON schema field "lease_ask".
+	LeaseAsk *LeaseAsk `json:"lease_ask,omitempty,omitzero" yaml:"lease_ask,omitempty" cbor:"24,keyasint,omitempty"`
+
 	// LogBatch corresponds to the JSON schema field "log_batch".
 	LogBatch *LogBatch `json:"log_batch,omitempty,omitzero" yaml:"log_batch,omitempty" cbor:"22,keyasint,omitempty"`
 
@@ -320,6 +326,40 @@
 	Slots []SlotReport `json:"slots" yaml:"slots" cbor:"2,keyasint,omitempty"`
 }
 
+// LeaseAnswer answers a LeaseAsk.
+type LeaseAnswer struct {
+	// Attempt is the id of the attempt.
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
+
+	// Count is the number of requests that may be sent now, zero for none.
+	Count int `json:"count" yaml:"count" cbor:"2,keyasint,omitempty"`
+
+	// Wait is the time after which the entry node may ask again if Count is zero, in
+	// milliseconds.
+	Wait int64 `json:"wait" yaml:"wait" cbor:"3,keyasint,omitempty"`
+}
+
+// LeaseAsk asks the agent that keeps the limit of a backend server whether
+// requests may be sent to it.
+type LeaseAsk struct {
+	// Attempt is the id of the attempt for which the entry node asks.
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
+
+	// Born identifies the run of the backend server, by its start time in Unix
+	// milliseconds.
+	Born int64 `json:"born" yaml:"born" cbor:"3,keyasint,omitempty"`
+
+	// Count is the number of requests that the entry node expects to send soon.
+	Count int `json:"count" yaml:"count" cbor:"5,keyasint,omitempty"`
+
+	// PerSecond is the number of requests in a second that the backend server has
+	// said it takes from all entry nodes together.
+	PerSecond float64 `json:"per_second" yaml:"per_second" cbor:"4,keyasint,omitempty"`
+
+	// Server is the id of the backend server.
+	Server string `json:"server" yaml:"server" cbor:"2,keyasint,omitempty"`
+}
+
 // LogBatch carries what one read of the platform's log returned from the entry
 // node that read it to another one. A batch without records shows that there was
 // nothing new.
--- a/entry/direct/accounting.go
+++ b/entry/direct/accounting.go
@@ -7,13 +7,10 @@
 )
 
 // recordAttemptEnd removes an ended attempt from its server's count of requests in flight.
-func (no *Node) recordAttemptEnd(id string, outcome retry.Outcome) {
+func (no *Node) recordAttemptEnd(id string) {
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	no.fleet.Done(id)
-	if outcome == retry.Unsent {
-		no.fleet.Unsent(id)
-	}
 }
 
 // recordFailure records that a request to a server failed.
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -72,6 +72,8 @@
 		return fr.Refusal.Attempt, fr.Refusal.Load
 	case fr.Holdings != nil:
 		return "", &fr.Holdings.Load
+	case fr.LeaseAnswer != nil:
+		return fr.LeaseAnswer.Attempt, nil
 	}
 	return "", nil
 }
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -74,7 +74,7 @@
 		if server != id {
 			continue
 		}
-		if ac := as.links[host]; ac != nil && !ac.silent {
+		if ac := as.working(host); ac != nil {
 			return host, ac
 		}
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -27,16 +27,17 @@
 // makeAttempt runs one attempt and reports whether an answer was delivered. Requests to
 // engines need a grant first, unless the engine's agent is unavailable.
 func (rq *request) makeAttempt(ctx context.Context, at *attempt) (result, bool) {
-	re, finished := result{outcome: retry.Unknown}, false
-	defer func() { rq.no.recordAttemptEnd(at.server, re.outcome) }()
+	defer rq.no.recordAttemptEnd(at.server)
+	if re, ok := rq.takeLease(ctx, at); !ok {
+		return re, false
+	}
 	if at.choice.Reason != spread.PlainService && at.choice.Reason != spread.AgentUnavailable {
-		granted := false
-		if re, granted = rq.reserve(ctx, at); !granted {
+		if re, ok := rq.reserve(ctx, at); !ok {
 			return re, false
 		}
 	}
 	// An answer that breaks off midway ends the handler with a panic.
-	re.outcome = retry.Unknown
+	re, finished := result{outcome: retry.Unknown}, false
 	defer func() { rq.release(at, re) }()
 	re, finished = rq.send(ctx, at)
 	return re, finished
--- a/proofs/direct_limit_test.go
+++ b/proofs/direct_limit_test.go
@@ -199,3 +199,83 @@
 		})
 	}
 }
+
+const (
+	// limitUseMin is the least part of a limit that must be used when demand is above it.
+	limitUseMin = 0.9
+	// limitUsePeriod is how long the use of a limit is counted.
+	limitUsePeriod = 30 * time.Second
+)
+
+// unevenRates returns rates of which the first node has four fifths.
+func unevenRates(count int, total float64) []float64 {
+	rates := evenRates(count, total/5/float64(count-1))
+	rates[0] = total * 4 / 5
+	return rates
+}
+
+// One entry node gets most of the requests for the only server of a service, twice what that has named
+// as its limit. The limit must be kept, and used up.
+func TestDirectLimitIsUsedUpByUnevenLoad(t *testing.T) {
+	const limit = 8
+	for _, nodes := range []int{2, 13, 68} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			runDirectSimulation(t, 1, 1, func(t *testing.T, ds *directSimulation, first *directCaller) {
+				first.client.CloseIdleConnections()
+				ds.startEntries(nodes)
+				li := &limitedServer{limit: limit, limited: true}
+				ds.backends["plain-0"].setScript(li.answer)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				dl := &directLoad{target: "/safe/x", rates: unevenRates(nodes, 2*limit)}
+				wg := dl.run(ctx, ds, 1)
+				time.Sleep(3 * limitLearnTime)
+				from := time.Now()
+				time.Sleep(limitUsePeriod)
+				most, allowed := li.mostInWindow(from), limitFactor*limit*limitWindow.Seconds()+limitSlack
+				use := float64(len(li.arrivalsFrom(from))) / (limit * limitUsePeriod.Seconds())
+				cancel()
+				wg.Wait()
+				t.Logf("at most %d requests in %v, allowed %.0f; %.2f of the limit used", most, limitWindow, allowed, use)
+				if float64(most) > allowed || use < limitUseMin {
+					t.Errorf("%d requests in %v, %.2f used; want at most %.0f and at least %.2f", most, limitWindow, use, allowed, limitUseMin)
+				}
+				if dl.failed > 0 || dl.longestRefusal > 200*time.Millisecond {
+					t.Errorf("%d requests failed; the longest refusal took %v", dl.failed, dl.longestRefusal)
+				}
+			})
+		})
+	}
+}
+
+// The agent that keeps the limit freezes, entry nodes start and stop. The limit must be kept all the
+// while.
+func TestDirectLimitIsKeptWhileItsAgentFreezesAndNodesRestart(t *testing.T) {
+	const limit = 4
+	runDirectSimulation(t, 2, 2, func(t *testing.T, ds *directSimulation, first *directCaller) {
+		first.client.CloseIdleConnections()
+		ds.startEntries(4)
+		li := &limitedServer{limit: limit, limited: true}
+		ds.backends["plain-0"].setScript(li.answer)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		dl := &directLoad{target: "/safe/x", rates: evenRates(4, 8)}
+		wg := dl.run(ctx, ds, 1)
+		time.Sleep(2 * limitLearnTime)
+		from := time.Now()
+		ds.net.freeze("engine-0", 6*time.Second)
+		time.Sleep(8 * time.Second)
+		ds.net.freeze("engine-1", 6*time.Second)
+		ds.startEntry("entry-5")
+		time.Sleep(8 * time.Second)
+		ds.net.partition("engine-0", "entry-2")
+		time.Sleep(8 * time.Second)
+		most, allowed := li.mostInWindow(from), limitFactor*limit*limitWindow.Seconds()+limitSlack
+		cancel()
+		wg.Wait()
+		t.Logf("at most %d requests in %v, allowed %.0f; %d answered, %d refused, %d failed", most, limitWindow, allowed, dl.answered, dl.refused, dl.failed)
+		if float64(most) > allowed {
+			t.Errorf("%d requests in %v at a limit of %v a second, want at most %.0f", most, limitWindow, limit, allowed)
+		}
+	})
+}
