--- a/agent/direct/actions.go
+++ b/agent/direct/actions.go
@@ -26,7 +26,7 @@
 		case ac.Inspect != nil:
 			go func() {
 				ob, err := br.eg.Inspect(ctx)
-				br.postEvent(ctx, event{inspectionDone: &inspectionResult{ob: ob, err: err}})
+				br.postEvent(ctx, event{inspectionDone: &inspectionResult{observation: ob, err: err}})
 			}()
 		}
 	}
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -51,8 +51,8 @@
 
 // inspectionResult is the engine's answer to an inspection, or the error.
 type inspectionResult struct {
-	ob  grant.Observation
-	err error
+	observation grant.Observation
+	err         error
 }
 
 // Broker owns the state of the agent. Only the goroutine of Run reads or changes that state; other
@@ -124,13 +124,13 @@
 		case <-timer.C:
 			br.executeActions(ctx, br.en.Tick(time.Now()))
 		}
-		timer.Reset(br.nextWake())
+		timer.Reset(br.endRound())
 	}
 }
 
-// nextWake ends a round of the broker: it sends the Holdings and Peers frames that are due, publishes the metrics
+// endRound ends a round of the broker: it sends the Holdings and Peers frames that are due, publishes the metrics
 // and returns the time until the broker has work again if no event comes.
-func (br *Broker) nextWake() time.Duration {
+func (br *Broker) endRound() time.Duration {
 	now := time.Now()
 	nextWake := br.en.NextAt(now)
 	for _, se := range br.sessions {
@@ -174,12 +174,12 @@
 }
 
 // inspectionDone handles the answer to an inspection.
-func (br *Broker) inspectionDone(ctx context.Context, ob *inspectionResult, now time.Time) {
-	if ob.err != nil {
+func (br *Broker) inspectionDone(ctx context.Context, ir *inspectionResult, now time.Time) {
+	if ir.err != nil {
 		if !br.engineSilent {
 			br.engineSilent = true
 			br.markHoldingsStale()
-			br.lg.Warn().Str("dependency", "engine").Str("error", ob.err.Error()).Msg("dependency_lost")
+			br.lg.Warn().Str("dependency", "engine").Str("error", ir.err.Error()).Msg("dependency_lost")
 		}
 		br.executeActions(ctx, br.en.InspectionFailed(now))
 		return
@@ -189,13 +189,13 @@
 		br.markHoldingsStale()
 		br.lg.Info().Str("dependency", "engine").Msg("dependency_regained")
 	}
-	if ob.ob.Born != br.engineBorn {
-		br.lg.Info().Int64("born", ob.ob.Born).Int64("earlier_born", br.engineBorn).Int64("sequence", ob.ob.Sequence).Msg("engine_started")
-		br.engineBorn = ob.ob.Born
+	if ir.observation.Born != br.engineBorn {
+		br.lg.Info().Int64("born", ir.observation.Born).Int64("earlier_born", br.engineBorn).Int64("sequence", ir.observation.Sequence).Msg("engine_started")
+		br.engineBorn = ir.observation.Born
 		br.markHoldingsStale()
 	}
 	adaptersBefore, loadBefore := br.en.Adapters(), br.en.Load(now)
-	br.executeActions(ctx, br.en.InspectionDone(ob.ob, now))
+	br.executeActions(ctx, br.en.InspectionDone(ir.observation, now))
 	loadAfter := br.en.Load(now)
 	if loadBefore.Model != loadAfter.Model || loadBefore.Draining != loadAfter.Draining ||
 		!sameAdapters(adaptersBefore, br.en.Adapters()) {
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -69,9 +69,11 @@
 func (cl *Client) BaseURL() string { return cl.baseURL }
 
 // Load orders the engine to load an adapter. It returns the result and the boot ID of the engine
-// process that answered. Status 200 means that it has loaded the adapter, 429 and 503 that the weight store is
-// busy, 500, 507 and any other below 500 that it rejected the order. After any other status or an
-// error, it may still carry out the order.
+// process that answered. By the status of the answer, the engine
+//   - has loaded the adapter: 200
+//   - found the weight store busy: 429, 503
+//   - rejected the order: 500, 507 and any other below 500
+//   - may still carry it out: all others, or no answer
 func (cl *Client) Load(ctx context.Context, or Order) (sched.Result, string) {
 	status, boot, err := cl.postOrder(ctx, "/adapters/load", or)
 	switch {
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -208,7 +208,7 @@
 		}
 	}
 	as.mu.Unlock()
-	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("held", len(frames)).Msg("dependency_regained")
+	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("frames", len(frames)).Msg("dependency_regained")
 	if len(frames) == 0 {
 		return
 	}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -210,7 +210,7 @@
 	err := sv.callers.Close()
 	no.cancel()
 	err = errors.CombineErrors(err, errors.CombineErrors(sv.ready.Close(), errors.CombineErrors(sv.peers.Close(), sv.metrics.Close())))
-	no.logger.Info().Int64("cut_off", no.inFlight.Load()).Msg("entry_stopped")
+	no.logger.Info().Int64("in_flight", no.inFlight.Load()).Msg("entry_stopped")
 	return errors.Wrap(err, "direct: close servers")
 }
 
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -37,10 +37,10 @@
 		}
 	}
 	// An answer that breaks off midway ends the handler with a panic.
-	re, finished := result{outcome: retry.Unknown}, false
+	re, delivered := result{outcome: retry.Unknown}, false
 	defer func() { rq.release(at, re) }()
-	re, finished = rq.send(ctx, at)
-	return re, finished
+	re, delivered = rq.send(ctx, at)
+	return re, delivered
 }
 
 // reserve requests a grant for the attempt and reports whether it was given.
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -127,6 +127,14 @@
 	return max(0, timeout)
 }
 
+// timeLeft returns the time until the caller must be answered, zero if its timeout is not known yet.
+func (rq *request) timeLeft() time.Duration {
+	if rq.deadline.IsZero() {
+		return 0
+	}
+	return time.Until(rq.deadline)
+}
+
 // readBody reads the whole request body, up to a limit in bytes.
 func (rq *request) readBody(hr *http.Request, limit int64) error {
 	if limit <= 0 {
@@ -182,7 +190,7 @@
 	}
 	metricFailures.Add(string(fe.Kind), 1)
 	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("reason", string(fe.Kind)).Str("outcome", string(fe.Outcome)).
-		Str("detail", fe.Message).Dur("retry_after", fe.RetryAfter).Dur("held", time.Since(rq.start)).Int64("routes_version", rq.routesVersion)
+		Str("detail", fe.Message).Dur("retry_after", fe.RetryAfter).Dur("took", time.Since(rq.start)).Dur("left", rq.timeLeft()).Int64("routes_version", rq.routesVersion)
 	if rq.answerStarted {
 		ev.Msg("answer_aborted")
 		panic(http.ErrAbortHandler)
