--- a/core/spread/limit.go
+++ b/core/spread/limit.go
@@ -58,8 +58,8 @@
 func (li limit) WithNamed(perSecond float64, nodes int, random float64, now time.Time) limit {
 	known := li.active()
 	li.perSecond, li.nodes, li.namedAt = max(lease.RateMin, perSecond), nodes, now
-	if latest := now.Add(time.Duration(random * float64(li.interval()))); !known || li.nextAt.After(latest) && li.nextAt.After(now.Add(li.interval())) {
-		li.nextAt = latest
+	if !known || li.nextAt.After(now.Add(li.interval())) {
+		li.nextAt = now.Add(time.Duration(random * float64(li.interval())))
 	}
 	return li
 }
--- a/core/spread/pause.go
+++ b/core/spread/pause.go
@@ -17,7 +17,7 @@
 func (me *member) paused(now time.Time) bool { return now.Before(me.pausedUntil) }
 
 // takesNow reports whether the server takes a request of this node now: it is neither leaving nor
-// paused, and this node's share of its limit is not used up.
+// paused, and its limit allows a request or an ask for a lease.
 func (me *member) takesNow(now time.Time) bool {
 	return !me.leaving() && !me.paused(now) && me.limit.allows(now)
 }
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -141,6 +141,7 @@
 func (rq *request) chooseServer(number int, exclude []string) (*attempt, error) {
 	no := rq.no
 	if err := no.crashes.verdict(rq); err != nil {
+		metricQuarantined.Add(1)
 		return nil, err
 	}
 	now := time.Now()
--- a/entry/direct/crashes.go
+++ b/entry/direct/crashes.go
@@ -156,7 +156,6 @@
 	if verdict != poison.Blocked {
 		return nil
 	}
-	metricQuarantined.Add(1)
 	return fault.New(fault.Quarantined, "backend servers crashed several times while they ran this request",
 		"change the request, or send it again once it is forgotten").WithRetryAfter(remaining)
 }
--- a/entry/direct/logread.go
+++ b/entry/direct/logread.go
@@ -26,7 +26,7 @@
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
 	fo.enterEra()
-	if !rd.listing && !fo.hasNewest {
+	if rd.batch.Era != fo.era || !rd.listing && !fo.hasNewest {
 		// The log has come back from an older copy since the read began.
 		return
 	}
@@ -54,7 +54,7 @@
 	defer fo.mu.Unlock()
 	fo.enterEra()
 	mayStart := rd.listing && fo.listed
-	if !fo.hasNewest && !mayStart || !rd.listing && rd.from > fo.nextOffset {
+	if rd.batch.Era != fo.era || !fo.hasNewest && !mayStart || !rd.listing && rd.from > fo.nextOffset {
 		fo.no.logger.Debug().Str("topic", lb.Topic).Int64("from", lb.From).Int64("offset", fo.nextOffset).Msg("forwarded_read_ignored")
 		return nil
 	}
