--- a/core/spread/limit.go
+++ b/core/spread/limit.go
@@ -110,6 +110,17 @@
 	return li
 }
 
+// WithUnsent returns the limit after a request that WithSent has counted was not sent.
+func (li limit) WithUnsent(now time.Time) limit {
+	switch {
+	case now.Before(li.leaseEnd):
+		li.leased++
+	case li.keepsShare(now):
+		li.nextAt = li.nextAt.Add(-li.interval())
+	}
+	return li
+}
+
 // hasLease reports whether a request may be sent without asking.
 func (li limit) hasLease(now time.Time) bool { return li.leased > 0 && now.Before(li.leaseEnd) }
 
@@ -229,3 +240,10 @@
 	me.limit = me.limit.WithSent(now)
 	return true
 }
+
+// Unsent records that a request that was counted for the limit of a server was not sent to it.
+func (fl *Fleet) Unsent(id string, now time.Time) {
+	if me := fl.members[id]; me != nil && me.limit.active() {
+		me.limit = me.limit.WithUnsent(now)
+	}
+}
--- a/core/spread/limit_test.go
+++ b/core/spread/limit_test.go
@@ -142,3 +142,17 @@
 		t.Error("a new run of the server is kept to the limit of the one before")
 	}
 }
+
+func TestRequestThatWasNotSentCountsForNothing(t *testing.T) {
+	li := keepingShare(limit{}.WithNamed(1, 1, 0, start), start)
+	if li = li.WithSent(start); li.allows(start) {
+		t.Fatal("a second request is allowed at once")
+	}
+	if li = li.WithUnsent(start); !li.allows(start) {
+		t.Error("no request is allowed after one that was not sent")
+	}
+	leased := limit{}.WithNamed(1, 1, 0, start).WithLease(lease.Lease{Count: 1}, start).WithSent(start)
+	if leased.hasLease(start) || !leased.WithUnsent(start).hasLease(start) {
+		t.Error("a leased request that was not sent cannot be sent later")
+	}
+}
--- a/entry/direct/accounting.go
+++ b/entry/direct/accounting.go
@@ -13,6 +13,13 @@
 	no.fleet.Done(id)
 }
 
+// recordUnsent records that an attempt that was counted for its server's limit was not sent.
+func (no *Node) recordUnsent(id string) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	no.fleet.Unsent(id, time.Now())
+}
+
 // recordFailure records that a request to a server failed.
 func (no *Node) recordFailure(id string) {
 	no.mu.Lock()
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -33,6 +33,7 @@
 	}
 	if at.choice.Reason != spread.PlainService && at.choice.Reason != spread.AgentUnavailable {
 		if re, ok := rq.reserve(ctx, at); !ok {
+			rq.no.recordUnsent(at.server)
 			return re, false
 		}
 	}
@@ -40,6 +41,9 @@
 	re, delivered := result{outcome: retry.Unknown}, false
 	defer func() { rq.release(at, re) }()
 	re, delivered = rq.send(ctx, at)
+	if re.outcome == retry.Unsent {
+		rq.no.recordUnsent(at.server)
+	}
 	return re, delivered
 }
 
