--- a/core/roster/era_test.go
+++ b/core/roster/epoch_test.go
@@ -12,13 +12,13 @@
 )
 
 // Whatever the order of records, removals, listings and restores is, and however late records of
-// earlier eras arrive, a run that was removed is not listed again by a record of the copy, and a
+// earlier epochs arrive, a run that was removed is not listed again by a record of the copy, and a
 // leaving run never becomes ready.
-func TestRecordsOfAnEarlierEraOrOfTheCopyUndoNothing(t *testing.T) {
+func TestRecordsOfAnEarlierEpochOrOfTheCopyUndoNothing(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
 	properties.Property("nothing is undone", prop.ForAll(func(codes []int) string {
 		ro, now := &Roster{}, testStart
-		era, offset := int64(1), int64(100)
+		epoch, offset := int64(1), int64(100)
 		left := map[string]int64{}
 		for _, code := range codes {
 			now = now.Add(50 * time.Millisecond)
@@ -27,28 +27,28 @@
 			switch code / 9 % 5 {
 			case 0:
 				if born > left[id] {
-					ro.Put(Server{ID: id, Born: born}, Position{Era: era, Offset: offset})
+					ro.Put(Server{ID: id, Born: born}, Position{Epoch: epoch, Offset: offset})
 				}
 			case 1:
-				if born > left[id] && ro.Put(Server{ID: id, Born: born, Leaving: true}, Position{Era: era, Offset: offset}) {
+				if born > left[id] && ro.Put(Server{ID: id, Born: born, Leaving: true}, Position{Epoch: epoch, Offset: offset}) {
 					left[id] = born
 				}
 			case 2:
 				if ts := ro.servers[id]; ts != nil {
 					left[id] = max(left[id], ts.Born)
-					ro.Remove(id, Position{Era: era, Offset: offset}, now)
+					ro.Remove(id, Position{Epoch: epoch, Offset: offset}, now)
 				}
 			case 3:
-				era++
+				epoch++
 				offset = 50
-				ro.MarkRestored(Position{Era: era, Offset: offset}, now)
+				ro.MarkRestored(Position{Epoch: epoch, Offset: offset}, now)
 			case 4:
-				// A record of the copy, or one of an earlier era that arrives late.
-				ro.Put(Server{ID: id, Born: born}, Position{Era: era - int64(code%2), Offset: int64(code % 50)})
+				// A record of the copy, or one of an earlier epoch that arrives late.
+				ro.Put(Server{ID: id, Born: born}, Position{Epoch: epoch - int64(code%2), Offset: int64(code % 50)})
 			}
 			for _, se := range ro.Servers() {
 				if ts := ro.servers[se.ID]; se.Born <= left[se.ID] && !se.Leaving && ts.missingSince.IsZero() {
-					return fmt.Sprintf("after %d in era %d, run %d of %s is ready, but run %d has left", code, era, se.Born, se.ID, left[se.ID])
+					return fmt.Sprintf("after %d in epoch %d, run %d of %s is ready, but run %d has left", code, epoch, se.Born, se.ID, left[se.ID])
 				}
 			}
 		}
@@ -59,8 +59,8 @@
 
 func TestServerMissingInTheCopyIsKeptForMaxRewriteDelay(t *testing.T) {
 	ro := &Roster{}
-	ro.Put(Server{ID: "a"}, Position{Era: 1, Offset: 90})
-	end := Position{Era: 2, Offset: 40}
+	ro.Put(Server{ID: "a"}, Position{Epoch: 1, Offset: 90})
+	end := Position{Epoch: 2, Offset: 40}
 	ro.MarkRestored(end, testStart)
 	ro.ApplyListing(map[string]bool{}, end, testStart)
 	ro.Expire(testStart.Add(MaxRewriteDelay - time.Millisecond))
@@ -71,13 +71,13 @@
 	if ro.Len() != 0 {
 		t.Fatal("the server is still listed")
 	}
-	if !ro.Put(Server{ID: "a"}, Position{Era: 2, Offset: 41}) {
+	if !ro.Put(Server{ID: "a"}, Position{Epoch: 2, Offset: 41}) {
 		t.Error("a record that was written after the restore is refused")
 	}
 }
 
-func TestPositionsOfALaterEraAreLater(t *testing.T) {
-	if !(Position{Era: 1, Offset: 9}).Before(Position{Era: 2, Offset: 1}) || (Position{Era: 2, Offset: 1}).Before(Position{Era: 2, Offset: 1}) {
-		t.Error("positions are not ordered by era and then by offset")
+func TestPositionsOfALaterEpochAreLater(t *testing.T) {
+	if !(Position{Epoch: 1, Offset: 9}).Before(Position{Epoch: 2, Offset: 1}) || (Position{Epoch: 2, Offset: 1}).Before(Position{Epoch: 2, Offset: 1}) {
+		t.Error("positions are not ordered by epoch and then by offset")
 	}
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -39,15 +39,15 @@
 	Adapters []Adapter
 }
 
-// Position is where a record stands in the log. In each era, the log gives out all offsets again.
+// Position is where a record stands in the log. In each epoch, the log gives out all offsets again.
 type Position struct {
-	Era    int64
+	Epoch  int64
 	Offset int64
 }
 
 // Before reports whether a position is older than another one.
 func (po Position) Before(other Position) bool {
-	return po.Era < other.Era || po.Era == other.Era && po.Offset < other.Offset
+	return po.Epoch < other.Epoch || po.Epoch == other.Epoch && po.Offset < other.Offset
 }
 
 // removal is the removal of a server's record.
@@ -187,11 +187,11 @@
 	}
 }
 
-// Era returns the latest era of the servers' records, zero if there are none.
-func (ro *Roster) Era() int64 {
+// Epoch returns the latest epoch of the servers' records, zero if there are none.
+func (ro *Roster) Epoch() int64 {
 	latest := int64(0)
 	for _, ts := range ro.servers {
-		latest = max(latest, ts.position.Era)
+		latest = max(latest, ts.position.Epoch)
 	}
 	return latest
 }
@@ -260,7 +260,7 @@
 // Record is a server with the position of its record.
 type Record struct {
 	Server Server
-	Era    int64
+	Epoch  int64
 	Offset int64
 }
 
@@ -270,7 +270,7 @@
 	list := make([]Record, 0, len(ro.servers))
 	for _, id := range ro.ids() {
 		ts := ro.servers[id]
-		list = append(list, Record{Server: ts.Server, Era: ts.position.Era, Offset: ts.position.Offset})
+		list = append(list, Record{Server: ts.Server, Epoch: ts.position.Epoch, Offset: ts.position.Offset})
 	}
 	return list
 }
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -370,9 +370,9 @@
 	// End is the offset after the last record read.
 	End int64 `json:"end" yaml:"end" cbor:"3,keyasint,omitempty"`
 
-	// Era is the era of the log that the offsets belong to, zero if the log states
-	// none.
-	Era int64 `json:"era" yaml:"era" cbor:"7,keyasint,omitempty"`
+	// Epoch is the epoch of the log that the offsets belong to, zero if the log
+	// states none.
+	Epoch int64 `json:"epoch" yaml:"epoch" cbor:"7,keyasint,omitempty"`
 
 	// From is the offset from which on the log was read.
 	From int64 `json:"from" yaml:"from" cbor:"2,keyasint,omitempty"`
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -7,14 +7,14 @@
 	"github.com/bambooladder/bambooladder/core/spread"
 )
 
-// applyRecord updates the node's view with one record of an era of the log. The flag initial marks
+// applyRecord updates the node's view with one record of an epoch of the log. The flag initial marks
 // records that existed when the node started.
-func (no *Node) applyRecord(lr *LogRecord, era int64, initial bool, now time.Time) {
-	at := roster.Position{Era: era, Offset: lr.Offset}
+func (no *Node) applyRecord(lr *LogRecord, epoch int64, initial bool, now time.Time) {
+	at := roster.Position{Epoch: epoch, Offset: lr.Offset}
 	switch {
 	case lr.Table != nil:
 		if no.view.setTable(lr.Table) {
-			no.logger.Info().Int64("version", lr.Table.Version).Int64("era", era).Int64("offset", lr.Offset).Int("routes", len(lr.Table.Routes)).
+			no.logger.Info().Int64("version", lr.Table.Version).Int64("epoch", epoch).Int64("offset", lr.Offset).Int("routes", len(lr.Table.Routes)).
 				Int("services", len(lr.Table.Services)).Msg("routes_in_force")
 			// The table defines which services run engines, so all servers are evaluated
 			// again.
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -56,9 +56,9 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// era is the era of the log that nextOffset belongs to. If it is lower than that of the node's
+	// epoch is the epoch of the log that nextOffset belongs to. If it is lower than that of the node's
 	// view, the topic has to be read again from the start.
-	era        int64
+	epoch      int64
 	nextOffset int64
 	// listed is true once any listing has been applied; unlike hasNewest, it stays so.
 	listed bool
@@ -94,8 +94,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if (err == nil || errors.Is(err, ErrExpired)) && !fo.acceptEra(rd.batch.Era) {
-			err = errEraInvalid
+		if (err == nil || errors.Is(err, ErrExpired)) && !fo.acceptEpoch(rd.batch.Epoch) {
+			err = errEpochInvalid
 		}
 		if err == nil {
 			rd.afterFailure = fo.failures > 0
@@ -117,36 +117,36 @@
 	}
 }
 
-// errEraInvalid means that an answer of the log cannot be placed in its present era.
-var errEraInvalid = errors.New("direct: the answer of the log is of an earlier era or of none; read again")
+// errEpochInvalid means that an answer of the log cannot be placed in its present epoch.
+var errEpochInvalid = errors.New("direct: the answer of the log is of an earlier epoch or of none; read again")
 
-// acceptEra records the era that an answer of the log stated, and reports whether it is the present
+// acceptEpoch records the epoch that an answer of the log stated, and reports whether it is the present
 // one. If it has risen, all topics are read again from the start; what is known stays in use.
-func (fo *follower) acceptEra(era int64) bool {
-	verdict, present := fo.no.view.observeEra(era)
+func (fo *follower) acceptEpoch(epoch int64) bool {
+	verdict, present := fo.no.view.observeEpoch(epoch)
 	switch verdict {
-	case reader.EraInvalid:
-		fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("era", era).Int64("present_era", present).Msg("log_era_invalid")
+	case reader.EpochInvalid:
+		fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("epoch", epoch).Int64("present_epoch", present).Msg("log_epoch_invalid")
 		return false
-	case reader.EraRisen:
-		metricEraChanges.Add(1)
-		fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("era", era).Msg("log_era_risen")
+	case reader.EpochRisen:
+		metricEpochChanges.Add(1)
+		fo.no.logger.Warn().Str("topic", fo.topic.String()).Int64("epoch", epoch).Msg("log_epoch_risen")
 		for _, other := range fo.no.feeds.followers {
 			other.wake()
 		}
-	case reader.EraPresent:
+	case reader.EpochPresent:
 	}
 	return true
 }
 
-// enterEra makes the follower start again if the log has entered a later era. The caller must hold
+// enterEpoch makes the follower start again if the log has entered a later epoch. The caller must hold
 // the follower's lock.
-func (fo *follower) enterEra() {
-	present := fo.no.view.presentEra()
-	if fo.era == present {
+func (fo *follower) enterEpoch() {
+	present := fo.no.view.presentEpoch()
+	if fo.epoch == present {
 		return
 	}
-	fo.era, fo.nextOffset, fo.hasNewest = present, 0, false
+	fo.epoch, fo.nextOffset, fo.hasNewest = present, 0, false
 }
 
 // awaitDue waits until the next read of the topic is due, and returns false if the context ended.
@@ -171,7 +171,7 @@
 	role := fo.no.feeds.currentRole()
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	fo.enterEra()
+	fo.enterEpoch()
 	if !fo.hasNewest || fo.topic == OperatorsTopic && role != reader.Subscriber {
 		return time.Time{}
 	}
@@ -247,7 +247,7 @@
 // so yet.
 func (fo *follower) read(ctx context.Context) (logRead, error) {
 	fo.mu.Lock()
-	fo.enterEra()
+	fo.enterEpoch()
 	fo.readAt = time.Now()
 	rd := logRead{from: fo.nextOffset, listing: !fo.hasNewest}
 	fo.mu.Unlock()
--- a/entry/direct/logread.go
+++ b/entry/direct/logread.go
@@ -25,8 +25,8 @@
 func (fo *follower) applyOwnRead(rd logRead) {
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	fo.enterEra()
-	if rd.batch.Era != fo.era || !rd.listing && !fo.hasNewest {
+	fo.enterEpoch()
+	if rd.batch.Epoch != fo.epoch || !rd.listing && !fo.hasNewest {
 		// The log has come back from an older copy since the read began.
 		return
 	}
@@ -38,7 +38,7 @@
 // applyForwarded applies a read that another node forwarded. A read that does not begin where
 // this node's knowledge ends is ignored: the node's own next read closes the gap.
 func (fo *follower) applyForwarded(lb *wire.LogBatch) error {
-	rd := logRead{from: lb.From, listing: lb.Listing, afterFailure: lb.AfterFailure, batch: LogBatch{End: lb.End, Era: lb.Era}}
+	rd := logRead{from: lb.From, listing: lb.Listing, afterFailure: lb.AfterFailure, batch: LogBatch{End: lb.End, Epoch: lb.Epoch}}
 	if err := cbor.Unmarshal(lb.Records, &rd.batch.Records); err != nil {
 		return errors.Wrap(err, "direct: decode forwarded records")
 	}
@@ -47,14 +47,14 @@
 			rd.batch.Records[ix].Table = ta.Build()
 		}
 	}
-	if !fo.acceptEra(lb.Era) {
+	if !fo.acceptEpoch(lb.Epoch) {
 		return nil
 	}
 	fo.mu.Lock()
 	defer fo.mu.Unlock()
-	fo.enterEra()
+	fo.enterEpoch()
 	mayStart := rd.listing && fo.listed
-	if rd.batch.Era != fo.era || !fo.hasNewest && !mayStart || !rd.listing && rd.from > fo.nextOffset {
+	if rd.batch.Epoch != fo.epoch || !fo.hasNewest && !mayStart || !rd.listing && rd.from > fo.nextOffset {
 		fo.no.logger.Debug().Str("topic", lb.Topic).Int64("from", lb.From).Int64("offset", fo.nextOffset).Msg("forwarded_read_ignored")
 		return nil
 	}
@@ -76,7 +76,7 @@
 		fo.removeMissing(rd.batch, now)
 	}
 	for ix := range rd.batch.Records {
-		fo.no.applyRecord(&rd.batch.Records[ix], fo.era, first, now)
+		fo.no.applyRecord(&rd.batch.Records[ix], fo.epoch, first, now)
 	}
 	fo.nextOffset = max(fo.nextOffset, rd.batch.End)
 	if rd.listing && fo.topic == ServersTopic {
@@ -92,8 +92,8 @@
 		return
 	}
 	fo.no.view.withRoster(func(ro *roster.Roster) {
-		if ro.Len() > 0 && ro.Era() < fo.era {
-			ro.MarkRestored(roster.Position{Era: fo.era, Offset: ba.End}, now)
+		if ro.Len() > 0 && ro.Epoch() < fo.epoch {
+			ro.MarkRestored(roster.Position{Epoch: fo.epoch, Offset: ba.End}, now)
 		}
 	})
 }
@@ -109,7 +109,9 @@
 			present[lr.Server.ID] = true
 		}
 	}
-	fo.no.view.withRoster(func(ro *roster.Roster) { ro.ApplyListing(present, roster.Position{Era: fo.era, Offset: ba.End}, now) })
+	fo.no.view.withRoster(func(ro *roster.Roster) {
+		ro.ApplyListing(present, roster.Position{Epoch: fo.epoch, Offset: ba.End}, now)
+	})
 }
 
 // confirm records that all records of the topic up to now are known. For the servers it also
@@ -153,6 +155,6 @@
 		return nil
 	}
 	return &wire.Frame{LogBatch: &wire.LogBatch{
-		Topic: fo.topic.String(), Era: rd.batch.Era, From: rd.from, End: rd.batch.End, Listing: rd.listing, AfterFailure: rd.afterFailure, Records: data,
+		Topic: fo.topic.String(), Epoch: rd.batch.Epoch, From: rd.from, End: rd.batch.End, Listing: rd.listing, AfterFailure: rd.afterFailure, Records: data,
 	}}
 }
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -27,7 +27,7 @@
 	routesLogDown atomic.Bool
 
 	mu            sync.Mutex
-	eras          reader.Eras
+	epochs        reader.Epochs
 	versions      map[grant.Key]announcedVersion
 	servers       roster.Roster
 	serversListed bool
@@ -86,21 +86,21 @@
 	lv.serversListed = true
 }
 
-// observeEra records the era that an answer of the log stated, and returns the verdict on it and the
-// present era.
-func (lv *logView) observeEra(era int64) (reader.EraVerdict, int64) {
+// observeEpoch records the epoch that an answer of the log stated, and returns the verdict on it and the
+// present epoch.
+func (lv *logView) observeEpoch(epoch int64) (reader.EpochVerdict, int64) {
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
-	eras, verdict := lv.eras.WithAnswer(era)
-	lv.eras = eras
-	return verdict, eras.Present()
+	epochs, verdict := lv.epochs.WithAnswer(epoch)
+	lv.epochs = epochs
+	return verdict, epochs.Present()
 }
 
-// presentEra returns the highest era of the log that the node has seen, zero for none.
-func (lv *logView) presentEra() int64 {
+// presentEpoch returns the highest epoch of the log that the node has seen, zero for none.
+func (lv *logView) presentEpoch() int64 {
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
-	return lv.eras.Present()
+	return lv.epochs.Present()
 }
 
 // ready reports whether the node has read the routes and the list of servers.
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -29,8 +29,8 @@
 	// node forwarded to it.
 	metricLogReads       = newCounter("log_reads")
 	metricForwardedReads = newCounter("forwarded_log_reads")
-	// metricEraChanges counts the times that the log came back from an older copy.
-	metricEraChanges = newCounter("log_era_changes")
+	// metricEpochChanges counts the times that the log came back from an older copy.
+	metricEpochChanges = newCounter("log_epoch_changes")
 	// metricCrashes counts the crashes that this node has seen, metricQuarantined the requests refused
 	// because of crashes.
 	metricCrashes     = newCounter("server_crashes")
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -24,8 +24,8 @@
 
 // peerState is the state that a node sends to a starting peer while the log is unavailable.
 type peerState struct {
-	// Era is the era of the log that the peer has read.
-	Era      int64            `cbor:"era"`
+	// Epoch is the epoch of the log that the peer has read.
+	Epoch    int64            `cbor:"epoch"`
 	Table    *paths.Table     `cbor:"table"`
 	Versions []AdapterVersion `cbor:"versions"`
 	Servers  []roster.Record  `cbor:"servers"`
@@ -35,7 +35,7 @@
 func (lv *logView) peerState() peerState {
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
-	ps := peerState{Era: lv.eras.Present(), Table: lv.table.Load(), Servers: lv.servers.Records()}
+	ps := peerState{Epoch: lv.epochs.Present(), Table: lv.table.Load(), Servers: lv.servers.Records()}
 	for ke, an := range lv.versions {
 		ps.Versions = append(ps.Versions, AdapterVersion{Model: ke.Model, Adapter: ke.Adapter, Version: an.version})
 	}
@@ -117,14 +117,14 @@
 	for ix := range ps.Versions {
 		no.view.addVersion(&ps.Versions[ix], true, now)
 	}
-	verdict, era := no.view.observeEra(ps.Era)
-	if verdict == reader.EraInvalid {
-		no.logger.Info().Str("peer", address).Int64("era", ps.Era).Int64("present_era", era).Msg("peer_snapshot_outdated")
+	verdict, epoch := no.view.observeEpoch(ps.Epoch)
+	if verdict == reader.EpochInvalid {
+		no.logger.Info().Str("peer", address).Int64("epoch", ps.Epoch).Int64("present_epoch", epoch).Msg("peer_snapshot_outdated")
 		ps.Servers = nil
 	}
 	for ix := range ps.Servers {
 		re := &ps.Servers[ix]
-		no.view.withRoster(func(ro *roster.Roster) { ro.Put(re.Server, roster.Position{Era: re.Era, Offset: re.Offset}) })
+		no.view.withRoster(func(ro *roster.Roster) { ro.Put(re.Server, roster.Position{Epoch: re.Epoch, Offset: re.Offset}) })
 	}
 	if len(ps.Servers) > 0 {
 		no.view.setServersListed()
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -133,9 +133,9 @@
 	Records []LogRecord
 	// End is the offset after the last record read.
 	End int64
-	// Era rises each time the log comes back from an older copy of itself. Offsets are given out again
-	// in each era. It is zero if the answer did not state a valid one.
-	Era int64
+	// Epoch rises each time the log comes back from an older copy of itself. Offsets are given out again
+	// in each epoch. It is zero if the answer did not state a valid one.
+	Epoch int64
 }
 
 // ErrExpired means that the log no longer holds records from the given offset on; the caller
@@ -149,7 +149,7 @@
 	ReadNewest(ctx context.Context, to Topic) (LogBatch, error)
 	// After reads the records from an offset on, and waits for the first one if there is none
 	// yet. It fails with ErrExpired if the log does not hold records from that offset on; the batch
-	// then has only the era.
+	// then has only the epoch.
 	After(ctx context.Context, to Topic, from int64, wait time.Duration) (LogBatch, error)
 }
 
--- a/proofs/direct_era_test.go
+++ b/proofs/direct_epoch_test.go
@@ -100,10 +100,10 @@
 	})
 }
 
-// A log that states its era from the first restore on only must be followed like any other.
-func TestDirectFollowsALogThatStatesNoEraBeforeTheFirstRestore(t *testing.T) {
+// A log that states its epoch from the first restore on only must be followed like any other.
+func TestDirectFollowsALogThatStatesNoEpochBeforeTheFirstRestore(t *testing.T) {
 	runDirectSimulation(t, 2, 1, func(t *testing.T, ds *directSimulation, _ *directCaller) {
-		ds.source.setEra(0)
+		ds.source.setEpoch(0)
 		ds.startEntry("entry-2")
 		other := ds.newCaller("entry-2")
 		defer other.client.CloseIdleConnections()
@@ -183,22 +183,22 @@
 	})
 }
 
-// An answer of an older era that arrives late, and answers without an era, must change nothing.
-func TestDirectIgnoresAnswersOfTheLogWithoutAValidEra(t *testing.T) {
-	for name, era := range map[string]int64{"older": 1, "none": 0} {
+// An answer of an older epoch that arrives late, and answers without an epoch, must change nothing.
+func TestDirectIgnoresAnswersOfTheLogWithoutAValidEpoch(t *testing.T) {
+	for name, epoch := range map[string]int64{"older": 1, "none": 0} {
 		t.Run(name, func(t *testing.T) {
 			runDirectSimulation(t, 2, 1, func(t *testing.T, ds *directSimulation, cl *directCaller) {
 				ds.restoreAndRewrite(ds.source.copyLengths(), "")
-				ds.source.setEra(era)
+				ds.source.setEpoch(epoch)
 				ds.announceServer("plain-0", "ledger", "", true)
 				time.Sleep(2500 * time.Millisecond)
 				if countArrivals(t, ds, cl, "plain-0", "/unsafe/x") == 0 {
-					t.Error("a record of an answer without the present era took effect")
+					t.Error("a record of an answer without the present epoch took effect")
 				}
-				ds.source.setEra(2)
+				ds.source.setEpoch(2)
 				time.Sleep(2500 * time.Millisecond)
 				if got := countArrivals(t, ds, cl, "plain-0", "/unsafe/x"); got != 0 {
-					t.Errorf("%d requests reached a leaving server once the era was right", got)
+					t.Errorf("%d requests reached a leaving server once the epoch was right", got)
 				}
 			})
 		})
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -105,8 +105,8 @@
 	// log whose end is behind the records that it returned before.
 	returnsNothing bool
 	reads          int
-	// era rises with each restore.
-	era int64
+	// epoch rises with each restore.
+	epoch int64
 }
 
 // appendRecord appends a record and wakes waiting reads.
@@ -141,16 +141,16 @@
 	for to := range so.records {
 		so.records[to] = append([]direct.LogRecord(nil), so.records[to][:lengths[to]]...)
 	}
-	so.era++
+	so.epoch++
 	close(so.changed)
 	so.changed = make(chan struct{})
 }
 
-// setEra sets the era that answers state.
-func (so *testSource) setEra(era int64) {
+// setEpoch sets the epoch that answers state.
+func (so *testSource) setEpoch(epoch int64) {
 	so.mu.Lock()
 	defer so.mu.Unlock()
-	so.era = era
+	so.epoch = epoch
 }
 
 // setDown sets whether reads of the log fail.
@@ -169,17 +169,17 @@
 	for {
 		so.mu.Lock()
 		so.reads++
-		list, changed, down, returnsNothing, era := so.records[to], so.changed, so.down, so.returnsNothing, so.era
+		list, changed, down, returnsNothing, epoch := so.records[to], so.changed, so.down, so.returnsNothing, so.epoch
 		so.mu.Unlock()
 		switch {
 		case down:
 			return direct.LogBatch{}, fmt.Errorf("log is down")
 		case returnsNothing:
-			return direct.LogBatch{End: 0, Era: era}, nil
+			return direct.LogBatch{End: 0, Epoch: epoch}, nil
 		case int(from) > len(list):
-			return direct.LogBatch{Era: era}, direct.ErrExpired
+			return direct.LogBatch{Epoch: epoch}, direct.ErrExpired
 		case int(from) < len(list) || !time.Now().Before(end):
-			return direct.LogBatch{Records: list[min(int(from), len(list)):], End: int64(len(list)), Era: era}, nil
+			return direct.LogBatch{Records: list[min(int(from), len(list)):], End: int64(len(list)), Epoch: epoch}, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -350,7 +350,7 @@
 func newDirectSimulation(tb testing.TB, plain, engines int) *directSimulation {
 	tb.Helper()
 	ds := &directSimulation{
-		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{}), era: 1}, backends: map[string]*backend{},
+		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{}), epoch: 1}, backends: map[string]*backend{},
 		readers: map[string]direct.LogReader{}, lg: zerolog.Nop(),
 	}
 	if os.Getenv("PROOF_LOG") != "" {
