Log the parts of the prompt of a request that lost its server

Cause: the logs of the incident do not tell whether requests of different fingerprints share a part of their prompts (first hypothesis) or all (second). No decision uses them yet.

--- a/entry/direct/crashes.go
+++ b/entry/direct/crashes.go
@@ -48,7 +48,7 @@
 		return
 	}
 	cr.no.logger.Info().Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server).Str("fingerprint", rq.fingerprint()).
-		Int64("born", at.born).Str("reason", reason).Msg("crash_suspected")
+		Int64("born", at.born).Strs("parts", rq.info.PromptParts).Int("events", rq.stream.count).Str("reason", reason).Msg("crash_suspected")
 	cr.mu.Lock()
 	crash, known := cr.suspects.Lost(rq.fingerprint(), at.run(), at.address, time.Now())
 	check := !known && !cr.checking[at.run()]
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -24,6 +24,9 @@
 	Adapter      string
 	PromptTokens int
 	OutputTokens int
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, in order.
+	// The part that belongs to the request alone is left out.
+	PromptParts []string
 	// LastEvent is the ID of the last stream event that the caller has received, empty for
 	// none.
 	LastEvent string
