Show that requests with a part that crashes servers are sent on without end

Virtual time: 20 sound requests a second share the first part of their prompts and one of seven others; after 5 s, 4 requests a second with a part that crashes each engine that begins to answer come as well, at any entry node, no two alike.

--- /dev/null
+++ b/proofs/direct_parts_test.go
@@ -0,0 +1,216 @@
+package proofs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// badPart is the part of a prompt that crashes every engine that begins to write an answer on it.
+	badPart = "bad"
+	// partVerdictTime is the time after the fifth crash in which all entry nodes must learn of it.
+	partVerdictTime = 4 * time.Second
+	// partVerdictCrashes is the number of crashes after which that time begins.
+	partVerdictCrashes = 5
+	// partArrivalsMax is the number of requests with the part that may be sent to engines after that.
+	partArrivalsMax = 3
+	// crashDelay is how long an engine writes before it crashes.
+	crashDelay = 60 * time.Millisecond
+	// calmTime is how long there are only sound requests at first, badTime how long both kinds come.
+	calmTime = 5 * time.Second
+	badTime  = 30 * time.Second
+)
+
+// partLoad is a load of prompts that share their first part, of which some share a part that crashes
+// engines.
+type partLoad struct {
+	ds      *directSimulation
+	callers []*directCaller
+	target  string
+	// badParts are the shared parts of the requests that crash engines, separated by commas.
+	badParts string
+	// isBad reports whether a request crashes the engine that begins to answer it.
+	isBad func(parts string) bool
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	crashes []time.Time
+	// arrivals are the times at which requests that crash engines reached one.
+	arrivals []time.Time
+	sound    []partReply
+	wg       sync.WaitGroup
+}
+
+// partReply is the reply to a sound request and when it was sent.
+type partReply struct {
+	at    time.Time
+	reply directReply
+}
+
+// answered reports whether the caller got the whole stream.
+func (pr *partReply) answered() bool {
+	return pr.reply.err == nil && pr.reply.status == http.StatusOK && pr.reply.body == completeStream()
+}
+
+// startPartLoad makes engines crash on bad requests.
+func startPartLoad(ds *directSimulation, target, badParts string, isBad func(parts string) bool) *partLoad {
+	pl := &partLoad{ds: ds, target: target, badParts: badParts, isBad: isBad, random: rand.New(rand.NewPCG(1, 2))}
+	for id, ba := range ds.backends {
+		ba.setScript(func(wr http.ResponseWriter, rq *http.Request) {
+			if !pl.isBad(rq.Header.Get(headerParts)) {
+				defaultAnswer(wr, rq)
+				return
+			}
+			pl.mu.Lock()
+			pl.arrivals = append(pl.arrivals, time.Now())
+			pl.mu.Unlock()
+			writeSealHeaders(wr, rq)
+			time.Sleep(crashDelay)
+			pl.crash(id, rq)
+		})
+	}
+	return pl
+}
+
+// crash crashes an engine unless the request was canceled.
+func (pl *partLoad) crash(id string, rq *http.Request) {
+	if rq.Context().Err() != nil {
+		return
+	}
+	pl.mu.Lock()
+	if pl.ds.backends[id].bornAt() != 0 {
+		pl.crashes = append(pl.crashes, time.Now())
+	}
+	pl.mu.Unlock()
+	pl.ds.crashServer(id, crashDowntime)
+}
+
+// send sends a request to a random entry node and does not wait for the reply.
+func (pl *partLoad) send(number int, parts string, sound bool) {
+	pl.mu.Lock()
+	cl, adapter := pl.callers[pl.random.IntN(len(pl.callers))], fmt.Sprintf("a%d", pl.random.IntN(4))
+	pl.mu.Unlock()
+	pl.wg.Go(func() {
+		at, id := time.Now(), fmt.Sprintf("part-%d", number)
+		re := cl.sendPrompt(pl.ds.tb.Context(), id, http.MethodPost, pl.target, adapter, "body of "+id, parts+",own-"+id)
+		if sound {
+			pl.mu.Lock()
+			pl.sound = append(pl.sound, partReply{at: at, reply: re})
+			pl.mu.Unlock()
+		}
+	})
+}
+
+// run sends 20 sound requests a second, and after calmTime 4 bad ones a second as well, no two of them
+// alike.
+func (pl *partLoad) run() {
+	const tick = 50 * time.Millisecond
+	for number := range int((calmTime + badTime) / tick) {
+		parts := fmt.Sprintf("first,shared-%d", number%7)
+		pl.send(2*number, parts, !pl.isBad(parts+","))
+		if time.Duration(number)*tick >= calmTime && number%5 == 0 {
+			pl.send(2*number+1, pl.badParts, false)
+		}
+		time.Sleep(tick)
+	}
+	pl.wg.Wait()
+	for _, cl := range pl.callers {
+		cl.client.CloseIdleConnections()
+	}
+}
+
+// hasBadPart reports whether badPart is among the parts.
+func hasBadPart(parts string) bool { return slices.Contains(strings.Split(parts, ","), badPart) }
+
+// checkArrivals checks how many bad requests were sent to engines after the verdict was due, and returns
+// when that was.
+func (pl *partLoad) checkArrivals(t *testing.T) time.Time {
+	t.Helper()
+	if len(pl.crashes) < partVerdictCrashes {
+		t.Logf("%d crashes", len(pl.crashes))
+		return pl.crashes[len(pl.crashes)-1].Add(partVerdictTime)
+	}
+	due, late := pl.crashes[partVerdictCrashes-1].Add(partVerdictTime), 0
+	for _, at := range pl.arrivals {
+		if at.After(due) {
+			late++
+		}
+	}
+	t.Logf("%d crashes, %d arrivals, %d later than %v after the fifth crash", len(pl.crashes), len(pl.arrivals), late, partVerdictTime)
+	if late > partArrivalsMax {
+		t.Errorf("%d requests with the part were sent to engines later than %v after the fifth crash, want at most %d", late, partVerdictTime, partArrivalsMax)
+	}
+	return due
+}
+
+// checkSound checks that after the verdict sound requests are answered at least half as often as before the
+// first crash, and that none is taken for a crashing one.
+func (pl *partLoad) checkSound(t *testing.T, due time.Time) {
+	t.Helper()
+	calm, calmAnswered, after, afterAnswered := 0, 0, 0, 0
+	for ix := range pl.sound {
+		pr := &pl.sound[ix]
+		switch {
+		case pr.at.Before(pl.crashes[0].Add(-partVerdictTime)):
+			calm++
+			calmAnswered += countIf(pr.answered())
+		case pr.at.After(due.Add(partVerdictTime)):
+			after++
+			afterAnswered += countIf(pr.answered())
+		}
+		if strings.Contains(pr.reply.body, "quarantined") {
+			t.Errorf("a sound request was refused: %+v", pr.reply)
+		}
+	}
+	t.Logf("%d of %d sound requests answered before, %d of %d after", calmAnswered, calm, afterAnswered, after)
+	if calm == 0 || after == 0 || 2*afterAnswered*calm < calmAnswered*after {
+		t.Errorf("%d of %d sound requests were answered after the verdict, %d of %d before, want at least half as often", afterAnswered, after, calmAnswered, calm)
+	}
+}
+
+// countIf returns 1 if a condition holds, else 0.
+func countIf(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
+// Requests come whose prompts share one part with each other, no two alike, through all entry nodes; each
+// crashes the engine that begins to answer it. Sound requests share their other parts.
+func TestDirectPartThatCrashedFiveServersIsSentToNoOther(t *testing.T) {
+	for name, tc := range map[string]struct {
+		engines, entries int
+		target, badParts string
+		renamed          bool
+	}{
+		"part in the middle":             {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad"},
+		"part before a shared one":       {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad,shared-1"},
+		"streams that must not go on":    {engines: 6, entries: 3, target: "/once/x", badParts: "first,bad"},
+		"first part":                     {engines: 6, entries: 3, target: "/stream/x", badParts: "bad,shared-1"},
+		"one entry node":                 {engines: 6, entries: 1, target: "/stream/x", badParts: "first,bad"},
+		"engines that change their IDs":  {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad", renamed: true},
+		"eight entry nodes, ten engines": {engines: 10, entries: 8, target: "/stream/x", badParts: "first,bad"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runDirectSimulation(t, 1, tc.engines, func(t *testing.T, ds *directSimulation, first *directCaller) {
+				ds.renamed = tc.renamed
+				pl := startPartLoad(ds, tc.target, tc.badParts, hasBadPart)
+				pl.callers = []*directCaller{first}
+				for number := 2; number <= tc.entries; number++ {
+					name := fmt.Sprintf("entry-%d", number)
+					ds.startEntry(name)
+					pl.callers = append(pl.callers, ds.newCaller(name))
+				}
+				pl.run()
+				pl.checkSound(t, pl.checkArrivals(t))
+			})
+		})
+	}
+}
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -37,6 +37,7 @@
 	headerTimeLeft  = "T-Left"
 	headerLimit     = "T-Limit"
 	headerLeaving   = "T-Leaving"
+	headerParts     = "T-Parts"
 	testModel       = "base"
 )
 
@@ -51,6 +52,9 @@
 	if ri.Adapter != "" {
 		ri.Model, ri.PromptTokens, ri.OutputTokens = testModel, 500, 20
 	}
+	if parts := strings.Split(rq.Header.Get(headerParts), ","); len(parts) > 1 {
+		ri.PromptParts = parts[:len(parts)-1]
+	}
 	millis, _ := strconv.Atoi(rq.Header.Get(headerTimeout))
 	ri.CallerTimeout = time.Duration(millis) * time.Millisecond
 	return ri, nil
@@ -538,6 +542,12 @@
 
 // sendAs sends one request with an ID and reads the whole response.
 func (cl *directCaller) sendAs(ctx context.Context, id, method, target, adapter, body string) directReply {
+	return cl.sendPrompt(ctx, id, method, target, adapter, body, "")
+}
+
+// sendPrompt sends one request with an ID whose prompt has the given parts, separated by commas, and reads
+// the whole response.
+func (cl *directCaller) sendPrompt(ctx context.Context, id, method, target, adapter, body, parts string) directReply {
 	rq, err := http.NewRequestWithContext(ctx, method, "http://"+cl.entry+":1/", strings.NewReader(body))
 	if err != nil {
 		cl.ds.tb.Fatal(err)
@@ -549,6 +559,9 @@
 	if adapter != "" {
 		rq.Header.Set(headerAdapter, adapter)
 	}
+	if parts != "" {
+		rq.Header.Set(headerParts, parts)
+	}
 	start := time.Now()
 	resp, err := cl.client.Do(rq)
 	if err != nil {
