Refuse requests with a part that crashes servers, and let a refused part explain its crashes

Cause: the verdict knows whole requests only; each of these is a new one. Class: a count whose key holds something of the request's own, so that the next request escapes it. Ruled out: equal requests with varying fingerprints (H2; lists of parts differ in the last one), late verdicts (H3; 18 of 21 crashes were counted at once). Change: crashes count for each part that other requests may share, complete answers clear it, a refused part explains the crashes it was in. Verdicts and answers that refute them are reported through agents.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -76,8 +76,9 @@
 	// burstLimited is true while the number of prompt tokens that are granted without a break is
 	// limited.
 	burstLimited bool
-	// crashes holds the crash reports that were passed on, for entry nodes that connect later.
-	crashes []passedCrash
+	// crashes and parts hold the reports of crashes and of parts that were passed on, for entry nodes
+	// that connect later.
+	crashes, parts []passedReport
 	// buckets holds what may be sent to servers with limits whose entry nodes ask this agent.
 	buckets map[serverRun]lease.Bucket
 	// boot is the ID of this run of the agent.
@@ -153,7 +154,7 @@
 		br.sessions[ev.sessionOpened.name] = ev.sessionOpened
 		br.sessionsChanged()
 		br.markHoldingsStale()
-		br.sendCrashes(ctx, ev.sessionOpened, now)
+		br.sendReports(ctx, ev.sessionOpened, now)
 	case ev.sessionClosed != nil:
 		if br.sessions[ev.sessionClosed.name] == ev.sessionClosed {
 			delete(br.sessions, ev.sessionClosed.name)
@@ -228,6 +229,9 @@
 	case fr.CrashReport != nil:
 		br.passCrash(ctx, se, fr.CrashReport, now)
 		return
+	case fr.PartReport != nil:
+		br.passParts(ctx, se, fr.PartReport, now)
+		return
 	case fr.LeaseAsk != nil:
 		br.answerLeaseAsk(ctx, se, fr.LeaseAsk, now)
 		return
--- a/agent/direct/crashes.go
+++ b/agent/direct/crashes.go
@@ -8,42 +8,71 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// crashesMax bounds the crash reports that are kept for entry nodes that connect later.
-const crashesMax = 256
+// reportsMax bounds the reports of each kind that are kept for entry nodes that connect later.
+const reportsMax = 256
 
-// passedCrash is a crash report with the time of the crash.
-type passedCrash struct {
-	report  wire.CrashReport
-	crashed time.Time
+// passedReport is a report that was passed on, with the time of what it tells of.
+type passedReport struct {
+	// frame holds the report with its age when it arrived.
+	frame wire.Frame
+	at    time.Time
 }
 
 // passCrash passes an entry node's crash report on to all others and keeps it.
 func (br *Broker) passCrash(ctx context.Context, from *session, re *wire.CrashReport, now time.Time) {
-	br.lg.Info().Str("server", re.Server).Int64("born", re.Born).Str("entry", from.name).Strs("fingerprints", re.Fingerprints).Msg("crash_report_passed")
-	pc := passedCrash{report: *re, crashed: now.Add(-time.Duration(re.Age) * time.Millisecond)}
-	br.crashes = append(br.crashes, pc)
-	if len(br.crashes) > crashesMax {
-		br.crashes = br.crashes[1:]
+	br.lg.Info().Str("server", re.Server).Int64("born", re.Born).Str("entry", from.name).Strs("fingerprints", re.Fingerprints).
+		Strs("parts", re.Parts).Msg("crash_report_passed")
+	pr := passedReport{frame: wire.Frame{CrashReport: re}, at: now.Add(-time.Duration(re.Age) * time.Millisecond)}
+	br.crashes = appendBounded(br.crashes, pr)
+	br.passReport(ctx, from, &pr, now)
+}
+
+// passParts passes an entry node's report of parts on to all others and keeps it.
+func (br *Broker) passParts(ctx context.Context, from *session, re *wire.PartReport, now time.Time) {
+	br.lg.Info().Strs("parts", re.Parts).Bool("sound", re.Sound).Str("entry", from.name).Msg("part_report_passed")
+	pr := passedReport{frame: wire.Frame{PartReport: re}, at: now.Add(-time.Duration(re.Age) * time.Millisecond)}
+	br.parts = appendBounded(br.parts, pr)
+	br.passReport(ctx, from, &pr, now)
+}
+
+// appendBounded appends a report and drops the oldest one beyond reportsMax.
+func appendBounded(list []passedReport, pr passedReport) []passedReport {
+	list = append(list, pr)
+	if len(list) > reportsMax {
+		return list[1:]
 	}
+	return list
+}
+
+// passReport sends a report to all entry nodes but the one that it comes from.
+func (br *Broker) passReport(ctx context.Context, from *session, pr *passedReport, now time.Time) {
 	for name, se := range br.sessions {
 		if se != from {
-			br.send(ctx, name, pc.frame(now))
+			br.send(ctx, name, pr.aged(now))
 		}
 	}
 }
 
-// sendCrashes sends the kept crash reports to an entry node that has just connected.
-func (br *Broker) sendCrashes(ctx context.Context, se *session, now time.Time) {
-	for ix := range br.crashes {
-		if now.Sub(br.crashes[ix].crashed) <= poison.Retention {
-			br.send(ctx, se.name, br.crashes[ix].frame(now))
+// sendReports sends the kept reports to an entry node that has just connected.
+func (br *Broker) sendReports(ctx context.Context, se *session, now time.Time) {
+	for _, list := range [...][]passedReport{br.crashes, br.parts} {
+		for ix := range list {
+			if now.Sub(list[ix].at) <= poison.Retention {
+				br.send(ctx, se.name, list[ix].aged(now))
+			}
 		}
 	}
 }
 
-// frame returns the frame that passes the report on.
-func (pc *passedCrash) frame(now time.Time) *wire.Frame {
-	re := pc.report
-	re.Age = now.Sub(pc.crashed).Milliseconds()
-	return &wire.Frame{CrashReport: &re}
+// aged returns the frame that passes the report on, with its age as of now.
+func (pr *passedReport) aged(now time.Time) *wire.Frame {
+	age := now.Sub(pr.at).Milliseconds()
+	if pr.frame.CrashReport != nil {
+		re := *pr.frame.CrashReport
+		re.Age = age
+		return &wire.Frame{CrashReport: &re}
+	}
+	re := *pr.frame.PartReport
+	re.Age = age
+	return &wire.Frame{PartReport: &re}
 }
--- a/core/poison/suspects.go
+++ b/core/poison/suspects.go
@@ -1,6 +1,10 @@
 package poison
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// SuspectCrashes is the number of crashes at which a request is refused.
@@ -21,10 +25,23 @@
 	Born int64
 }
 
-// Crash is the end of a run with the fingerprints of requests that were in flight.
+// Loss is a request that got no complete answer because its server stopped answering.
+type Loss struct {
+	Fingerprint string
+	// Parts are the parts of its prompt that other requests may share, unless the answer had gone on
+	// for long enough that none of them can have crashed the server.
+	Parts []string
+	At    time.Time
+}
+
+// Crash is the end of a run with the requests that were in flight.
 type Crash struct {
-	Run          Run
+	Run Run
+	// At is when the first of the requests was lost.
+	At           time.Time
 	Fingerprints []string
+	// Parts are the parts of the prompts of these requests.
+	Parts []string
 }
 
 // suspect is a fingerprint that was in flight at crashes.
@@ -37,8 +54,8 @@
 type lostRequests struct {
 	// address is where the run served.
 	address string
-	// lostAt maps fingerprints to the time of the last loss.
-	lostAt map[string]time.Time
+	// losses maps fingerprints to the last loss.
+	losses map[string]Loss
 }
 
 // Suspects counts the crashes at which each request was in flight, by the request's fingerprint, for
@@ -64,23 +81,23 @@
 	return 0
 }
 
-// Lost records that a request got no complete answer because its server, which served at an address,
-// stopped answering. It returns the crash if the run is already known to have ended.
-func (su *Suspects) Lost(fingerprint string, run Run, address string, now time.Time) (Crash, bool) {
-	su.prune(now)
+// Lost records that a request was lost with a run of a server, which served at an address. It returns the
+// crash if the run is already known to have ended.
+func (su *Suspects) Lost(lo Loss, run Run, address string) (Crash, bool) {
+	su.prune(lo.At)
 	if su.lost == nil {
 		su.lost = map[Run]*lostRequests{}
 	}
 	lr := su.lost[run]
 	if lr == nil {
-		lr = &lostRequests{address: address, lostAt: map[string]time.Time{}}
+		lr = &lostRequests{address: address, losses: map[string]Loss{}}
 		su.lost[run] = lr
 	}
-	lr.lostAt[fingerprint] = now
+	lr.losses[lo.Fingerprint] = lo
 	if _, ok := su.ended[run]; !ok {
 		return Crash{}, false
 	}
-	return su.count(run, now)
+	return su.count(run, lo.At)
 }
 
 // RunEnded records that a run of a server has ended, and returns the crash if requests were lost with
@@ -118,25 +135,30 @@
 		return Crash{}, false
 	}
 	delete(su.lost, run)
-	cr := Crash{Run: run}
-	for fingerprint, lostAt := range lr.lostAt {
-		if now.Sub(lostAt) <= confirmTime && su.add(fingerprint, run, now) {
-			cr.Fingerprints = append(cr.Fingerprints, fingerprint)
+	cr := Crash{Run: run, At: now}
+	for _, fingerprint := range slices.Sorted(maps.Keys(lr.losses)) {
+		lo := lr.losses[fingerprint]
+		if now.Sub(lo.At) > confirmTime || !su.add(fingerprint, run, now) {
+			continue
+		}
+		cr.Fingerprints = append(cr.Fingerprints, fingerprint)
+		cr.Parts = union(cr.Parts, lo.Parts)
+		if lo.At.Before(cr.At) {
+			cr.At = lo.At
 		}
 	}
 	return cr, len(cr.Fingerprints) > 0
 }
 
-// Reported counts a crash that another entry node saw at the given time, and returns how many
-// fingerprints it is new for.
-func (su *Suspects) Reported(cr Crash, at, now time.Time) int {
+// Reported counts a crash that another entry node saw, and returns how many fingerprints it is new for.
+func (su *Suspects) Reported(cr Crash, now time.Time) int {
 	su.prune(now)
 	added := 0
-	if now.Sub(at) > Retention {
+	if now.Sub(cr.At) > Retention {
 		return added
 	}
 	for _, fingerprint := range cr.Fingerprints {
-		if su.add(fingerprint, cr.Run, at) {
+		if su.add(fingerprint, cr.Run, cr.At) {
 			added++
 		}
 	}
@@ -220,12 +242,12 @@
 	}
 	su.prunedAt = now
 	for run, lr := range su.lost {
-		for fingerprint, at := range lr.lostAt {
-			if now.Sub(at) > confirmTime {
-				delete(lr.lostAt, fingerprint)
+		for fingerprint, lo := range lr.losses {
+			if now.Sub(lo.At) > confirmTime {
+				delete(lr.losses, fingerprint)
 			}
 		}
-		if len(lr.lostAt) == 0 {
+		if len(lr.losses) == 0 {
 			delete(su.lost, run)
 		}
 	}
--- a/core/poison/suspects_test.go
+++ b/core/poison/suspects_test.go
@@ -49,13 +49,13 @@
 	run, fingerprint := Run{Server: strconv.Itoa(ev.server), Born: ev.born}, strconv.Itoa(ev.fingerprint)
 	switch ev.kind {
 	case 0:
-		su.Lost(fingerprint, run, run.Server, now)
+		su.Lost(Loss{Fingerprint: fingerprint, At: now}, run, run.Server)
 	case 1:
 		su.RunEnded(run, now)
 	case 2:
 		su.RunStarted(run, run.Server, now)
 	case 3:
-		su.Reported(Crash{Run: run, Fingerprints: []string{fingerprint}}, now, now)
+		su.Reported(Crash{Run: run, At: now, Fingerprints: []string{fingerprint}}, now)
 	case 4:
 		su.Answered(fingerprint)
 	}
@@ -120,7 +120,7 @@
 
 func TestLossCountsOnlyIfTheRunEndsSoonAfterIt(t *testing.T) {
 	su, run := &Suspects{}, Run{Server: "s", Born: 1}
-	su.Lost("f", run, "a", crashStart)
+	su.Lost(Loss{Fingerprint: "f", At: crashStart}, run, "a")
 	if _, ok := su.RunEnded(run, crashStart.Add(confirmTime+pruneInterval)); ok || su.Len() != 0 {
 		t.Error("a run that ended long after the loss counts as a crash")
 	}
@@ -128,7 +128,7 @@
 
 func TestLaterServerAtTheAddressShowsThatTheRunHasEnded(t *testing.T) {
 	su := &Suspects{}
-	su.Lost("f", Run{Server: "s", Born: 1}, "10.0.0.1:80", crashStart)
+	su.Lost(Loss{Fingerprint: "f", At: crashStart}, Run{Server: "s", Born: 1}, "10.0.0.1:80")
 	if list := su.RunStarted(Run{Server: "other", Born: 2}, "10.0.0.2:80", crashStart); len(list) != 0 {
 		t.Errorf("a server elsewhere shows the crash %+v", list)
 	}
@@ -140,7 +140,7 @@
 func TestVerdictEndsAfterRetention(t *testing.T) {
 	su := &Suspects{}
 	for born := range int64(SuspectCrashes) {
-		su.Reported(Crash{Run: Run{Server: "s", Born: born}, Fingerprints: []string{"f"}}, crashStart, crashStart)
+		su.Reported(Crash{Run: Run{Server: "s", Born: born}, At: crashStart, Fingerprints: []string{"f"}}, crashStart)
 	}
 	if verdict, remaining := su.Decide("f", crashStart.Add(time.Minute)); verdict != Blocked || remaining != Retention-time.Minute {
 		t.Errorf("verdict %s for %v, want blocked for %v", verdict, remaining, Retention-time.Minute)
@@ -153,10 +153,10 @@
 func TestTableIsBoundedAndKeepsTheBlocked(t *testing.T) {
 	su := &Suspects{}
 	for born := range int64(SuspectCrashes) {
-		su.Reported(Crash{Run: Run{Server: "s", Born: born}, Fingerprints: []string{"blocked"}}, crashStart, crashStart)
+		su.Reported(Crash{Run: Run{Server: "s", Born: born}, At: crashStart, Fingerprints: []string{"blocked"}}, crashStart)
 	}
 	for ix := range suspectsMax + 100 {
-		su.Reported(Crash{Run: Run{Server: "s"}, Fingerprints: []string{strconv.Itoa(ix)}}, crashStart, crashStart)
+		su.Reported(Crash{Run: Run{Server: "s"}, At: crashStart, Fingerprints: []string{strconv.Itoa(ix)}}, crashStart)
 	}
 	if verdict, _ := su.Decide("blocked", crashStart); verdict != Blocked || su.Len() > suspectsMax {
 		t.Errorf("verdict %s with %d fingerprints, want blocked and at most %d", verdict, su.Len(), suspectsMax)
--- a/core/wire/codec_test.go
+++ b/core/wire/codec_test.go
@@ -38,7 +38,8 @@
 		{Chunk: &Chunk{}}, {End: &End{}}, {Holdings: &Holdings{}}, {Reserve: &Reserve{}}, {Grant: &Grant{}}, {Queued: &Queued{}},
 		{Release: &Release{}}, {Prepare: &Prepare{}}, {Started: &Started{Attempt: "a"}},
 		{Peers: &Peers{Entries: []Peer{{Name: "e", Address: "10.0.0.1:7"}}}}, {LogBatch: &LogBatch{Topic: "servers", From: 1, End: 2, Records: []byte("x")}},
-		{CrashReport: &CrashReport{Server: "s", Born: 1, Age: 2, Fingerprints: []string{"f"}}},
+		{CrashReport: &CrashReport{Server: "s", Born: 1, Age: 2, Fingerprints: []string{"f"}, Parts: []string{"p"}}},
+		{PartReport: &PartReport{Parts: []string{"p"}, Sound: true, Prober: "e", Age: 3}},
 		{LeaseAsk: &LeaseAsk{Attempt: "a", Server: "s", PerSecond: 1.6, Count: 1}}, {LeaseAnswer: &LeaseAnswer{Attempt: "a", Wait: 5}},
 	} {
 		buf := bytes.Buffer{}
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -34,6 +34,10 @@
 	// Fingerprints lists the fingerprints of the requests.
 	Fingerprints []string `json:"fingerprints" yaml:"fingerprints" cbor:"4,keyasint,omitempty"`
 
+	// Parts lists the parts of the prompts of the requests that may have crashed the
+	// server.
+	Parts []string `json:"parts" yaml:"parts" cbor:"5,keyasint,omitempty"`
+
 	// Server is the id of the backend server.
 	Server string `json:"server" yaml:"server" cbor:"1,keyasint,omitempty"`
 }
@@ -225,6 +229,9 @@
 	// LogBatch corresponds to the JSON schema field "log_batch".
 	LogBatch *LogBatch `json:"log_batch,omitempty,omitzero" yaml:"log_batch,omitempty" cbor:"22,keyasint,omitempty"`
 
+	// PartReport corresponds to the JSON schema field "part_report".
+	PartReport *PartReport `json:"part_report,omitempty,omitzero" yaml:"part_report,omitempty" cbor:"26,keyasint,omitempty"`
+
 	// Peers corresponds to the JSON schema field "peers".
 	Peers *Peers `json:"peers,omitempty,omitzero" yaml:"peers,omitempty" cbor:"21,keyasint,omitempty"`
 
@@ -389,6 +396,25 @@
 	Topic string `json:"topic" yaml:"topic" cbor:"1,keyasint,omitempty"`
 }
 
+// PartReport tells of parts of prompts that crash backend servers, or do not. An
+// entry node sends it to an agent, which passes it on to the other entry nodes,
+// also to those that connect later.
+type PartReport struct {
+	// Age is the time since the answer or the last crash, in milliseconds.
+	Age int64 `json:"age" yaml:"age" cbor:"3,keyasint,omitempty"`
+
+	// Parts lists the parts.
+	Parts []string `json:"parts" yaml:"parts" cbor:"1,keyasint,omitempty"`
+
+	// Prober is the name of the entry node that finds out whether the parts are sound
+	// after all, empty if none does.
+	Prober string `json:"prober" yaml:"prober" cbor:"4,keyasint,omitempty"`
+
+	// Sound is true if a request with the parts has been answered completely, false
+	// if the parts crash backend servers.
+	Sound bool `json:"sound" yaml:"sound" cbor:"2,keyasint,omitempty"`
+}
+
 // Peer is an entry node that is connected to an agent.
 type Peer struct {
 	// Address is where other entry nodes reach it, as IP:port.
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -49,6 +49,9 @@
 		return result{outcome: retry.Failed, reason: "status_" + strconv.Itoa(an.Status), serverFailure: ans}, false
 	}
 	no.recordSuccess(at, took)
+	if an.Status < http.StatusMultipleChoices {
+		no.crashes.recordPartsAnswered(rq)
+	}
 	if len(data) == maxAnswerBytes {
 		rq.deliverLongAnswer(at, ans, an.Body)
 	} else {
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -38,10 +38,10 @@
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
 	start     time.Time
-	// lastEventAt is when the last event arrived, longestPause the longest time between two
-	// events.
-	lastEventAt  time.Time
-	longestPause time.Duration
+	// firstEventAt and lastEventAt are when the first and the last event arrived, longestPause is the
+	// longest time between two events.
+	firstEventAt, lastEventAt time.Time
+	longestPause              time.Duration
 }
 
 // result describes an attempt that did not deliver an answer to the caller.
@@ -64,6 +64,7 @@
 	no.countRequest(rq.service.Name)
 	rq.popular = no.countAdapterRequest(rq.info.Adapter)
 	exclude := []string(nil)
+	defer func() { no.crashes.recordEnd(rq, rq.answerStarted) }()
 	for number := 1; ; number++ {
 		at, err := rq.chooseServer(number, exclude)
 		if err != nil {
@@ -80,6 +81,9 @@
 		if re.serverLost {
 			no.crashes.recordLost(rq, at, re.reason)
 		}
+		if re.outcome == retry.Unknown {
+			no.crashes.recordEnd(rq, true)
+		}
 		st = st.WithOutcome(re.outcome)
 		st.TimeLeft = time.Until(rq.deadline)
 		if ctx.Err() != nil {
--- a/entry/direct/crashes.go
+++ b/entry/direct/crashes.go
@@ -28,13 +28,16 @@
 
 	mu       sync.Mutex
 	suspects poison.Suspects
+	parts    poison.Parts
 	// checking holds the runs that are being checked for whether they have ended.
 	checking map[poison.Run]bool
+	// waiting holds the attempts without a part of an answer whose prompts have parts.
+	waiting map[*attempt]waitingAttempt
 }
 
 // newCrashes returns crashes that have seen none.
 func newCrashes(no *Node) *crashes {
-	return &crashes{no: no, checking: map[poison.Run]bool{}}
+	return &crashes{no: no, checking: map[poison.Run]bool{}, waiting: map[*attempt]waitingAttempt{}}
 }
 
 // run returns the run of a server that an attempt was sent to.
@@ -49,8 +52,9 @@
 	}
 	cr.no.logger.Info().Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server).Str("fingerprint", rq.fingerprint()).
 		Int64("born", at.born).Strs("parts", rq.info.PromptParts).Int("events", rq.stream.count).Str("reason", reason).Msg("crash_suspected")
+	lo := poison.Loss{Fingerprint: rq.fingerprint(), Parts: rq.suspectParts(at), At: time.Now()}
 	cr.mu.Lock()
-	crash, known := cr.suspects.Lost(rq.fingerprint(), at.run(), at.address, time.Now())
+	crash, known := cr.suspects.Lost(lo, at.run(), at.address)
 	check := !known && !cr.checking[at.run()]
 	if check {
 		cr.checking[at.run()] = true
@@ -112,28 +116,33 @@
 	}
 }
 
-// share logs a crash that this node has seen and reports it to the other entry nodes.
+// share logs a crash that this node has seen, reports it to the other entry nodes and counts it for the
+// parts of prompts.
 func (cr *crashes) share(crash poison.Crash, evidence string) {
 	metricCrashes.Add(1)
-	reported := cr.no.agents.shareCrash(&wire.CrashReport{
-		Server: crash.Run.Server, Born: crash.Run.Born, Fingerprints: crash.Fingerprints,
-	})
-	cr.no.logger.Warn().Str("server", crash.Run.Server).Int64("born", crash.Run.Born).Str("evidence", evidence).
-		Strs("fingerprints", crash.Fingerprints).Int("told", reported).Msg("server_crash_counted")
+	age := time.Since(crash.At)
+	reported := cr.no.agents.shareReport(&wire.Frame{CrashReport: &wire.CrashReport{
+		Server: crash.Run.Server, Born: crash.Run.Born, Age: age.Milliseconds(), Fingerprints: crash.Fingerprints, Parts: crash.Parts,
+	}})
+	cr.no.logger.Warn().Str("server", crash.Run.Server).Int64("born", crash.Run.Born).Str("evidence", evidence).Dur("age", age).
+		Strs("fingerprints", crash.Fingerprints).Strs("parts", crash.Parts).Int("told", reported).Msg("server_crash_counted")
+	cr.countForParts(crash)
 }
 
 // applyReport counts a crash that another entry node has seen.
 func (cr *crashes) applyReport(re *wire.CrashReport) {
 	now := time.Now()
 	age := time.Duration(max(0, re.Age)) * time.Millisecond
-	crash := poison.Crash{Run: poison.Run{Server: re.Server, Born: re.Born}, Fingerprints: re.Fingerprints}
+	crash := poison.Crash{Run: poison.Run{Server: re.Server, Born: re.Born}, At: now.Add(-age), Fingerprints: re.Fingerprints, Parts: re.Parts}
 	cr.mu.Lock()
-	added := cr.suspects.Reported(crash, now.Add(-age), now)
+	added := cr.suspects.Reported(crash, now)
 	cr.mu.Unlock()
-	if added > 0 {
-		cr.no.logger.Info().Str("server", re.Server).Int64("born", re.Born).Dur("age", age).Int("added", added).
-			Strs("fingerprints", re.Fingerprints).Msg("crash_report_applied")
+	if added == 0 {
+		return
 	}
+	cr.no.logger.Info().Str("server", re.Server).Int64("born", re.Born).Dur("age", age).Int("added", added).
+		Strs("fingerprints", re.Fingerprints).Strs("parts", crash.Parts).Msg("crash_report_applied")
+	cr.countForParts(crash)
 }
 
 // recordAnswered records that a server has answered a request completely.
@@ -149,6 +158,9 @@
 func (cr *crashes) verdict(rq *request) error {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
+	if err := cr.partVerdict(rq); err != nil {
+		return err
+	}
 	if cr.suspects.Len() == 0 {
 		return nil
 	}
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -35,6 +35,8 @@
 	// because of crashes.
 	metricCrashes     = newCounter("server_crashes")
 	metricQuarantined = newCounter("quarantined_requests")
+	// metricPartsBlocked counts the parts of prompts that this node has found to crash servers.
+	metricPartsBlocked = newCounter("blocked_parts")
 	// metricPauses counts the pauses that servers have asked for, metricHeldBack the requests refused
 	// because of pauses and limits of servers.
 	metricPauses   = newCounter("server_pauses")
--- a/entry/direct/relays.go
+++ b/entry/direct/relays.go
@@ -10,14 +10,14 @@
 // commonRelays is the number of agents that pass on the reports of entry nodes in any zone.
 const commonRelays = 2
 
-// shareCrash sends a crash report to the agents that pass reports on to the other entry nodes, and
-// returns how many took it.
-func (as *agents) shareCrash(re *wire.CrashReport) int {
+// shareReport sends a frame with a report to the agents that pass reports on to the other entry nodes,
+// and returns how many took it.
+func (as *agents) shareReport(fr *wire.Frame) int {
 	as.mu.Lock()
 	defer as.mu.Unlock()
 	sent := 0
 	for _, host := range as.relays() {
-		if as.links[host].co.TrySend(&wire.Frame{CrashReport: re}) {
+		if as.links[host].co.TrySend(fr) {
 			sent++
 		}
 	}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -28,6 +28,8 @@
 // engines need a grant first, unless the engine's agent is unavailable.
 func (rq *request) makeAttempt(ctx context.Context, at *attempt) (result, bool) {
 	defer rq.no.recordAttemptEnd(at.server)
+	ctx, stop := rq.no.crashes.watchParts(ctx, rq, at)
+	defer stop()
 	if re, ok := rq.takeLease(ctx, at); !ok {
 		return re, false
 	}
@@ -156,6 +158,8 @@
 	}
 	reason, callerGone := "connection_lost", false
 	switch {
+	case errors.Is(context.Cause(ctx), errPartRefused):
+		return rq.canceledForPart(at, outcome)
 	case errors.Is(context.Cause(ctx), errServerSilent):
 		reason = "server_silent"
 	case errors.Is(context.Cause(ctx), context.Canceled):
@@ -170,6 +174,13 @@
 	return result{outcome: outcome, reason: reason, serverLost: outcome == retry.Unknown && !callerGone}
 }
 
+// canceledForPart returns the result of an attempt that was canceled because a part of its prompt crashes
+// servers. It counts for nothing against its server.
+func (rq *request) canceledForPart(at *attempt, outcome retry.Outcome) result {
+	rq.logAttempt(at, "exchange_canceled").Str("reason", reasonQuarantined).Str("outcome", outcome.String()).Send()
+	return result{outcome: outcome, reason: reasonQuarantined}
+}
+
 // handleAnswer classifies an answer by its status and headers, and delivers it if it is the
 // server's own.
 func (rq *request) handleAnswer(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -84,7 +84,9 @@
 
 // recordReceived updates the longest pause when an event arrives.
 func (at *attempt) recordReceived(now time.Time) {
-	if !at.lastEventAt.IsZero() {
+	if at.firstEventAt.IsZero() {
+		at.firstEventAt = now
+	} else {
 		at.longestPause = max(at.longestPause, now.Sub(at.lastEventAt))
 	}
 	at.lastEventAt = now
@@ -93,6 +95,7 @@
 // recordFirstEvent records the time to an attempt's first event.
 func (rq *request) recordFirstEvent(at *attempt) {
 	took := time.Since(at.start)
+	rq.no.crashes.begun(at)
 	rq.logAttempt(at, "first_event").Dur("took", took).Dur("grant", at.grantWait).Dur("expected", at.choice.Wait).Send()
 	rq.no.recordSuccess(at, took)
 	if at.granted {
@@ -127,6 +130,9 @@
 func (rq *request) finishStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.writeStreamHeader(an)
 	rq.no.crashes.recordAnswered(rq)
+	if !at.firstEventAt.IsZero() {
+		rq.no.crashes.recordPartsAnswered(rq)
+	}
 	rq.logAttempt(at, "request_answered").Int("status", http.StatusOK).Int("events", rq.stream.count).Dur("longest_pause", rq.stream.longestPause).Dur("took", time.Since(rq.start)).Send()
 	histogram(histogramWholeAnswer).record(time.Since(rq.start))
 	// The outcome only makes release report the grant as done.
--- a/proofs/direct_parts_test.go
+++ b/proofs/direct_parts_test.go
@@ -24,7 +24,7 @@
 	crashDelay = 60 * time.Millisecond
 	// calmTime is how long there are only sound requests at first, badTime how long both kinds come.
 	calmTime = 5 * time.Second
-	badTime  = 30 * time.Second
+	badTime  = 40 * time.Second
 )
 
 // partLoad is a load of prompts that share their first part, of which some share a part that crashes
@@ -35,9 +35,14 @@
 	target  string
 	// badParts are the shared parts of the requests that crash engines, separated by commas.
 	badParts string
-	// isBad reports whether a request crashes the engine that begins to answer it.
+	// isBad reports whether a request crashes the engine that begins to answer it, from its parts.
 	isBad func(parts string) bool
+	// soundFirst is true if requests with badParts are sound and come during calmTime too.
+	soundFirst bool
+	// slow makes sound answers take a second longer.
+	slow bool
 
+	start   time.Time
 	mu      sync.Mutex
 	random  *rand.Rand
 	crashes []time.Time
@@ -63,8 +68,8 @@
 	pl := &partLoad{ds: ds, target: target, badParts: badParts, isBad: isBad, random: rand.New(rand.NewPCG(1, 2))}
 	for id, ba := range ds.backends {
 		ba.setScript(func(wr http.ResponseWriter, rq *http.Request) {
-			if !pl.isBad(rq.Header.Get(headerParts)) {
-				defaultAnswer(wr, rq)
+			if !pl.isBad(rq.Header.Get(headerParts)) || pl.soundFirst && pl.calm() {
+				pl.answer(wr, rq)
 				return
 			}
 			pl.mu.Lock()
@@ -78,6 +83,17 @@
 	return pl
 }
 
+// answer writes a sound answer.
+func (pl *partLoad) answer(wr http.ResponseWriter, rq *http.Request) {
+	if pl.slow {
+		time.Sleep(time.Second)
+	}
+	defaultAnswer(wr, rq)
+}
+
+// calm reports whether calmTime has not passed yet.
+func (pl *partLoad) calm() bool { return time.Since(pl.start) < calmTime }
+
 // crash crashes an engine unless the request was canceled.
 func (pl *partLoad) crash(id string, rq *http.Request) {
 	if rq.Context().Err() != nil {
@@ -111,10 +127,11 @@
 // alike.
 func (pl *partLoad) run() {
 	const tick = 50 * time.Millisecond
+	pl.start = time.Now()
 	for number := range int((calmTime + badTime) / tick) {
 		parts := fmt.Sprintf("first,shared-%d", number%7)
 		pl.send(2*number, parts, !pl.isBad(parts+","))
-		if time.Duration(number)*tick >= calmTime && number%5 == 0 {
+		if (pl.soundFirst || !pl.calm()) && number%5 == 0 {
 			pl.send(2*number+1, pl.badParts, false)
 		}
 		time.Sleep(tick)
@@ -189,6 +206,7 @@
 		engines, entries int
 		target, badParts string
 		renamed          bool
+		soundFirst       bool
 	}{
 		"part in the middle":             {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad"},
 		"part before a shared one":       {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad,shared-1"},
@@ -196,12 +214,14 @@
 		"first part":                     {engines: 6, entries: 3, target: "/stream/x", badParts: "bad,shared-1"},
 		"one entry node":                 {engines: 6, entries: 1, target: "/stream/x", badParts: "first,bad"},
 		"engines that change their IDs":  {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad", renamed: true},
+		"part that was sound before":     {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad", soundFirst: true},
 		"eight entry nodes, ten engines": {engines: 10, entries: 8, target: "/stream/x", badParts: "first,bad"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runDirectSimulation(t, 1, tc.engines, func(t *testing.T, ds *directSimulation, first *directCaller) {
 				ds.renamed = tc.renamed
 				pl := startPartLoad(ds, tc.target, tc.badParts, hasBadPart)
+				pl.soundFirst = tc.soundFirst
 				pl.callers = []*directCaller{first}
 				for number := 2; number <= tc.entries; number++ {
 					name := fmt.Sprintf("entry-%d", number)
@@ -214,3 +234,53 @@
 		})
 	}
 }
+
+// Engines crash for reasons that have nothing to do with requests. All requests share the first part and many
+// share others, which have been answered before. No part may be refused for that.
+func TestDirectPartsInFlightAtOtherCrashesAreNotRefused(t *testing.T) {
+	never := func(string) bool { return false }
+	for name, tc := range map[string]struct {
+		// together is the number of engines that crash in each round, gap the time between two of them,
+		// period the time between two rounds.
+		together    int
+		gap, period time.Duration
+		slow        bool
+	}{
+		"all at once":                    {together: 6, period: 8 * time.Second},
+		"half of them at once":           {together: 3, period: 5 * time.Second},
+		"all in turn":                    {together: 6, gap: 400 * time.Millisecond, period: 9 * time.Second},
+		"all in turn, slowly":            {together: 6, gap: 2 * time.Second, period: 14 * time.Second},
+		"all at once, slow answers":      {together: 6, period: 8 * time.Second, slow: true},
+		"all in turn, slow answers":      {together: 6, gap: 400 * time.Millisecond, period: 9 * time.Second, slow: true},
+		"one after the other, no breaks": {together: 1, period: 700 * time.Millisecond, slow: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runDirectSimulation(t, 1, 6, func(t *testing.T, ds *directSimulation, first *directCaller) {
+				ds.startEntry("entry-2")
+				pl := startPartLoad(ds, "/stream/x", "first,bad", never)
+				pl.callers = []*directCaller{first, ds.newCaller("entry-2")}
+				pl.slow, pl.soundFirst = tc.slow, true
+				go func() {
+					time.Sleep(calmTime)
+					for number := 0; time.Since(pl.start) < calmTime+badTime; number++ {
+						for ix := range tc.together {
+							ds.crashServer(fmt.Sprintf("engine-%d", (number+ix)%6), crashDowntime)
+							time.Sleep(tc.gap)
+						}
+						time.Sleep(tc.period - time.Duration(tc.together)*tc.gap)
+					}
+				}()
+				pl.run()
+				answered, refused := 0, 0
+				for ix := range pl.sound {
+					answered += countIf(pl.sound[ix].answered())
+					refused += countIf(strings.Contains(pl.sound[ix].reply.body, "prompts with the part"))
+				}
+				t.Logf("%d of %d answered, %d refused for a part", answered, len(pl.sound), refused)
+				if refused > 0 {
+					t.Errorf("%d of %d requests were refused for a part that crashes nothing", refused, len(pl.sound))
+				}
+			})
+		})
+	}
+}
