Bound the idle timeout that a server states

Cause: the number of seconds is multiplied to a duration, which overflows, so that a connection counted as expired at once, or as usable for ever. The test failed before.

--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -194,7 +194,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			co.idleTimeout = time.Duration(seconds) * time.Second
+			co.idleTimeout = time.Duration(min(seconds, int(maxIdleTimeout/time.Second))) * time.Second
 		}
 	}
 }
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -14,6 +14,8 @@
 const (
 	// defaultIdleTimeout is the idle timeout of a server that does not state one.
 	defaultIdleTimeout = 4 * time.Second
+	// maxIdleTimeout bounds the idle timeout that a server states.
+	maxIdleTimeout = time.Hour
 	// idleTimeoutMargin is how long before the server's idle timeout a connection is no longer
 	// used.
 	idleTimeoutMargin = 700 * time.Millisecond
--- a/entry/internal/pool/pool_test.go
+++ b/entry/internal/pool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -39,6 +40,20 @@
 	}
 }
 
+// A server may state any number of seconds, also one that no duration can hold.
+func TestIdleTimeoutOfAServerIsBounded(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=5": 5 * time.Second, "timeout=0": 0, "max=3, timeout=7": 7 * time.Second, "timeout=x": defaultIdleTimeout, "timeout=-3": defaultIdleTimeout,
+		"timeout=9223372037": maxIdleTimeout, "timeout=18446744073": maxIdleTimeout, "timeout=99999999999999999999": defaultIdleTimeout,
+	} {
+		co := &Conn{idleTimeout: defaultIdleTimeout}
+		co.updateIdleTimeout(http.Header{"Keep-Alive": {text}})
+		if co.idleTimeout != want {
+			t.Errorf("%q: %v, want %v", text, co.idleTimeout, want)
+		}
+	}
+}
+
 // A request that is sent on a connection that the server has closed is lost, and may not be sent again
 // if it must not run twice.
 func TestIdleConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
