Bound what an entry node holds of all answers together

Seen in a test: 40 bodies without an end take 647 MiB of an entry node. Cause: up to 16 MiB of each answer were held before it was delivered, without a bound over all of them; an answer that filled that counted as answered, which clears a suspicion of a crash. Change: at most 1 MiB of one answer and 32 MiB of all are held (answer_hold_bytes, answers_hold_bytes). What exceeds either is passed on as it arrives, and counts as answered once it has ended. Events of streams beyond 64 KiB count too. New: answer_not_held, held_answer_bytes, answers_not_held. Answers without an end did not look whole before either, and end with the caller's time.

--- a/core/conf/check.go
+++ b/core/conf/check.go
@@ -264,6 +264,10 @@
 		return invalid("retry_window_ms", "give the time over which retries are counted", "%d is too short", de.RetryWindowMs)
 	case de.AnswerHeadBytes != 0 && de.AnswerHeadBytes < answerHeadBytesMin:
 		return invalid("answer_head_bytes", "give at least 1024, or 0", "%d is too few", de.AnswerHeadBytes)
+	case de.AnswerHoldBytes < 0:
+		return invalid("answer_hold_bytes", "give a number of bytes, or 0", "%d is too few", de.AnswerHoldBytes)
+	case de.AnswersHoldBytes < 0:
+		return invalid("answers_hold_bytes", "give a number of bytes, or 0", "%d is too few", de.AnswersHoldBytes)
 	case de.Regions[de.Place.Zone] == "":
 		return invalid("regions", "give the region of each availability zone", "zone %q has no region", de.Place.Zone)
 	}
--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -126,6 +126,15 @@
 	// ones included, in bytes; zero stands for 65536.
 	AnswerHeadBytes int `json:"answer_head_bytes,omitempty,omitzero" yaml:"answer_head_bytes,omitempty"`
 
+	// AnswerHoldBytes is how much of an answer is held before it is delivered, in
+	// bytes; the rest of a longer one is passed on as it arrives. Zero stands for 1
+	// MiB.
+	AnswerHoldBytes int `json:"answer_hold_bytes,omitempty,omitzero" yaml:"answer_hold_bytes,omitempty"`
+
+	// AnswersHoldBytes is how much of all answers together is held, in bytes; zero
+	// stands for 32 MiB.
+	AnswersHoldBytes int `json:"answers_hold_bytes,omitempty,omitzero" yaml:"answers_hold_bytes,omitempty"`
+
 	// CallerAddress is the listen address for callers, as IP:port.
 	CallerAddress string `json:"caller_address" yaml:"caller_address"`
 
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -11,13 +11,8 @@
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
-const (
-	// maxAnswerBytes limits how much of an answer is buffered before it is delivered. The rest of a
-	// longer one is passed on as it arrives.
-	maxAnswerBytes = 16 << 20
-	// maxDiscardBytes limits how much of a discarded answer is read.
-	maxDiscardBytes = 64 << 10
-)
+// maxDiscardBytes limits how much of a discarded answer is read.
+const maxDiscardBytes = 64 << 10
 
 // bufferedAnswer is an answer that has been read completely.
 type bufferedAnswer struct {
@@ -33,17 +28,25 @@
 }
 
 // deliverBuffered reads an answer and delivers it. A server error, or any answer once a stream has
-// started, is returned instead, as another attempt may succeed.
+// started, is returned instead, as another attempt may succeed. An answer that is too long to be held is
+// passed on as it arrives, errors included.
 func (rq *request) deliverBuffered(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
 	no := rq.no
-	data, err := io.ReadAll(io.LimitReader(an.Body, maxAnswerBytes))
+	data, whole, err := no.held.read(an)
+	rq.holds += cap(data)
 	if err != nil {
 		return rq.classifySendError(ctx, at, err), false
 	}
-	no.crashes.recordAnswered(rq)
 	took := time.Since(at.start)
 	histogram(histogramFirstByte).record(took)
 	ans := &bufferedAnswer{status: an.Status, header: an.Header, body: data}
+	if !whole && !rq.answerStarted {
+		rq.passOnAnswer(at, ans, an, took)
+		return result{outcome: retry.Failed}, true
+	}
+	if whole {
+		no.crashes.recordAnswered(rq)
+	}
 	if rq.answerStarted || an.Status >= http.StatusInternalServerError {
 		no.recordFailure(at.server)
 		return result{outcome: retry.Failed, reason: "status_" + strconv.Itoa(an.Status), serverFailure: ans}, false
@@ -52,28 +55,34 @@
 	if an.Status < http.StatusMultipleChoices {
 		no.crashes.recordPartsAnswered(rq)
 	}
-	if len(data) == maxAnswerBytes {
-		rq.deliverLongAnswer(at, ans, an.Body)
-	} else {
-		rq.deliverAnswer(at, ans)
-	}
+	rq.deliverAnswer(at, ans)
 	// The outcome only makes release report the grant as done.
 	return result{outcome: retry.Failed}, true
 }
 
-// deliverLongAnswer writes the buffered part of an answer to the caller and then the rest. If the
-// rest breaks off, the connection is aborted, so that the answer does not look complete.
-func (rq *request) deliverLongAnswer(at *attempt, ans *bufferedAnswer, rest io.Reader) {
+// passOnAnswer writes the held part of an answer to the caller and then the rest as it arrives. If the
+// rest breaks off, the connection is aborted, so that the answer does not look complete. The argument
+// took is the time until the held part had arrived.
+func (rq *request) passOnAnswer(at *attempt, ans *bufferedAnswer, an *pool.Answer, took time.Duration) {
+	rq.logAttempt(at, "answer_not_held").Int("status", ans.status).Int("held", len(ans.body)).Int64("length", an.Length()).Send()
+	metricPassedOn.Add(1)
 	copyHeader(rq.wr.Header(), ans.header)
-	if length := ans.header.Get("Content-Length"); length != "" {
-		rq.wr.Header().Set("Content-Length", length)
+	if length := an.Length(); length >= 0 {
+		rq.wr.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	rq.wr.WriteHeader(ans.status)
 	rq.answerStarted = true
 	delivered := rq.write(ans.body)
-	if _, err := io.Copy(rq.wr, rest); err != nil {
+	if _, err := io.Copy(rq.wr, an.Body); err != nil {
+		rq.no.recordFailure(at.server)
 		rq.respondError(outcomeUnknownError("the answer broke off: " + err.Error()))
 	}
+	rq.no.crashes.recordAnswered(rq)
+	if ans.status < http.StatusInternalServerError {
+		rq.no.recordSuccess(at, took)
+	} else {
+		rq.no.recordFailure(at.server)
+	}
 	rq.logAnswered(at, ans.status, delivered)
 }
 
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -64,7 +64,10 @@
 	no.countRequest(rq.service.Name)
 	rq.popular = no.countAdapterRequest(rq.info.Adapter)
 	exclude := []string(nil)
-	defer func() { no.crashes.recordEnd(rq, rq.answerStarted) }()
+	defer func() {
+		no.held.release(rq.holds)
+		no.crashes.recordEnd(rq, rq.answerStarted)
+	}()
 	for number := 1; ; number++ {
 		at, err := rq.chooseServer(number, exclude)
 		if err != nil {
--- /dev/null
+++ b/entry/direct/held_test.go
@@ -0,0 +1,61 @@
+package direct
+
+import (
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Whatever is held and released, neither all answers together nor a single one exceed their bounds, and
+// nothing is left once all of it is released.
+func TestHeldBytesStayWithinTheirBounds(t *testing.T) {
+	const eachMax, allMax, answers = 100, 250, 4
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("within the bounds", prop.ForAll(func(sizes []int) string {
+		hb, holds := heldBytes{eachMax: eachMax, allMax: allMax}, [answers]int{}
+		for step, size := range sizes {
+			ix := step % answers
+			switch {
+			case size == 0:
+				hb.release(holds[ix])
+				holds[ix] = 0
+			case hb.take(size, holds[ix]):
+				holds[ix] += size
+			}
+			sum := 0
+			for _, count := range holds {
+				if count > eachMax {
+					return "an answer exceeds its bound"
+				}
+				sum += count
+			}
+			if sum > allMax || sum != hb.held {
+				return "all answers exceed their bound, or are counted wrongly"
+			}
+		}
+		return ""
+	}, gen.SliceOf(gen.IntRange(0, 60))))
+	properties.TestingRun(t)
+}
+
+func TestEventsCountOnlyBeyondTheirFreeSize(t *testing.T) {
+	hb := heldBytes{eachMax: 3 * freeEventBytes, allMax: 4 * freeEventBytes}
+	first, second := eventHold{hb: &hb}, eventHold{hb: &hb}
+	for size := range 4 * freeEventBytes {
+		if !first.allows(size) {
+			t.Fatalf("an event of %d bytes is refused", size)
+		}
+	}
+	if first.allows(4*freeEventBytes + 1) {
+		t.Error("an event beyond the bound of an answer is allowed")
+	}
+	if !second.allows(2*freeEventBytes) || second.allows(2*freeEventBytes+1) {
+		t.Error("want one step of the budget left for the second stream")
+	}
+	first.release()
+	if !second.allows(2*freeEventBytes + 1) {
+		t.Error("nothing is left after a release")
+	}
+}
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -37,6 +37,10 @@
 	metricQuarantined = newCounter("quarantined_requests")
 	// metricPartsBlocked counts the parts of prompts that this node has found to crash servers.
 	metricPartsBlocked = newCounter("blocked_parts")
+	// metricHeldBytes is what the node holds of answers, metricPassedOn counts the answers that were passed
+	// on as they arrived because they were too long for that.
+	metricHeldBytes = newCounter("held_answer_bytes")
+	metricPassedOn  = newCounter("answers_not_held")
 	// metricPauses counts the pauses that servers have asked for, metricHeldBack the requests refused
 	// because of pauses and limits of servers.
 	metricPauses   = newCounter("server_pauses")
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -61,6 +61,7 @@
 	agents  *agents
 	feeds   *feeds
 	crashes *crashes
+	held    heldBytes
 	pool    *pool.Pool
 	// boot identifies this run of the node.
 	boot   string
@@ -105,6 +106,7 @@
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
 		ctx: ctx, cancel: cancel, addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
+	no.held.eachMax, no.held.allMax = options.Settings.AnswerHoldBytes, options.Settings.AnswersHoldBytes
 	no.agents = newAgents(no)
 	no.crashes = newCrashes(no)
 	no.feeds = newFeeds(no, newFollower(no, OperatorsTopic), newFollower(no, ServersTopic))
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -55,6 +55,8 @@
 	contentFingerprint string
 	// answerStarted is true once any part of an answer has been written.
 	answerStarted bool
+	// holds is the number of bytes that the node holds of answers to the request.
+	holds int
 	// stream tracks the events written to the caller, for routes that stream.
 	stream streamState
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -61,8 +61,10 @@
 	rd := bufio.NewReaderSize(an.Body, eventBufferBytes)
 	first := true
 	buf := make([]byte, 0, eventBufferBytes)
+	eh := eventHold{hb: &rq.no.held}
+	defer eh.release()
 	for {
-		ev, err := readEvent(rd, buf[:0])
+		ev, err := readEvent(rd, buf[:0], eh.allows)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
 			return rq.finishStream(at, an)
 		}
@@ -147,28 +149,23 @@
 	return re
 }
 
-// readEvent reads one event including the blank line that ends it. It returns io.EOF at the
-// end of the stream, or io.ErrUnexpectedEOF with the bytes of an unfinished event.
-func readEvent(rd *bufio.Reader, ev []byte) ([]byte, error) {
+// readEvent reads one event including the blank line that ends it, as long as allows permits its size. It
+// returns io.EOF at the end of the stream, or io.ErrUnexpectedEOF with the bytes of an unfinished event.
+func readEvent(rd *bufio.Reader, ev []byte, allows func(size int) bool) ([]byte, error) {
 	for {
 		line, err := rd.ReadSlice('\n')
 		ev = append(ev, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
-			if len(ev) <= maxEventBytes {
-				continue
-			}
+		lineGoesOn := errors.Is(err, bufio.ErrBufferFull)
+		if errors.Is(err, io.EOF) && len(ev) > 0 {
+			return ev, io.ErrUnexpectedEOF
 		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(ev) > 0 {
-				return ev, io.ErrUnexpectedEOF
-			}
+		if err != nil && !lineGoesOn {
 			return ev, err
 		}
-		if len(ev) > maxEventBytes {
+		if len(ev) > maxEventBytes || !allows(len(ev)) {
 			return ev, errEventTooLong
 		}
-		if bytes.HasSuffix(ev, []byte("\n\n")) || bytes.HasSuffix(ev, []byte("\r\n\r\n")) {
+		if !lineGoesOn && (bytes.HasSuffix(ev, []byte("\n\n")) || bytes.HasSuffix(ev, []byte("\r\n\r\n"))) {
 			return ev, nil
 		}
 	}
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -21,7 +21,7 @@
 		rd := bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(data)), eventBufferBytes)
 		got := []byte(nil)
 		for {
-			ev, err := readEvent(rd, nil)
+			ev, err := readEvent(rd, nil, func(int) bool { return true })
 			got = append(got, ev...)
 			if err == nil {
 				if !bytes.HasSuffix(ev, []byte("\n\n")) && !bytes.HasSuffix(ev, []byte("\r\n\r\n")) {
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -169,6 +169,9 @@
 	return count, err
 }
 
+// Length returns the length of the body in bytes as stated by the server, or -1 if it states none.
+func (an *Answer) Length() int64 { return an.resp.ContentLength }
+
 // Close ends the exchange. It returns the connection to the pool if the request was written, the
 // complete answer was read and no data follows it. Otherwise it closes the connection.
 func (an *Answer) Close() {
--- /dev/null
+++ b/proofs/direct_bounds_test.go
@@ -0,0 +1,112 @@
+package proofs
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// endlessBlock is what an endless answer sends each millisecond, in bytes.
+	endlessBlock = 16 << 10
+	// endlessAnswers is the number of endless answers at the same time.
+	endlessAnswers = 40
+	// heldMax is what an entry node may hold of all answers together by default, in bytes, and heldSlack what
+	// the connections and the rest of the test take beside it.
+	heldMax   = 32 << 20
+	heldSlack = 16 << 20
+)
+
+// writeEndless writes blocks until the connection ends.
+func writeEndless(wr http.ResponseWriter, block string) {
+	for {
+		if _, err := io.WriteString(wr, block); err != nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// discard sends a request, reads the answer without keeping it, and reports whether it was a whole success.
+func (cl *directCaller) discard(id, target, adapter string) bool {
+	rq, err := http.NewRequestWithContext(cl.ds.tb.Context(), http.MethodGet, "http://"+cl.entry+":1"+target, nil)
+	if err != nil {
+		cl.ds.tb.Error(err)
+		return false
+	}
+	rq.Host = directHost
+	rq.Header.Set(headerID, id)
+	rq.Header.Set(headerTimeout, "4000")
+	rq.Header.Set(headerAdapter, adapter)
+	resp, err := cl.client.Do(rq)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK && err == nil
+}
+
+// heapBytes returns the bytes of live objects.
+func heapBytes() uint64 {
+	runtime.GC()
+	ms := runtime.MemStats{}
+	runtime.ReadMemStats(&ms)
+	return ms.HeapAlloc
+}
+
+// Answers without an end must neither fill the memory of an entry node nor look whole, and end with the
+// caller's time. Other requests are answered meanwhile.
+func TestDirectEndlessAnswersHoldBoundedMemoryAndDoNotLookWhole(t *testing.T) {
+	for name, tc := range map[string]struct {
+		target, adapter, block string
+	}{
+		"bodies":               {target: "/safe/endless", block: strings.Repeat("b", endlessBlock)},
+		"events":               {target: "/stream/endless", adapter: "a1", block: strings.Repeat("e", endlessBlock)},
+		"events of many lines": {target: "/stream/endless", adapter: "a1", block: strings.Repeat("data: e\n", endlessBlock/8)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runDirectSimulation(t, 2, 2, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+					if !strings.HasSuffix(rq.URL.Path, "/endless") {
+						defaultAnswer(wr, rq)
+						return
+					}
+					writeSealHeaders(wr, rq)
+					writeEndless(wr, tc.block)
+				})
+				before, wg := heapBytes(), sync.WaitGroup{}
+				for number := range endlessAnswers {
+					wg.Go(func() {
+						start := time.Now()
+						whole := cl.discard(fmt.Sprintf("endless-%d", number), tc.target, tc.adapter)
+						if whole {
+							t.Error("an answer without an end looks whole")
+						}
+						if took := time.Since(start); took > 4*time.Second {
+							t.Errorf("an answer without an end took %v", took)
+						}
+					})
+				}
+				held := int64(0)
+				for range 12 {
+					time.Sleep(200 * time.Millisecond)
+					held = max(held, int64(heapBytes())-int64(before))
+				}
+				t.Logf("%d MiB more at most", held>>20)
+				if held > heldMax+heldSlack {
+					t.Errorf("%d endless answers take %d MiB, want at most %d", endlessAnswers, held>>20, (heldMax+heldSlack)>>20)
+				}
+				if re := cl.sendAs(t.Context(), "sound", http.MethodGet, "/safe/x", "", ""); re.status != http.StatusOK || re.err != nil {
+					t.Errorf("another request got %+v", re)
+				}
+				wg.Wait()
+			})
+		})
+	}
+}
