--- a/agent/node/node.go
+++ b/agent/node/node.go
@@ -68,6 +68,7 @@
 func newClient(op Options) *client.Client {
 	tr := &http.Transport{
 		DialContext: op.Network.DialContext, MaxIdleConnsPerHost: idleConnsMax, DisableCompression: true,
+		MaxResponseHeaderBytes: conf.HeadBytesMax,
 	}
 	return client.NewClient(&http.Client{Transport: tr}, op.Settings.BackendURL)
 }
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 
+	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -88,7 +89,9 @@
 // Dial opens a WebSocket connection to the agent at the address. Connect also exchanges Hello and
 // Welcome.
 func Dial(ctx context.Context, di Dialer, address string) (*Conn, error) {
-	hc := &http.Client{Transport: &http.Transport{DialContext: di.DialContext, DisableKeepAlives: true}}
+	hc := &http.Client{Transport: &http.Transport{
+		DialContext: di.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conf.HeadBytesMax,
+	}}
 	ws, resp, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{HTTPClient: hc})
 	if err != nil {
 		return nil, errors.Wrapf(err, "link: dial %s", address)
--- a/entry/internal/pool/head.go
+++ b/entry/internal/pool/head.go
@@ -8,9 +8,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// DefaultHeadBytesMax is the default bound of the heads of an answer, in bytes.
-const DefaultHeadBytesMax = 64 << 10
-
 // keptHeadBytes is the capacity up to which a connection keeps its buffer for heads.
 const keptHeadBytes = 4 << 10
 
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/conf"
 )
 
 const (
@@ -48,10 +50,10 @@
 }
 
 // New returns an empty pool. The heads of an answer, interim ones included, have headBytesMax bytes at
-// most, zero for DefaultHeadBytesMax.
+// most, zero for conf.HeadBytesMax.
 func New(di Dialer, headBytesMax int) *Pool {
 	if headBytesMax <= 0 {
-		headBytesMax = DefaultHeadBytesMax
+		headBytesMax = conf.HeadBytesMax
 	}
 	return &Pool{dialer: di, headBytesMax: headBytesMax, idle: map[string][]*Conn{}, openCount: map[string]int{}}
 }
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -93,6 +93,7 @@
 func newHTTPClient(op Options) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: op.Network.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true,
+		MaxResponseHeaderBytes: conf.HeadBytesMax,
 	}}
 }
 
--- a/proofs/direct_answers_test.go
+++ b/proofs/direct_answers_test.go
@@ -138,3 +138,72 @@
 		}
 	})
 }
+
+// writeUnframed writes an answer to a request that ends with its connection, and breaks it off by a reset
+// if whole is false.
+func (ds *directSimulation) writeUnframed(wr http.ResponseWriter, rq *http.Request, server, body string, whole bool) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\n\r\n", headerID, rq.Header.Get(headerID), headerSeal)
+	if whole {
+		hijack(wr, func(bw *bufio.ReadWriter) { _, _ = bw.WriteString(head + body) })
+		return
+	}
+	hijack(wr, func(bw *bufio.ReadWriter) {
+		_, _ = bw.WriteString(head + body)
+		_ = bw.Flush()
+		time.Sleep(10 * time.Millisecond)
+		ds.net.cut("entry-1", server)
+	})
+}
+
+// An answer may have neither a length nor chunks and end with its connection. It is whole after an orderly
+// end and reaches the caller with a length or chunks; after a reset, or an end inside an event, it is not.
+func TestDirectAnswersThatEndWithTheirConnection(t *testing.T) {
+	events := completeStream()
+	for name, tc := range map[string]struct {
+		target, adapter, body string
+		whole                 bool
+		// want is the body that the caller must get, empty if the answer must not look whole.
+		want string
+	}{
+		"body":                                {target: "/safe/x", body: "the body", whole: true, want: "the body"},
+		"empty body":                          {target: "/unsafe/x", whole: true},
+		"long body":                           {target: "/unsafe/x", body: strings.Repeat("x", 3<<20), whole: true, want: strings.Repeat("x", 3<<20)},
+		"body, reset":                         {target: "/unsafe/x", body: "the body"},
+		"long body, reset":                    {target: "/unsafe/x", body: strings.Repeat("x", 3<<20)},
+		"stream":                              {target: "/once/x", adapter: "a1", body: events, whole: true, want: events},
+		"stream, end inside an event":         {target: "/once/x", adapter: "a1", body: events + "id: 11\nda", whole: true},
+		"stream, end before a blank line":     {target: "/once/x", adapter: "a1", body: strings.TrimSuffix(events, "\n"), whole: true},
+		"stream, reset":                       {target: "/once/x", adapter: "a1", body: events},
+		"stream resumed after half event":     {target: "/stream/x", adapter: "a1", body: events[:len(events)/2], whole: true, want: events},
+		"stream resumed after a reset":        {target: "/stream/x", adapter: "a1", body: events[:len(events)/2], want: events},
+		"repeated body, reset the first time": {target: "/safe/x", body: "the whole", want: "the whole answer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runDirectSimulation(t, 2, 2, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				answered := 0
+				for id, ba := range ds.backends {
+					ba.setScript(func(wr http.ResponseWriter, rq *http.Request) {
+						answered++
+						if answered > 1 {
+							defaultAnswer(wr, rq)
+							return
+						}
+						ds.writeUnframed(wr, rq, id, tc.body, tc.whole)
+					})
+				}
+				re := cl.send(t.Context(), http.MethodPost, tc.target, tc.adapter, "body")
+				looksWhole := re.err == nil && re.status == http.StatusOK
+				switch {
+				case tc.want == "" && tc.body != "" && looksWhole:
+					t.Errorf("a broken answer looks whole: %.60q", re.body)
+				case tc.want != "" && (!looksWhole || re.body != tc.want):
+					t.Errorf("status %d, error %v, %d bytes %.60q, want %d", re.status, re.err, len(re.body), re.body, len(tc.want))
+				}
+				// The next request on the same connections gets its own answer.
+				if re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "release"); re.status != http.StatusOK || re.body != "the whole answer" {
+					t.Errorf("the next request got %+v", re)
+				}
+			})
+		})
+	}
+}
--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -255,11 +255,18 @@
 }
 
 // cut closes both ends at once and discards undelivered data.
-func (co *conn) cut() {
+func (co *conn) cut() { co.closeAll(nil) }
+
+// closeAll closes both ends at once. The other end of feed, if it is not nil, still reads the end of the
+// data, as after an orderly close.
+func (co *conn) closeAll(feed net.Conn) {
 	co.closeOnce.Do(func() {
 		close(co.closed)
-		for _, end := range co.pipes {
-			_ = end.Close()
+		for ix, end := range co.pipes {
+			// Each read end is followed by its feed.
+			if feed == nil || ix%2 == 1 || co.pipes[ix+1] != feed {
+				_ = end.Close()
+			}
 		}
 	})
 	co.ne.mu.Lock()
@@ -289,7 +296,7 @@
 			}
 		case <-co.endClosed:
 			time.Sleep(co.ne.latency)
-			co.cut()
+			co.closeAll(feed)
 			return
 		}
 	}
