Fail answers that an agent reads only in part

Cause: an answer that is no stream was cut off at 16 MiB and passed on as whole with its model replaced, as the library that finds the model reads only that far. Change: more than the bound is an error, as a broken answer is. Before: readWhole did not exist; the same read returned 16 MiB without an error. After: an error.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -171,9 +171,9 @@
 // sendJSON sends a JSON answer with the adapter's name and version instead of its
 // handle.
 func (fw *forwarding) sendJSON(ctx context.Context, resp *http.Response, contentType string) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, answerBytesMax))
+	data, err := readWhole(resp.Body, answerBytesMax)
 	if err != nil {
-		return errors.Wrap(err, "broker: read answer")
+		return err
 	}
 	if resp.StatusCode == http.StatusOK {
 		if data, err = fw.replaceModel(data); err != nil {
@@ -184,6 +184,19 @@
 	return fw.out.Finish(ctx, data)
 }
 
+// readWhole reads a body. It fails if the body has more than the given number of bytes, as a part of it must
+// not pass for the whole.
+func readWhole(rd io.Reader, bytesMax int) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(rd, int64(bytesMax)+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "broker: read answer")
+	}
+	if len(data) > bytesMax {
+		return nil, errors.Newf("broker: the answer has more than %d bytes; look at what the server sends", bytesMax)
+	}
+	return data, nil
+}
+
 // sendEvents sends the events of a stream, each with the adapter's name and version instead of its
 // handle.
 func (fw *forwarding) sendEvents(ctx context.Context, resp *http.Response) error {
