--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -8,6 +8,7 @@
 
 	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/lease"
+	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -80,7 +81,7 @@
 	// that connect later.
 	crashes, parts []passedReport
 	// buckets holds what may be sent to servers with limits whose entry nodes ask this agent.
-	buckets map[serverRun]lease.Bucket
+	buckets map[poison.Run]lease.Bucket
 	// boot is the ID of this run of the agent.
 	boot string
 }
@@ -89,7 +90,7 @@
 func NewBroker(eg Engine, boot string, lg zerolog.Logger) *Broker {
 	return &Broker{
 		eg: eg, lg: lg, events: make(chan event, eventQueueMax), en: grant.New(time.Now()),
-		sessions: map[string]*session{}, buckets: map[serverRun]lease.Bucket{}, boot: boot,
+		sessions: map[string]*session{}, buckets: map[poison.Run]lease.Bucket{}, boot: boot,
 	}
 }
 
--- a/agent/direct/leases.go
+++ b/agent/direct/leases.go
@@ -4,21 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
 // bucketIdleMax is how long the bucket of a server is kept after the last ask.
 const bucketIdleMax = time.Minute
 
-// serverRun is one run of a backend server.
-type serverRun struct {
-	id   string
-	born int64
-}
-
 // answerLeaseAsk answers an entry node that asks whether it may send requests to a server with a limit.
 func (br *Broker) answerLeaseAsk(ctx context.Context, se *session, la *wire.LeaseAsk, now time.Time) {
-	run := serverRun{id: la.Server, born: la.Born}
+	run := poison.Run{Server: la.Server, Born: la.Born}
 	bucket, known := br.buckets[run]
 	if !known {
 		br.removeIdleBuckets(now)
