--- a/proofs/direct_parts_test.go
+++ b/proofs/direct_parts_test.go
@@ -33,8 +33,9 @@
 	ds      *directSimulation
 	callers []*directCaller
 	target  string
-	// badParts are the shared parts of the requests that crash engines, separated by commas.
-	badParts string
+	// badParts are the shared parts of the requests that crash engines, separated by commas. There may be
+	// several kinds of such requests, which come in turn.
+	badParts []string
 	// isBad reports whether a request crashes the engine that begins to answer it, from its parts.
 	isBad func(parts string) bool
 	// soundFirst is true if requests with badParts are sound and come during calmTime too.
@@ -42,14 +43,14 @@
 	// slow makes sound answers take a second longer.
 	slow bool
 
-	start   time.Time
-	mu      sync.Mutex
-	random  *rand.Rand
-	crashes []time.Time
-	// arrivals are the times at which requests that crash engines reached one.
-	arrivals []time.Time
-	sound    []partReply
-	wg       sync.WaitGroup
+	start  time.Time
+	mu     sync.Mutex
+	random *rand.Rand
+	// crashes and arrivals are the times at which bad requests crashed engines and reached them, by the
+	// part that makes them bad.
+	crashes, arrivals map[string][]time.Time
+	sound             []partReply
+	wg                sync.WaitGroup
 }
 
 // partReply is the reply to a sound request and when it was sent.
@@ -64,20 +65,24 @@
 }
 
 // startPartLoad makes engines crash on bad requests.
-func startPartLoad(ds *directSimulation, target, badParts string, isBad func(parts string) bool) *partLoad {
-	pl := &partLoad{ds: ds, target: target, badParts: badParts, isBad: isBad, random: rand.New(rand.NewPCG(1, 2))}
+func startPartLoad(ds *directSimulation, target string, badParts []string, isBad func(parts string) bool) *partLoad {
+	pl := &partLoad{
+		ds: ds, target: target, badParts: badParts, isBad: isBad, random: rand.New(rand.NewPCG(1, 2)),
+		crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{},
+	}
 	for id, ba := range ds.backends {
 		ba.setScript(func(wr http.ResponseWriter, rq *http.Request) {
 			if !pl.isBad(rq.Header.Get(headerParts)) || pl.soundFirst && pl.calm() {
 				pl.answer(wr, rq)
 				return
 			}
+			bad := badPartOf(rq.Header.Get(headerParts))
 			pl.mu.Lock()
-			pl.arrivals = append(pl.arrivals, time.Now())
+			pl.arrivals[bad] = append(pl.arrivals[bad], time.Now())
 			pl.mu.Unlock()
 			writeSealHeaders(wr, rq)
 			time.Sleep(crashDelay)
-			pl.crash(id, rq)
+			pl.crash(id, bad, rq)
 		})
 	}
 	return pl
@@ -95,13 +100,13 @@
 func (pl *partLoad) calm() bool { return time.Since(pl.start) < calmTime }
 
 // crash crashes an engine unless the request was canceled.
-func (pl *partLoad) crash(id string, rq *http.Request) {
+func (pl *partLoad) crash(id, bad string, rq *http.Request) {
 	if rq.Context().Err() != nil {
 		return
 	}
 	pl.mu.Lock()
 	if pl.ds.backends[id].bornAt() != 0 {
-		pl.crashes = append(pl.crashes, time.Now())
+		pl.crashes[bad] = append(pl.crashes[bad], time.Now())
 	}
 	pl.mu.Unlock()
 	pl.ds.crashServer(id, crashDowntime)
@@ -132,7 +137,7 @@
 		parts := fmt.Sprintf("first,shared-%d", number%7)
 		pl.send(2*number, parts, !pl.isBad(parts+","))
 		if (pl.soundFirst || !pl.calm()) && number%5 == 0 {
-			pl.send(2*number+1, pl.badParts, false)
+			pl.send(2*number+1, pl.badParts[number/5%len(pl.badParts)], false)
 		}
 		time.Sleep(tick)
 	}
@@ -142,28 +147,72 @@
 	}
 }
 
-// hasBadPart reports whether badPart is among the parts.
-func hasBadPart(parts string) bool { return slices.Contains(strings.Split(parts, ","), badPart) }
+// hasBadPart reports whether a part whose name begins with badPart is among the parts.
+func hasBadPart(parts string) bool { return badPartOf(parts) != "" }
 
-// checkArrivals checks how many bad requests were sent to engines after the verdict was due, and returns
-// when that was.
+// badPartOf returns the part whose name begins with badPart, or nothing.
+func badPartOf(parts string) string {
+	list := strings.Split(parts, ",")
+	ix := slices.IndexFunc(list, func(part string) bool { return strings.HasPrefix(part, badPart) })
+	if ix < 0 {
+		return ""
+	}
+	return list[ix]
+}
+
+// checkArrivals checks for each part how many bad requests were sent to engines after its verdict was due,
+// and returns when the last of these was.
 func (pl *partLoad) checkArrivals(t *testing.T) time.Time {
 	t.Helper()
-	if len(pl.crashes) < partVerdictCrashes {
-		t.Logf("%d crashes", len(pl.crashes))
-		return pl.crashes[len(pl.crashes)-1].Add(partVerdictTime)
+	lastDue := time.Time{}
+	for bad, crashes := range pl.crashes {
+		due, late := crashes[min(len(crashes), partVerdictCrashes)-1].Add(partVerdictTime), 0
+		for _, at := range pl.arrivals[bad] {
+			late += countIf(at.After(due))
+		}
+		t.Logf("%s: %d crashes, %d arrivals, %d later than %v after the fifth crash", bad, len(crashes), len(pl.arrivals[bad]), late, partVerdictTime)
+		if late > partArrivalsMax {
+			t.Errorf("%d requests with %s were sent to engines later than %v after the fifth crash, want at most %d", late, bad, partVerdictTime, partArrivalsMax)
+		}
+		if due.After(lastDue) {
+			lastDue = due
+		}
 	}
-	due, late := pl.crashes[partVerdictCrashes-1].Add(partVerdictTime), 0
-	for _, at := range pl.arrivals {
-		if at.After(due) {
-			late++
+	return lastDue
+}
+
+// firstCrash returns when a bad request first crashed an engine.
+func (pl *partLoad) firstCrash() time.Time {
+	first := time.Time{}
+	for _, crashes := range pl.crashes {
+		if first.IsZero() || crashes[0].Before(first) {
+			first = crashes[0]
 		}
 	}
-	t.Logf("%d crashes, %d arrivals, %d later than %v after the fifth crash", len(pl.crashes), len(pl.arrivals), late, partVerdictTime)
-	if late > partArrivalsMax {
-		t.Errorf("%d requests with the part were sent to engines later than %v after the fifth crash, want at most %d", late, partVerdictTime, partArrivalsMax)
+	return first
+}
+
+// crashOthers crashes the engines one after the other for no reason of requests.
+func (pl *partLoad) crashOthers(period time.Duration, engines int) {
+	time.Sleep(calmTime)
+	for number := 0; time.Since(pl.start) < calmTime+badTime; number++ {
+		pl.ds.crashServer(fmt.Sprintf("engine-%d", number%engines), crashDowntime)
+		time.Sleep(period)
+	}
+}
+
+// checkLateNode checks that an entry node that starts later knows the parts that crash engines.
+func (pl *partLoad) checkLateNode(t *testing.T) {
+	t.Helper()
+	pl.ds.startEntry("entry-late")
+	cl := pl.ds.newCaller("entry-late")
+	defer cl.client.CloseIdleConnections()
+	for ix, parts := range pl.badParts {
+		re := cl.sendPrompt(t.Context(), fmt.Sprintf("late-%d", ix), http.MethodPost, pl.target, "a1", "late", parts+",own")
+		if re.status != http.StatusServiceUnavailable || !strings.Contains(re.body, "quarantined") {
+			t.Errorf("an entry node that started later answered %+v to %s", re, parts)
+		}
 	}
-	return due
 }
 
 // checkSound checks that after the verdict sound requests are answered at least half as often as before the
@@ -174,7 +223,7 @@
 	for ix := range pl.sound {
 		pr := &pl.sound[ix]
 		switch {
-		case pr.at.Before(pl.crashes[0].Add(-partVerdictTime)):
+		case pr.at.Before(pl.firstCrash().Add(-partVerdictTime)):
 			calm++
 			calmAnswered += countIf(pr.answered())
 		case pr.at.After(due.Add(partVerdictTime)):
@@ -204,18 +253,26 @@
 func TestDirectPartThatCrashedFiveServersIsSentToNoOther(t *testing.T) {
 	for name, tc := range map[string]struct {
 		engines, entries int
-		target, badParts string
+		target           string
+		badParts         []string
 		renamed          bool
 		soundFirst       bool
+		// otherCrashes is the time between crashes for other reasons, zero for none; frozen makes the agent
+		// that passes reports on freeze.
+		otherCrashes time.Duration
+		frozen       bool
 	}{
-		"part in the middle":             {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad"},
-		"part before a shared one":       {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad,shared-1"},
-		"streams that must not go on":    {engines: 6, entries: 3, target: "/once/x", badParts: "first,bad"},
-		"first part":                     {engines: 6, entries: 3, target: "/stream/x", badParts: "bad,shared-1"},
-		"one entry node":                 {engines: 6, entries: 1, target: "/stream/x", badParts: "first,bad"},
-		"engines that change their IDs":  {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad", renamed: true},
-		"part that was sound before":     {engines: 6, entries: 3, target: "/stream/x", badParts: "first,bad", soundFirst: true},
-		"eight entry nodes, ten engines": {engines: 10, entries: 8, target: "/stream/x", badParts: "first,bad"},
+		"part in the middle":             {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad"}},
+		"part before a shared one":       {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad,shared-1"}},
+		"streams that must not go on":    {engines: 6, entries: 3, target: "/once/x", badParts: []string{"first,bad"}},
+		"first part":                     {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"bad,shared-1"}},
+		"one entry node":                 {engines: 6, entries: 1, target: "/stream/x", badParts: []string{"first,bad"}},
+		"engines that change their IDs":  {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad"}, renamed: true},
+		"part that was sound before":     {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad"}, soundFirst: true},
+		"two parts":                      {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad-1", "first,bad-2"}},
+		"among other crashes":            {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad"}, otherCrashes: 3 * time.Second},
+		"an agent freezes":               {engines: 6, entries: 3, target: "/stream/x", badParts: []string{"first,bad"}, frozen: true},
+		"eight entry nodes, ten engines": {engines: 10, entries: 8, target: "/stream/x", badParts: []string{"first,bad"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runDirectSimulation(t, 1, tc.engines, func(t *testing.T, ds *directSimulation, first *directCaller) {
@@ -228,8 +285,15 @@
 					ds.startEntry(name)
 					pl.callers = append(pl.callers, ds.newCaller(name))
 				}
+				if tc.frozen {
+					ds.net.freeze("engine-0", calmTime+badTime)
+				}
+				if tc.otherCrashes > 0 {
+					go pl.crashOthers(tc.otherCrashes, tc.engines)
+				}
 				pl.run()
 				pl.checkSound(t, pl.checkArrivals(t))
+				pl.checkLateNode(t)
 			})
 		})
 	}
@@ -257,7 +321,7 @@
 		t.Run(name, func(t *testing.T) {
 			runDirectSimulation(t, 1, 6, func(t *testing.T, ds *directSimulation, first *directCaller) {
 				ds.startEntry("entry-2")
-				pl := startPartLoad(ds, "/stream/x", "first,bad", never)
+				pl := startPartLoad(ds, "/stream/x", []string{"first,bad"}, never)
 				pl.callers = []*directCaller{first, ds.newCaller("entry-2")}
 				pl.slow, pl.soundFirst = tc.slow, true
 				go func() {
