--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 bench:
 	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
 	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
-	@cd proofs && go test -run xxx -bench OpenStreams -benchtime 1x .
+	@cd proofs && go test -run xxx -bench 'OpenStreams|Hostile' -benchtime 1x .
 
 measure:
 	@cd proofs && MEASURE=1 go test -v -count=1 -timeout 30m -run TestMeasure .
--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -132,7 +132,7 @@
 	AnswerHoldBytes int `json:"answer_hold_bytes,omitempty,omitzero" yaml:"answer_hold_bytes,omitempty"`
 
 	// AnswersHoldBytes is how much of all answers together is held, in bytes; zero
-	// stands for 32 MiB.
+	// stands for 16 MiB.
 	AnswersHoldBytes int `json:"answers_hold_bytes,omitempty,omitzero" yaml:"answers_hold_bytes,omitempty"`
 
 	// CallerAddress is the listen address for callers, as IP:port.
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -11,8 +11,12 @@
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
-// maxDiscardBytes limits how much of a discarded answer is read.
-const maxDiscardBytes = 64 << 10
+const (
+	// maxDiscardBytes limits how much of a discarded answer is read.
+	maxDiscardBytes = 64 << 10
+	// passOnBytes is the size of the buffer by which an answer is passed on as it arrives.
+	passOnBytes = 8 << 10
+)
 
 // bufferedAnswer is an answer that has been read completely.
 type bufferedAnswer struct {
@@ -73,7 +77,7 @@
 	rq.wr.WriteHeader(ans.status)
 	rq.answerStarted = true
 	delivered := rq.write(ans.body)
-	if _, err := io.Copy(rq.wr, an.Body); err != nil {
+	if _, err := io.CopyBuffer(rq.wr, an.Body, make([]byte, passOnBytes)); err != nil {
 		rq.no.recordFailure(at.server)
 		rq.respondError(outcomeUnknownError("the answer broke off: " + err.Error()))
 	}
--- a/entry/direct/held.go
+++ b/entry/direct/held.go
@@ -13,7 +13,7 @@
 	// defaultAnswerHoldBytes is the default bound of what is held of one answer before it is delivered.
 	defaultAnswerHoldBytes = 1 << 20
 	// defaultAnswersHoldBytes is the default bound of what is held of all answers together.
-	defaultAnswersHoldBytes = 32 << 20
+	defaultAnswersHoldBytes = 16 << 20
 	// freeEventBytes is the size up to which an event of a stream does not count.
 	freeEventBytes = 64 << 10
 	// firstHoldBytes is the size of the first buffer of an answer of unknown length.
--- a/proofs/direct_bounds_test.go
+++ b/proofs/direct_bounds_test.go
@@ -18,7 +18,7 @@
 	endlessAnswers = 40
 	// heldMax is what an entry node may hold of all answers together by default, in bytes, and heldSlack what
 	// the connections and the rest of the test take beside it.
-	heldMax   = 32 << 20
+	heldMax   = 16 << 20
 	heldSlack = 16 << 20
 )
 
