--- a/proofs/direct_parts_test.go
+++ b/proofs/direct_parts_test.go
@@ -318,7 +318,7 @@
 // run sends sound requests during the crashes, with the parts of their prompts or without them, and returns
 // how many were answered and how many were refused for a part.
 func (oc otherCrashes) run(t *testing.T, withParts bool) (answered, refused int) {
-	runDirectSimulation(t, 1, 6, func(t *testing.T, ds *directSimulation, first *directCaller) {
+	runDirectSimulation(t, 1, 6, func(_ *testing.T, ds *directSimulation, first *directCaller) {
 		ds.startEntry("entry-2")
 		pl := startPartLoad(ds, "/stream/x", []string{"first,bad"}, func(string) bool { return false })
 		pl.callers = []*directCaller{first, ds.newCaller("entry-2")}
