--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
@@ -45,7 +47,7 @@
 	histogram(histogramFirstByte).record(took)
 	ans := &bufferedAnswer{status: an.Status, header: an.Header, body: data}
 	if !whole && !rq.answerStarted {
-		rq.passOnAnswer(at, ans, an, took)
+		rq.passOnAnswer(ctx, at, ans, an, took)
 		return result{outcome: retry.Failed}, true
 	}
 	if whole {
@@ -67,7 +69,7 @@
 // passOnAnswer writes the held part of an answer to the caller and then the rest as it arrives. If the
 // rest breaks off, the connection is aborted, so that the answer does not look complete. The argument
 // took is the time until the held part had arrived.
-func (rq *request) passOnAnswer(at *attempt, ans *bufferedAnswer, an *pool.Answer, took time.Duration) {
+func (rq *request) passOnAnswer(ctx context.Context, at *attempt, ans *bufferedAnswer, an *pool.Answer, took time.Duration) {
 	rq.logAttempt(at, "answer_not_held").Int("status", ans.status).Int("held", len(ans.body)).Int64("length", an.Length()).Send()
 	metricPassedOn.Add(1)
 	copyHeader(rq.wr.Header(), ans.header)
@@ -77,11 +79,12 @@
 	rq.wr.WriteHeader(ans.status)
 	rq.answerStarted = true
 	delivered := rq.write(ans.body)
-	if _, err := io.CopyBuffer(rq.wr, an.Body, make([]byte, passOnBytes)); err != nil {
-		rq.no.recordFailure(at.server)
-		rq.respondError(outcomeUnknownError("the answer broke off: " + err.Error()))
+	if delivered {
+		var err error
+		if delivered, err = rq.passOn(an.Body); err != nil {
+			rq.abortAnswer(ctx, at, err)
+		}
 	}
-	rq.no.crashes.recordAnswered(rq)
 	if ans.status < http.StatusInternalServerError {
 		rq.no.recordSuccess(at, took)
 	} else {
@@ -90,6 +93,36 @@
 	rq.logAnswered(at, ans.status, delivered)
 }
 
+// passOn writes a body to the caller as it arrives. It returns false if the caller has disconnected, and the
+// error with which the body broke off.
+func (rq *request) passOn(body io.Reader) (bool, error) {
+	buf := make([]byte, passOnBytes)
+	for {
+		count, err := body.Read(buf)
+		if count > 0 && !rq.write(buf[:count]) {
+			return false, nil
+		}
+		if count < len(buf) {
+			rq.wr.Flush()
+		}
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			rq.no.crashes.recordAnswered(rq)
+			return true, nil
+		}
+		if err != nil {
+			return true, err
+		}
+	}
+}
+
+// abortAnswer aborts the caller's connection after a part of an answer, because the rest broke off.
+func (rq *request) abortAnswer(ctx context.Context, at *attempt, err error) {
+	if re := rq.classifySendError(ctx, at, err); re.serverLost {
+		rq.no.crashes.recordLost(rq, at, re.reason)
+	}
+	rq.respondError(outcomeUnknownError("the answer broke off: " + err.Error()))
+}
+
 // deliverFailure sends a server's own error answer to the caller. If a stream has started, the
 // connection is aborted instead, as another answer can no longer be sent.
 func (rq *request) deliverFailure(at *attempt, re result) {
--- a/proofs/direct_bounds_test.go
+++ b/proofs/direct_bounds_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -110,3 +113,74 @@
 		})
 	}
 }
+
+// A caller that leaves in the middle of a long answer says nothing about the server, which must not be
+// avoided for it.
+func TestDirectCallerThatLeavesALongAnswerIsNoFailureOfItsServer(t *testing.T) {
+	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+		lines := &logBuffer{}
+		ds.lg = zerolog.New(lines)
+		ds.startEntry("entry-2")
+		cl := ds.newCaller("entry-2")
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			if !strings.HasSuffix(rq.URL.Path, "/endless") {
+				defaultAnswer(wr, rq)
+				return
+			}
+			writeSealHeaders(wr, rq)
+			writeEndless(wr, strings.Repeat("b", endlessBlock))
+		})
+		for number := range 5 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			cl.sendAs(ctx, fmt.Sprintf("endless-%d", number), http.MethodGet, "/safe/endless", "", "")
+			cancel()
+		}
+		lines.reset()
+		cl.sendAs(t.Context(), "sound", http.MethodGet, "/safe/x", "", "")
+		cl.client.CloseIdleConnections()
+		first := costOf(lines.text(), "sound")
+		ds.startEntry("entry-3")
+		cl = ds.newCaller("entry-3")
+		lines.reset()
+		cl.sendAs(t.Context(), "calm", http.MethodGet, "/safe/x", "", "")
+		cl.client.CloseIdleConnections()
+		if calm := costOf(lines.text(), "calm"); first == "" || first != calm {
+			t.Errorf("the server costs %q after callers that left, %q at a node without any", first, calm)
+		}
+	})
+}
+
+// costOf returns the cost of the server that was chosen for a request, as logged.
+func costOf(lines, request string) string {
+	_, rest, _ := strings.Cut(lines, `"request":"`+request+`"`)
+	_, rest, _ = strings.Cut(rest, `"cost":`)
+	cost, _, _ := strings.Cut(rest, ",")
+	return cost
+}
+
+// logBuffer keeps log lines.
+type logBuffer struct {
+	mu   sync.Mutex
+	data []byte
+}
+
+func (lb *logBuffer) Write(data []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	lb.data = append(lb.data, data...)
+	return len(data), nil
+}
+
+// reset forgets all lines.
+func (lb *logBuffer) reset() {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	lb.data = nil
+}
+
+// text returns all lines.
+func (lb *logBuffer) text() string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return string(lb.data)
+}
