--- a/core/poison/doc.go
+++ b/core/poison/doc.go
@@ -11,7 +11,7 @@
 // each other: a fingerprint that was in flight at SuspectCrashes crashes, with no answer between
 // them, is refused until Retention after the last one.
 //
-// Parts gives a verdict on parts of prompts that many requests share, from crashes and answers: partcase.go
+// Parts gives a verdict on parts of prompts that many requests share, from crashes and answers: evidence.go
 // says what speaks against a part, blocked.go when requests with a refused part are let through, answers.go
 // remembers answers.
 //
--- a/core/poison/partcase.go
+++ b/core/poison/evidence.go
@@ -16,42 +16,42 @@
 	// unexplainedMin is the number of crashes without a part that is refused already from which on those
 	// with one count too, as the wrong part may be refused.
 	unexplainedMin = 2
-	// rivalFactor times the crashes with another part must not exceed those with a part that was answered
+	// similarPartFactor times the crashes with another part must not exceed those with a part that was answered
 	// before.
-	rivalFactor = 4.0 / 3
+	similarPartFactor = 4.0 / 3
 	// otherCrashesFactor times the crashes without the part must not exceed those with it.
 	otherCrashesFactor = 3
 )
 
-// partCase is what speaks against a part.
-type partCase struct {
+// partEvidence is what speaks against a part.
+type partEvidence struct {
 	// crashes counts those since the last answer, explained those of them at which a refused part was in
 	// flight too, and others those without the part between the first and the last of them.
 	crashes, explained, others int
 	first, last                time.Time
 	// answered is true if the part has been in an answered request before.
-	answered bool
-	guilty   bool
+	answered   bool
+	conclusive bool
 }
 
 // weakerThan reports whether less speaks against the part than against another one.
-func (ca partCase) weakerThan(other partCase) bool {
+func (pe partEvidence) weakerThan(other partEvidence) bool {
 	switch {
-	case !other.guilty:
+	case !other.conclusive:
 		return false
-	case ca.answered != other.answered:
-		return ca.answered
+	case pe.answered != other.answered:
+		return pe.answered
 	}
-	return ca.crashes < other.crashes
+	return pe.crashes < other.crashes
 }
 
 // needed returns the number of crashes at which the part is refused.
-func (ca partCase) needed() int {
-	amongOthers := otherCrashesFactor*ca.others > ca.crashes
+func (pe partEvidence) needed() int {
+	amongOthers := otherCrashesFactor*pe.others > pe.crashes
 	switch {
-	case ca.answered && amongOthers:
+	case pe.answered && amongOthers:
 		return answeredPartAmongOthers
-	case ca.answered:
+	case pe.answered:
 		return answeredPartCrashes
 	case amongOthers:
 		return partCrashesAmongOthers
@@ -59,19 +59,19 @@
 	return PartCrashes
 }
 
-// caseAgainst returns what speaks against a part that is not refused yet.
-func (pa *Parts) caseAgainst(part string) partCase {
+// evidenceAgainst returns what speaks against a part that is not refused yet.
+func (pa *Parts) evidenceAgainst(part string) partEvidence {
 	if pa.blocked[part] != nil {
-		return partCase{}
+		return partEvidence{}
 	}
-	ca := pa.countCrashes(part)
-	ca.guilty = ca.crashes >= ca.needed() && pa.answers.without(part, ca.first, ca.last) && (!ca.answered || pa.standsOut(part, ca))
-	return ca
+	pe := pa.countCrashes(part)
+	pe.conclusive = pe.crashes >= pe.needed() && pa.answers.without(part, pe.first, pe.last) && (!pe.answered || pa.standsOut(part, pe))
+	return pe
 }
 
 // standsOut reports whether no other part was in flight at nearly as many crashes since its last answer. If
 // one was, too little is answered to tell the parts apart. A part of all requests does not count.
-func (pa *Parts) standsOut(part string, ca partCase) bool {
+func (pa *Parts) standsOut(part string, pe partEvidence) bool {
 	seen := map[string]bool{part: true}
 	for ix := range pa.crashes {
 		for _, other := range pa.crashes[ix].parts {
@@ -79,8 +79,8 @@
 				continue
 			}
 			seen[other] = true
-			rival := pa.countCrashes(other)
-			if rivalFactor*float64(rival.crashes) > float64(ca.crashes) && pa.answers.without(other, rival.first, rival.last) {
+			similar := pa.countCrashes(other)
+			if similarPartFactor*float64(similar.crashes) > float64(pe.crashes) && pa.answers.without(other, similar.first, similar.last) {
 				return false
 			}
 		}
@@ -89,9 +89,9 @@
 }
 
 // countCrashes counts the crashes since the last answer that speak against a part.
-func (pa *Parts) countCrashes(part string) partCase {
+func (pa *Parts) countCrashes(part string) partEvidence {
 	answeredAt, answered := pa.answers.last(part)
-	ca := partCase{answered: answered}
+	pe := partEvidence{answered: answered}
 	countedAt, otherAt, others := time.Time{}, time.Time{}, 0
 	for ix := range pa.crashes {
 		pc := &pa.crashes[ix]
@@ -100,31 +100,31 @@
 		}
 		found, explained := slices.Contains(pc.parts, part), pa.explained(pc)
 		switch {
-		case !found && !explained && ca.crashes > 0 && pc.at.Sub(otherAt) >= sameCauseTime:
+		case !found && !explained && pe.crashes > 0 && pc.at.Sub(otherAt) >= sameCauseTime:
 			others++
 			otherAt = pc.at
 		case found && pc.at.Sub(countedAt) >= sameCauseTime:
-			ca = ca.withCrash(pc.at, explained, others)
+			pe = pe.withCrash(pc.at, explained, others)
 			countedAt = pc.at
 		}
 	}
-	if ca.crashes-ca.explained < unexplainedMin {
-		ca.crashes -= ca.explained
+	if pe.crashes-pe.explained < unexplainedMin {
+		pe.crashes -= pe.explained
 	}
-	return ca
+	return pe
 }
 
 // withCrash returns the case with one more crash after others without the part.
-func (ca partCase) withCrash(at time.Time, explained bool, others int) partCase {
-	if ca.crashes == 0 {
-		ca.first = at
+func (pe partEvidence) withCrash(at time.Time, explained bool, others int) partEvidence {
+	if pe.crashes == 0 {
+		pe.first = at
 	}
-	ca.crashes++
+	pe.crashes++
 	if explained {
-		ca.explained++
+		pe.explained++
 	}
-	ca.last, ca.others = at, others
-	return ca
+	pe.last, pe.others = at, others
+	return pe
 }
 
 // explained reports whether a part that is refused was in flight at a crash.
--- a/core/poison/parts.go
+++ b/core/poison/parts.go
@@ -46,7 +46,7 @@
 			bp.lastCrashAt = cr.At
 		}
 	}
-	return pa.blockGuilty(parts, now)
+	return pa.blockConclusive(parts, now)
 }
 
 // add stores a crash or completes a stored one, and returns all parts that were in flight.
@@ -77,23 +77,23 @@
 	return list
 }
 
-// blockGuilty blocks the most suspect one of the parts as long as one of them is guilty, and returns
-// those. Each one explains crashes that then no longer speak against the others.
-func (pa *Parts) blockGuilty(parts []string, now time.Time) []string {
+// blockConclusive blocks the most suspect one of the parts as long as the evidence against one of them is
+// conclusive, and returns those. Each one explains crashes that then no longer speak against the others.
+func (pa *Parts) blockConclusive(parts []string, now time.Time) []string {
 	list := []string(nil)
 	for {
-		worst, worstCase := "", partCase{}
+		worst, worstEvidence := "", partEvidence{}
 		for _, part := range parts {
-			if ca := pa.caseAgainst(part); ca.guilty && !ca.weakerThan(worstCase) {
-				worst, worstCase = part, ca
+			if pe := pa.evidenceAgainst(part); pe.conclusive && !pe.weakerThan(worstEvidence) {
+				worst, worstEvidence = part, pe
 			}
 		}
 		if worst == "" {
 			return list
 		}
-		bp := pa.block(worst, worstCase.last)
+		bp := pa.block(worst, worstEvidence.last)
 		bp.probeDelay = firstProbeDelay
-		if worstCase.answered {
+		if worstEvidence.answered {
 			bp.probeDelay = answeredProbeDelay
 		}
 		bp.probeAt = now.Add(bp.probeDelay)
--- a/entry/direct/parts.go
+++ b/entry/direct/parts.go
@@ -12,8 +12,8 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// beginTime is how long a server writes an answer until none of the parts of its prompt can be what
-// crashes the server: such a part does so as the answer begins.
+// beginTime is how long an answer must have gone on for the parts of its prompt to be ruled out as the cause of
+// a crash: a part that crashes its server does so as the answer begins.
 const beginTime = 300 * time.Millisecond
 
 // errPartRefused is the cancellation cause of an attempt without an answer yet, because a part of its
