Wait in a proof until the node has heard that its callers left

Change: the test lets 100 ms of simulated time pass first. The comparison stays as it was. Conclusion: a fault of the test, not of the node.

--- a/proofs/direct_bounds_test.go
+++ b/proofs/direct_bounds_test.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// closeDelayMax is longer than the simulated network takes to deliver the close of a connection.
+const closeDelayMax = 100 * time.Millisecond
+
 // A caller that leaves in the middle of a long answer says nothing about the server, which must not be
 // avoided for it.
 func TestDirectCallerThatLeavesALongAnswerIsNoFailureOfItsServer(t *testing.T) {
@@ -135,6 +138,9 @@
 			cl.sendAs(ctx, fmt.Sprintf("endless-%d", number), http.MethodGet, "/safe/endless", "", "")
 			cancel()
 		}
+		// The close of the caller's connection takes a while to reach the node, which counts the request
+		// as in flight until then.
+		time.Sleep(closeDelayMax)
 		lines.reset()
 		cl.sendAs(t.Context(), "sound", http.MethodGet, "/safe/x", "", "")
 		cl.client.CloseIdleConnections()
