Let the simulated backend servers send faulty answers, and the soak set them

Ruled out: answers that are slow because the agent or the entry node holds them (over four seconds were seen; each is a caller that read an endless body to its own limit).

--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/bambooladder/bambooladder/stand/faulty"
 )
 
 // The soak test runs the programs as separate processes on the loopback interface, injects faults
@@ -28,10 +31,14 @@
 	soakDuration    = 5 * time.Second
 	soakCallers     = 6
 	soakRecoveryMax = 12 * time.Second
+	// soakAnswerBytesMax is how much of an answer a caller reads before it leaves.
+	soakAnswerBytesMax = 1 << 20
 	// proxyPortOffset is the difference between the port of a proxy and that of its agent.
 	proxyPortOffset = 10
 )
 
+var errSoakAnswerTooLong = errors.New("the answer is longer than any sound one")
+
 // soakRegressionSeeds maps each seed that failed before to the cause; they always run.
 var soakRegressionSeeds = map[uint64]string{}
 
@@ -245,8 +252,38 @@
 	}
 }
 
+// backendPortOffsets maps each agent to the port of its backend server, counted from the base port.
+var backendPortOffsets = map[string]int{"runner-1": 11, "runner-2": 12, "runner-3": 13, "ledger-1": 14}
+
+// setAnswerMode sets how the backend server beside an agent sends its answers.
+func (so *soak) setAnswerMode(name string, mode faulty.Mode) {
+	url := fmt.Sprintf("http://127.0.0.1:%d%s%s", so.de.basePort+backendPortOffsets[name], faulty.ModePath, mode)
+	rq, err := http.NewRequest(http.MethodPut, url, nil)
+	if err != nil {
+		so.t.Error(err)
+		return
+	}
+	resp, err := http.DefaultClient.Do(rq)
+	if err != nil {
+		so.t.Error(err)
+		return
+	}
+	_ = resp.Body.Close()
+}
+
+// injectFaultyAnswers makes one backend server send faulty answers for a while.
+func (so *soak) injectFaultyAnswers(rd *rand.Rand) {
+	name := soakRunners[rd.IntN(len(soakRunners))]
+	mode := faulty.Modes()[1+rd.IntN(len(faulty.Modes())-1)]
+	length := time.Duration(200+rd.IntN(1000)) * time.Millisecond
+	so.t.Logf("answers %s of %s for %v", mode, name, length)
+	so.setAnswerMode(name, mode)
+	time.Sleep(length)
+	so.setAnswerMode(name, faulty.Sound)
+}
+
 // post sends a request and returns status and body of the response, or an error if the response is
-// missing or incomplete.
+// missing, incomplete or longer than any answer to these requests.
 func (so *soak) post(ctx context.Context, cl *http.Client, url, body, key string) (int, string, error) {
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
@@ -261,7 +298,10 @@
 		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, soakAnswerBytesMax+1))
+	if len(data) > soakAnswerBytesMax {
+		return resp.StatusCode, "", errSoakAnswerTooLong
+	}
 	return resp.StatusCode, string(data), err
 }
 
@@ -401,6 +441,13 @@
 			}
 		})
 	}
+	rd := rand.New(rand.NewPCG(so.rd.Uint64(), 2))
+	group.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(time.Duration(rd.IntN(1000)) * time.Millisecond)
+			so.injectFaultyAnswers(rd)
+		}
+	})
 	group.Wait()
 	for end := time.Now().Add(soakRecoveryMax); !so.answersAgain(); time.Sleep(200 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/stand/internal/launch/launch.go
+++ b/stand/internal/launch/launch.go
@@ -14,6 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/bambooladder/bambooladder/stand/engine"
+	"github.com/bambooladder/bambooladder/stand/faulty"
 	"github.com/bambooladder/bambooladder/stand/hostls"
 	"github.com/bambooladder/bambooladder/stand/logsvc"
 	"github.com/bambooladder/bambooladder/stand/plain"
@@ -41,6 +42,7 @@
 	engine           engine.Options
 	serviceName      string
 	serviceDelay     time.Duration
+	answerMode       string
 }
 
 // Main runs the simulated system that the arguments name until a signal arrives, and returns the
@@ -60,10 +62,13 @@
 	ho.Flag("file", "JSON file with the first hosts.").Required().StringVar(&op.hostsFile)
 	we := app.Command("store", "The weight store.")
 	we.Flag("loads", "Loads allowed a second.").Default("4").Float64Var(&op.loadsPerSecond)
-	op.addEngineFlags(app.Command("engine", "A model engine."))
+	en := app.Command("engine", "A model engine.")
+	op.addEngineFlags(en)
+	op.addAnswerMode(en)
 	se := app.Command("service", "A plain service.")
 	se.Flag("name", "Name of the service.").Required().StringVar(&op.serviceName)
 	se.Flag("delay", "Time of one call.").Default("5ms").DurationVar(&op.serviceDelay)
+	op.addAnswerMode(se)
 	command, err := app.Parse(args)
 	if err != nil {
 		_, _ = fmt.Fprintf(stderr, "stand: %v; see stand --help\n", err)
@@ -79,6 +84,15 @@
 	return exitOK
 }
 
+// addAnswerMode adds the flag for the way in which a backend server sends its answers.
+func (op *options) addAnswerMode(cc *kingpin.CmdClause) {
+	names := make([]string, 0, len(faulty.Modes()))
+	for _, mo := range faulty.Modes() {
+		names = append(names, string(mo))
+	}
+	cc.Flag("answers", "How answers are sent; PUT "+faulty.ModePath+"MODE changes it.").Default(string(faulty.Sound)).EnumVar(&op.answerMode, names...)
+}
+
 // addEngineFlags declares the flags of the engine command.
 func (op *options) addEngineFlags(cc *kingpin.CmdClause) {
 	cc.Flag("name", "Name of the engine.").Required().StringVar(&op.engine.Name)
@@ -129,9 +143,9 @@
 	case "engine":
 		en := engine.New(op.engine, engine.HTTPStore{Client: http.DefaultClient, URL: op.storeURL})
 		go en.Run(ctx)
-		return en.Handler(), nil
+		return faulty.New(en.Handler(), faulty.Mode(op.answerMode)), nil
 	}
-	return plain.New(op.serviceName, op.serviceDelay).Handler(), nil
+	return faulty.New(plain.New(op.serviceName, op.serviceDelay).Handler(), faulty.Mode(op.answerMode)), nil
 }
 
 // hosts builds the host list from the hosts file and returns its HTTP interface.
