Send the frames of an answer in order when its entry node connects again

Cause: Output sent frames after it had released its lock, so a chunk could overtake the replay that Attach sends, and Finish added the last chunk and the end under two locks, so a connection attached between them got no end, and its caller waited until the deadline. Ruled out: the entry node's reordering as a mend (it sorts chunks, but an end that never comes cannot be sorted). Change: each connection of an output has a queue; frames are added under the output's lock and sent by one goroutine at a time. Attach makes a new queue with what the entry node lacks and no longer blocks the loop of the agent. The last chunk and the end are added together. Conclusion: every connection gets its frames in order, and the last one the end.

--- a/agent/internal/output/output.go
+++ b/agent/internal/output/output.go
@@ -39,8 +39,8 @@
 	acknowledged chan struct{}
 
 	mu sync.Mutex
-	// sender is the entry node's connection, nil while there is none.
-	sender Sender
+	// frames holds the frames that wait to be sent over the entry node's connection.
+	frames *queue
 	// detachedAt is when the connection was lost, zero while there is one.
 	detachedAt time.Time
 	head       *wire.Frame
@@ -65,7 +65,7 @@
 		window = windowDefault
 	}
 	return &Output{
-		attempt: attempt, window: min(window, windowMax), keepAcked: keepAcked, sender: se,
+		attempt: attempt, window: min(window, windowMax), keepAcked: keepAcked, frames: &queue{sender: se},
 		acknowledged: make(chan struct{}, 1), firstKept: 1,
 	}
 }
@@ -83,41 +83,42 @@
 // Chunk sends a chunk of the answer. It blocks while the number of unacknowledged chunks equals the
 // window.
 func (ou *Output) Chunk(ctx context.Context, data []byte) error {
-	se, frames, err := ou.addWhenWindowOpen(ctx, data)
-	if err != nil {
-		return err
-	}
-	ou.send(ctx, se, frames...)
-	return nil
+	return ou.addWhenWindowOpen(ctx, data, false)
 }
 
-// addWhenWindowOpen adds a chunk once the window has room. It returns the connection and the frames
-// to send over it.
-func (ou *Output) addWhenWindowOpen(ctx context.Context, data []byte) (Sender, []*wire.Frame, error) {
+// addWhenWindowOpen adds a chunk once the window has room, together with the end of the answer if it is
+// the last one, and sends it.
+func (ou *Output) addWhenWindowOpen(ctx context.Context, data []byte, last bool) error {
 	for {
-		if se, frames := ou.tryAdd(data); frames != nil {
-			return se, frames, nil
+		if qu := ou.tryAdd(data, last); qu != nil {
+			qu.send(ctx)
+			return nil
 		}
 		select {
 		case <-ou.acknowledged:
 		case <-ctx.Done():
-			return nil, nil, errors.Wrap(ctx.Err(), "output: wait for an acknowledgement of the entry node")
+			return errors.Wrap(ctx.Err(), "output: wait for an acknowledgement of the entry node")
 		}
 	}
 }
 
-// tryAdd adds a chunk if the window has room; otherwise it returns no frames.
-func (ou *Output) tryAdd(data []byte) (Sender, []*wire.Frame) {
+// tryAdd adds a chunk if the window has room, and returns the queue with it, otherwise nil.
+func (ou *Output) tryAdd(data []byte, last bool) *queue {
 	ou.mu.Lock()
 	defer ou.mu.Unlock()
 	if int(ou.added-ou.acked) >= ou.window {
-		return nil, nil
+		return nil
 	}
 	ou.added++
 	ou.totalBytes += len(data)
 	fr := &wire.Frame{Chunk: &wire.Chunk{Attempt: ou.attempt, Sequence: ou.added, Data: data}}
 	ou.chunks = append(ou.chunks, fr)
-	return ou.sender, append(ou.takeHead(), fr)
+	ou.frames.add(ou.takeHead()...)
+	ou.frames.add(fr)
+	if last {
+		ou.frames.add(ou.makeEnd(true, "", ""))
+	}
+	return ou.frames
 }
 
 // takeHead returns the head if it has not been sent, and marks it as sent. The caller holds the lock.
@@ -138,15 +139,7 @@
 		}
 		data = data[chunkBytesMax:]
 	}
-	se, frames, err := ou.addWhenWindowOpen(ctx, data)
-	if err != nil {
-		return err
-	}
-	ou.mu.Lock()
-	frames = append(frames, ou.makeEnd(true, "", ""))
-	ou.mu.Unlock()
-	ou.send(ctx, se, frames...)
-	return nil
+	return ou.addWhenWindowOpen(ctx, data, true)
 }
 
 // makeEnd creates and stores the frame that ends the answer. The caller holds the lock.
@@ -161,10 +154,11 @@
 // crash identifies the crashed engine process, as returned by crashID in package broker, or is empty.
 func (ou *Output) End(ctx context.Context, whole bool, reason, crash string) {
 	ou.mu.Lock()
-	frames := append(ou.takeHead(), ou.makeEnd(whole, reason, crash))
-	se := ou.sender
+	qu := ou.frames
+	qu.add(ou.takeHead()...)
+	qu.add(ou.makeEnd(whole, reason, crash))
 	ou.mu.Unlock()
-	ou.send(ctx, se, frames...)
+	qu.send(ctx)
 }
 
 // Refuse informs the entry node over the current connection, without blocking, that the attempt has
@@ -172,9 +166,10 @@
 func (ou *Output) Refuse(ctx context.Context, reason string, retryAfter time.Duration) {
 	fr := &wire.Frame{Refusal: &wire.Refusal{Attempt: ou.attempt, Reason: reason, RetryAfter: retryAfter.Milliseconds()}}
 	ou.mu.Lock()
-	se := ou.sender
+	qu := ou.frames
+	qu.add(fr)
 	ou.mu.Unlock()
-	go ou.send(ctx, se, fr)
+	go qu.send(ctx)
 }
 
 // Acknowledge records that the entry node has received all chunks up to a number and removes those
@@ -205,31 +200,30 @@
 	}
 }
 
-// Attach switches to another connection and sends over it the frames that the entry node has not
-// received. It does nothing and returns false if some of them are no longer kept.
+// Attach switches to another connection and sends over it, without blocking, the frames that the entry
+// node has not received. It does nothing and returns false if some of them are no longer kept.
 func (ou *Output) Attach(ctx context.Context, se Sender, received uint64) bool {
 	ou.mu.Lock()
+	defer ou.mu.Unlock()
 	if received+1 < ou.firstKept {
-		ou.mu.Unlock()
 		return false
 	}
-	ou.sender = se
-	ou.detachedAt = time.Time{}
-	frames := make([]*wire.Frame, 0, len(ou.chunks)+2)
+	qu := &queue{sender: se}
 	if ou.head != nil && received == 0 {
-		frames = append(frames, ou.head)
+		qu.add(ou.head)
 	}
 	for _, fr := range ou.chunks {
 		if fr.Chunk.Sequence > received {
-			frames = append(frames, fr)
+			qu.add(fr)
 		}
 	}
 	if ou.end != nil {
-		frames = append(frames, ou.end)
+		qu.add(ou.end)
 	}
+	ou.frames = qu
+	ou.detachedAt = time.Time{}
 	ou.headUnsent = false
-	ou.mu.Unlock()
-	ou.send(ctx, se, frames...)
+	go qu.send(ctx)
 	return true
 }
 
@@ -237,8 +231,8 @@
 func (ou *Output) Detach(se Sender, now time.Time) {
 	ou.mu.Lock()
 	defer ou.mu.Unlock()
-	if ou.sender == se {
-		ou.sender = nil
+	if ou.frames.sender == se {
+		ou.frames = &queue{}
 		ou.detachedAt = now
 	}
 }
@@ -256,11 +250,3 @@
 	defer ou.mu.Unlock()
 	return ou.endAcked
 }
-
-// send sends frames if there is a connection. An error is ignored, because the entry node asks for a
-// replay once it has connected again.
-func (ou *Output) send(ctx context.Context, se Sender, frames ...*wire.Frame) {
-	if se != nil && len(frames) > 0 {
-		_ = se.Send(ctx, frames...)
-	}
-}
