Never let the HTTP library send a request to a backend server twice

Cause: seen by reading, while the forwarding of plain services was looked at: net/http sends a request again, on its own, if a kept connection closes before the first byte of the answer and the request is a GET or carries an Idempotency-Key with a body that it can rewind. The agent sends exactly such calls to plain services. A call that must run at most once ran twice when its service closed the connection after it had run; and if the second connection was refused, the agent reported "not run" for a call that had run. Ruled out: connections that are not kept (each call would pay for a new one); rq.GetBody = nil (does not hold for a request without a body, which net/http always takes as one that can be sent again). Change: the agent hands over a body of its own type, without GetBody, also an empty one. A call without a body and with a method that usually has one is sent with chunked encoding therefore. The stand-ins get the mode no_answer, which the soak draws too. Conclusion: at most once holds for these calls as well.

--- a/agent/internal/client/forward.go
+++ b/agent/internal/client/forward.go
@@ -11,6 +11,14 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
+// sentOnce is a request body that net/http cannot send again. With another one, also with none, it sends a
+// GET request or one with an idempotency key a second time if a kept connection closes without an answer,
+// though the request may have run.
+type sentOnce struct{ *bytes.Reader }
+
+// Close does nothing, as the body needs no release.
+func (sentOnce) Close() error { return nil }
+
 // Forward sends a request to the backend server and returns its answer. The caller closes the answer's
 // body. The handle identifies the adapter at the engine and is empty for a plain service.
 func (cl *Client) Forward(ctx context.Context, di *wire.Dispatch, handle string) (*http.Response, error) {
@@ -18,10 +26,11 @@
 	if handle != "" {
 		body = engineBody(di, handle)
 	}
-	rq, err := http.NewRequestWithContext(ctx, di.Method, cl.baseURL+di.Path, bytes.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, di.Method, cl.baseURL+di.Path, sentOnce{bytes.NewReader(body)})
 	if err != nil {
 		return nil, errors.Wrap(err, "client: build request")
 	}
+	rq.ContentLength = int64(len(body))
 	rq.Header.Set("Content-Type", di.ContentType)
 	rq.Header.Set(requestIDHeader, di.Attempt)
 	// The engine runs higher priorities first, so the urgency is sent as it is.
--- /dev/null
+++ b/proofs/once_test.go
@@ -0,0 +1,42 @@
+package proofs
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bambooladder/bambooladder/stand/faulty"
+)
+
+// recordedRuns returns how often the ledger service has recorded a call with the given body.
+func (sm *simulation) recordedRuns(body string) int {
+	count := 0
+	for _, ca := range sm.plain.RecordedCalls() {
+		if ca.Body == body {
+			count++
+		}
+	}
+	return count
+}
+
+// A call that must not run twice runs once also if its service closes a kept connection after the call has
+// run, before the answer begins. The caller learns that it may have run.
+func TestCallRunsOnceThoughItsServiceClosesTheConnectionWithoutAnAnswer(t *testing.T) {
+	runSimulation(t, smallSimulation(), func(t *testing.T, sm *simulation) {
+		for number, body := range []string{`{"batch":"lost"}`, ""} {
+			if re := sm.postRelease("caller", entryName(0), newIdempotencyKey(), `{"batch":"first"}`, 5*time.Second); re.status != http.StatusCreated {
+				t.Fatalf("the first call got %+v", re)
+			}
+			before := sm.recordedRuns(body)
+			sm.ledger.SetMode(faulty.NoAnswer)
+			re := sm.postRelease("caller", entryName(number%2), newIdempotencyKey(), body, 5*time.Second)
+			sm.ledger.SetMode(faulty.Sound)
+			if re.status < http.StatusBadRequest || re.outcome != "unknown" {
+				t.Errorf("the call with the body %q got the status %d and the outcome %q, want an unknown outcome", body, re.status, re.outcome)
+			}
+			if runs := sm.recordedRuns(body) - before; runs != 1 {
+				t.Errorf("the call with the body %q ran %d times, want once", body, runs)
+			}
+		}
+	})
+}
--- a/proofs/simulation_test.go
+++ b/proofs/simulation_test.go
@@ -26,6 +26,7 @@
 	"github.com/bambooladder/bambooladder/core/route"
 	entrynode "github.com/bambooladder/bambooladder/entry/node"
 	"github.com/bambooladder/bambooladder/stand/engine"
+	"github.com/bambooladder/bambooladder/stand/faulty"
 	"github.com/bambooladder/bambooladder/stand/hostls"
 	"github.com/bambooladder/bambooladder/stand/logsvc"
 	"github.com/bambooladder/bambooladder/stand/plain"
@@ -62,13 +63,15 @@
 
 // simulation is a complete deployment that runs in one process, in virtual time.
 type simulation struct {
-	tb      testing.TB
-	op      simulationOptions
-	net     *network
-	log     *logsvc.Service
-	hosts   *hostls.List
-	store   *weight.Store
-	plain   *plain.Service
+	tb    testing.TB
+	op    simulationOptions
+	net   *network
+	log   *logsvc.Service
+	hosts *hostls.List
+	store *weight.Store
+	plain *plain.Service
+	// ledger sends the answers of plain in a way that tests set.
+	ledger  *faulty.Handler
 	engines []*engine.Engine
 	lg      zerolog.Logger
 
@@ -107,7 +110,8 @@
 	sm.serve("log", "log:1", sm.log.Handler())
 	sm.serve("hosts", "hosts:1", sm.hosts.Handler())
 	sm.serve("store", "store:1", sm.store.Handler())
-	sm.serve("ledger-backend", "ledger-backend:1", sm.plain.Handler())
+	sm.ledger = faulty.New(sm.plain.Handler(), faulty.Sound)
+	sm.serve("ledger-backend", "ledger-backend:1", sm.ledger)
 	for ix := range op.engines {
 		sm.startEngine(ix)
 		sm.startAgent(runnerName(ix))
--- a/stand/faulty/answer.go
+++ b/stand/faulty/answer.go
@@ -61,6 +61,7 @@
 	case Reset:
 		sendText(co, an.half())
 		resetOnClose(co)
+	case NoAnswer:
 	case Garbage:
 		sendText(co, "\x16\x03\x01 this is no answer\r\n\r\n")
 	}
--- a/stand/faulty/handler_test.go
+++ b/stand/faulty/handler_test.go
@@ -64,6 +64,7 @@
 		{mode: Reset, path: "/events", length: -1, fails: true, reset: true},
 		{mode: EndlessHead, path: "/whole", fails: true},
 		{mode: EndlessBody, path: "/whole", body: strings.Repeat("e", 1<<20), length: -1},
+		{mode: NoAnswer, path: "/whole", fails: true},
 		{mode: Garbage, path: "/whole", fails: true},
 	} {
 		t.Run(string(tc.mode)+tc.path, func(t *testing.T) {
--- a/stand/faulty/mode.go
+++ b/stand/faulty/mode.go
@@ -22,13 +22,15 @@
 	Cut Mode = "cut"
 	// Reset resets the connection in the middle of an answer.
 	Reset Mode = "reset"
+	// NoAnswer closes the connection without an answer.
+	NoAnswer Mode = "no_answer"
 	// Garbage sends bytes that are no HTTP.
 	Garbage Mode = "garbage"
 )
 
 // Modes returns all modes.
 func Modes() []Mode {
-	return []Mode{Sound, EndlessHead, EndlessBody, Unframed, Cut, Reset, Garbage}
+	return []Mode{Sound, EndlessHead, EndlessBody, Unframed, Cut, Reset, NoAnswer, Garbage}
 }
 
 // Valid reports whether the mode is known.
