Deliver an empty answer of an engine at once instead of at the deadline

Cause: an empty chunk is encoded without its data and decodes to no data, which the receiver took for "no chunk": it never counted it as received and asked for it again until the request's deadline. An engine's answer without a body, such as an error status alone, therefore ended in a timeout. Change: the receiver asks whether a chunk is there, not whether it has data.

--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -227,10 +227,10 @@
 	return re.deliver(ctx, ch.Data)
 }
 
-// deliver passes on the data of the next chunk and of the buffered chunks that follow it, and
-// acknowledges them in groups.
+// deliver passes on the data of the next chunk, which may be empty, and of the buffered chunks that follow
+// it, and acknowledges them in groups.
 func (re *receiver) deliver(ctx context.Context, data []byte) error {
-	for data != nil {
+	for found := true; found; {
 		if err := re.an.Part(data); err != nil {
 			return err
 		}
@@ -240,7 +240,7 @@
 			re.unacknowledged = 0
 			re.at.Acknowledge(ctx, re.received, false)
 		}
-		data = re.outOfOrder[re.received+1]
+		data, found = re.outOfOrder[re.received+1]
 		delete(re.outOfOrder, re.received+1)
 	}
 	return nil
@@ -250,7 +250,7 @@
 // chunks or the statement that the answer is incomplete. Before that it delivers chunks that
 // were buffered until the head arrived, and requests frames that are missing.
 func (re *receiver) checkEnd(ctx context.Context) (result, bool) {
-	if data := re.outOfOrder[re.received+1]; data != nil && re.head != nil {
+	if data, found := re.outOfOrder[re.received+1]; found && re.head != nil {
 		delete(re.outOfOrder, re.received+1)
 		if err := re.deliver(ctx, data); err != nil {
 			return result{ending: canceled, reason: reasonCallerGone}, true
--- a/entry/internal/relay/receive_test.go
+++ b/entry/internal/relay/receive_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -105,6 +106,19 @@
 	properties.TestingRun(t)
 }
 
+// decoded returns a frame as it arrives.
+func decoded(fr *wire.Frame) *wire.Frame {
+	buf := bytes.Buffer{}
+	if err := wire.Append(&buf, fr); err != nil {
+		panic(err)
+	}
+	received, _, err := wire.DecodeFirst(buf.Bytes())
+	if err != nil {
+		panic(err)
+	}
+	return received
+}
+
 func TestReceiverEndsAsFramesAndLinkChangesImply(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -116,6 +130,14 @@
 		{"connection not restored", []links.Event{{Connection: &links.ConnectionChange{}}}, interrupted},
 		{"attempt voided", []links.Event{{Frame: &wire.Frame{Verdict: &wire.Verdict{Outcome: wire.VerdictOutcomeVoided}}}}, notRun},
 		{"answer lost", []links.Event{{Frame: &wire.Frame{Verdict: &wire.Verdict{Outcome: wire.VerdictOutcomeAnswered}}}}, interrupted},
+		{"empty answer", []links.Event{
+			{Frame: &wire.Frame{Head: &wire.Head{Status: 500}}}, {Frame: decoded(&wire.Frame{Chunk: &wire.Chunk{Sequence: 1}})},
+			{Frame: &wire.Frame{End: &wire.End{Count: 1, Whole: true}}},
+		}, answered},
+		{"empty answer, its chunk before its head", []links.Event{
+			{Frame: decoded(&wire.Frame{Chunk: &wire.Chunk{Sequence: 1}})}, {Frame: &wire.Frame{Head: &wire.Head{Status: 500}}},
+			{Frame: &wire.Frame{End: &wire.End{Count: 1, Whole: true}}},
+		}, answered},
 		{"answer incomplete", []links.Event{{Frame: &wire.Frame{End: &wire.End{Reason: "backend_lost"}}}}, interrupted},
 		{"no event before the deadline", nil, timedOut},
 	}
