Tell a call that ran out of time from one whose caller left, and say so truly

Cause: a call with a key goes on without its caller, in a context that ends at its deadline; the receiver took every end of its context for a caller that had left, so such calls were logged as caller_gone. And a request whose time had passed before any attempt got the outcome unknown, though nothing had run. Ruled out: a claim that was appended for it (an attempt that was dispatched, or interrupted, keeps the outcome unknown; one that the agent did not run was not_run before). Change: the end of the context at its deadline is a timeout; an attempt that timed out may have run, and the timeout's outcome follows from the attempts as that of the other errors. A constant without use is gone.

--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -22,7 +22,6 @@
 	claimGracePeriod = 300 * time.Millisecond
 	// verdictTimeout limits the wait for an agent's verdict on an attempt.
 	verdictTimeout = 2 * time.Second
-	releaseTimeout = 2 * time.Second
 	// maxClaimRounds is how many times a call checks who holds its key.
 	maxClaimRounds = 6
 	// outcomeRetryAfter is how long a caller waits before it asks for the outcome again.
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -4,11 +4,17 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooladder/bambooladder/core/wire"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
 
 const (
+	// reasonDeadline is the reason of an attempt that ended with the request's time, here or at the agent.
+	reasonDeadline = "deadline"
+
+
 	// agentDeadlineMargin is how much earlier the agent's deadline is than the request's.
 	agentDeadlineMargin = 50 * time.Millisecond
 	// modelReconnectTimeout and claimReconnectTimeout limit how long an attempt without and
@@ -121,13 +127,22 @@
 				re.requestReplay(ctx)
 			}
 		case <-deadlineTimer.C:
-			return result{ending: timedOut, reason: "deadline"}
+			return result{ending: timedOut, reason: reasonDeadline}
 		case <-ctx.Done():
-			return result{ending: canceled, reason: reasonCallerGone}
+			return endOf(ctx)
 		}
 	}
 }
 
+// endOf returns how an attempt ends with its context: at the deadline of a call that goes on without its
+// caller, or because the caller has disconnected.
+func endOf(ctx context.Context) result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return result{ending: timedOut, reason: reasonDeadline}
+	}
+	return result{ending: canceled, reason: reasonCallerGone}
+}
+
 // handleEvent handles one event and reports whether the attempt has ended.
 func (re *receiver) handleEvent(ctx context.Context, ev links.Event) (result, bool) {
 	if ev.Connection != nil {
@@ -264,7 +279,7 @@
 	}
 	if !re.end.Whole {
 		re.at.Acknowledge(ctx, re.end.Count+1, false)
-		if re.end.Reason == "deadline" {
+		if re.end.Reason == reasonDeadline {
 			return result{ending: timedOut, reason: re.end.Reason}, true
 		}
 		return result{ending: interrupted, reason: re.end.Reason, crashID: re.end.Crash}, true
--- a/entry/internal/relay/receive_test.go
+++ b/entry/internal/relay/receive_test.go
@@ -10,10 +10,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/core/wire"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
@@ -156,3 +158,33 @@
 		})
 	}
 }
+
+// The end of a call's own time is a timeout, not a caller that went away.
+func TestReceiverEndsWithATimeoutWhenItsContextEndsAtTheDeadline(t *testing.T) {
+	for want, cause := range map[ending]error{timedOut: context.DeadlineExceeded, canceled: context.Canceled} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			if errors.Is(cause, context.Canceled) {
+				cancel()
+			}
+			re := &receiver{at: &lossyAgent{}, events: make(chan links.Event), an: &answerRecorder{}}
+			if rs := re.run(ctx, time.Now().Add(2*time.Second)); rs.ending != want {
+				t.Errorf("ending %s after %v, want %s", rs.ending, cause, want)
+			}
+		})
+	}
+}
+
+// A request whose time has passed before anything was sent to a backend server has not run.
+func TestTimeoutBeforeAnyAttemptIsNotRun(t *testing.T) {
+	ex := &execution{rq: &Request{}, an: &answerRecorder{}}
+	fe := &fault.Error{}
+	if !errors.As(ex.timeoutError(), &fe) || fe.Outcome != fault.NotRun {
+		t.Errorf("the outcome before any attempt is %q, want %q", fe.Outcome, fault.NotRun)
+	}
+	_, err := ex.awaitRetry(t.Context(), "runner-1", result{ending: timedOut})
+	if !errors.As(err, &fe) || fe.Kind != fault.Timeout || fe.Outcome != fault.Unknown {
+		t.Errorf("after an attempt that timed out: %+v, want a timeout with the outcome %q", fe, fault.Unknown)
+	}
+}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -218,6 +218,7 @@
 	case canceled:
 		return true, callerGoneError(fault.Unknown)
 	case timedOut:
+		ex.mayHaveRun = true
 		return true, ex.timeoutError()
 	case interrupted:
 		ex.mayHaveRun = true
@@ -274,11 +275,10 @@
 		"send the request again later").WithOutcome(ex.outcome()).WithRetryAfter(wait)
 }
 
-// timeoutError returns the error for a request whose deadline has passed. An attempt may have been
-// dispatched before, so the outcome is unknown.
+// timeoutError returns the error for a request whose deadline has passed.
 func (ex *execution) timeoutError() error {
 	return fault.New(fault.Timeout, "the request was not answered in its time",
-		"allow more time or send it again later").WithOutcome(fault.Unknown).WithRetryAfter(defaultRetryAfter)
+		"allow more time or send it again later").WithOutcome(ex.outcome()).WithRetryAfter(defaultRetryAfter)
 }
 
 // noRunnerError returns the error for a request for which no runner can be chosen.
