--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -14,7 +14,6 @@
 	// reasonDeadline is the reason of an attempt that ended with the request's time, here or at the agent.
 	reasonDeadline = "deadline"
 
-
 	// agentDeadlineMargin is how much earlier the agent's deadline is than the request's.
 	agentDeadlineMargin = 50 * time.Millisecond
 	// modelReconnectTimeout and claimReconnectTimeout limit how long an attempt without and
