Rename what has one word for two things in the scheduler, the limits, the agent and the simulated engine

Cause: count and countStall are nouns or say too little for what they do, tokenDelay takes a token, inspectionDone is a type and a method, blockHashes a field and a function. Change: slotsIn, recordStalls and countsAsStall, takeToken, handleInspection and inspectionResult, hashBlocks. Names and comments only.

--- a/agent/internal/broker/actions.go
+++ b/agent/internal/broker/actions.go
@@ -61,7 +61,7 @@
 	br.inspecting = true
 	go func() {
 		iv, err := br.cl.Inspect(ctx)
-		br.postEvent(ctx, event{inspection: &inspectionDone{iv: iv, err: err}})
+		br.postEvent(ctx, event{inspection: &inspectionResult{iv: iv, err: err}})
 	}()
 }
 
--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -179,7 +179,7 @@
 		br.executeActions(ctx, br.sc.UnloadEnded(ev.unloadEnded.handle, ev.unloadEnded.result, now))
 		br.inspectIfRestarted(ctx, ev.unloadEnded.boot, now)
 	case ev.inspection != nil:
-		br.inspectionDone(ctx, ev.inspection, now)
+		br.handleInspection(ctx, ev.inspection, now)
 	case ev.drain != nil:
 		br.drained = ev.drain.drained
 		br.stateChanged = true
@@ -248,8 +248,8 @@
 	}
 }
 
-// inspectionDone handles the engine's answer to an inspection.
-func (br *Broker) inspectionDone(ctx context.Context, in *inspectionDone, now time.Time) {
+// handleInspection handles the engine's answer to an inspection.
+func (br *Broker) handleInspection(ctx context.Context, in *inspectionResult, now time.Time) {
 	br.inspecting = false
 	if in.err != nil {
 		br.lg.Warn().Str("error", in.err.Error()).Msg("inspection_failed")
--- a/agent/internal/broker/event.go
+++ b/agent/internal/broker/event.go
@@ -23,7 +23,7 @@
 	forwardEnded  *forwardResult
 	loadEnded     *orderResult
 	unloadEnded   *orderResult
-	inspection    *inspectionDone
+	inspection    *inspectionResult
 	drain         *drainRequest
 	// logTime is the time of a log record in Unix milliseconds.
 	logTime int64
@@ -83,8 +83,8 @@
 	boot string
 }
 
-// inspectionDone is the engine's answer to an inspection, or the error.
-type inspectionDone struct {
+// inspectionResult is the engine's answer to an inspection, or the error.
+type inspectionResult struct {
 	iv  client.Inventory
 	err error
 }
--- a/core/limit/teams.go
+++ b/core/limit/teams.go
@@ -32,9 +32,9 @@
 		return fault.New(fault.RateLimited, "team "+name+" has as many requests in flight as its limit allows",
 			"come back later or ask an operator for a higher limits.in_flight").WithRetryAfter(inFlightRetryAfter)
 	}
-	if tokenDelay := us.tokenDelay(li, now); tokenDelay > 0 {
+	if wait := us.takeToken(li, now); wait > 0 {
 		return fault.New(fault.RateLimited, "team "+name+" sends more requests a second than its limit allows",
-			"come back later or ask an operator for a higher limits.requests_per_second").WithRetryAfter(tokenDelay)
+			"come back later or ask an operator for a higher limits.requests_per_second").WithRetryAfter(wait)
 	}
 	us.inFlight++
 	return nil
@@ -84,16 +84,16 @@
 	return us
 }
 
-// tokenDelay takes a token from the bucket and returns zero, which it also does for a team without
+// takeToken takes a token from the bucket and returns zero, which it also does for a team without
 // a limit. If there is no token, it takes nothing and returns the time until one is available.
-func (us *usage) tokenDelay(li conf.Limits, now time.Time) time.Duration {
+func (us *usage) takeToken(li conf.Limits, now time.Time) time.Duration {
 	if li.RequestsPerSecond <= 0 {
 		return 0
 	}
 	re := us.bucket.ReserveN(now, 1)
-	tokenDelay := re.DelayFrom(now)
-	if tokenDelay > 0 {
+	wait := re.DelayFrom(now)
+	if wait > 0 {
 		re.CancelAt(now)
 	}
-	return tokenDelay
+	return wait
 }
--- a/core/sched/events.go
+++ b/core/sched/events.go
@@ -19,7 +19,7 @@
 		return []Action{refusal(qr.Attempt, ReasonQueueFull, defaultRetryAfter)}
 	}
 	qr.Arrived = now
-	qr.countStall = qr.Adapter != (conf.AdapterVersion{}) && !sc.runnable(&qr)
+	qr.countsAsStall = qr.Adapter != (conf.AdapterVersion{}) && !sc.runnable(&qr)
 	if qr.Adapter != (conf.AdapterVersion{}) {
 		sc.popularity[qr.Adapter] = sc.popularity[qr.Adapter].Plus(now, popularityHalfLife)
 	}
@@ -91,7 +91,7 @@
 		sl.State = Ready
 		sl.lastUsedAt = now
 		delete(sc.loadFailures, av)
-		sc.countStall(av, now)
+		sc.recordStalls(av, now)
 		return sc.schedule(now)
 	case StoreBusy:
 		// The slot stays in Loading until the load is ordered again, so that entry nodes count
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -16,7 +16,7 @@
 	actions := sc.forwardRunnable(now)
 	actions = append(actions, sc.orderLoads(now)...)
 	sc.stats.count(actions)
-	if len(sc.strayHandles) > 0 || sc.count(Unconfirmed) > 0 {
+	if len(sc.strayHandles) > 0 || sc.slotsIn(Unconfirmed) > 0 {
 		actions = append(actions, sc.requestInspection(now)...)
 	}
 	return actions
@@ -161,13 +161,13 @@
 }
 
 // loadsInFlight returns the number of slots that are loading.
-func (sc *Scheduler) loadsInFlight() int { return sc.count(Loading) }
+func (sc *Scheduler) loadsInFlight() int { return sc.slotsIn(Loading) }
 
 // unloadsInFlight returns the number of slots that are unloading.
-func (sc *Scheduler) unloadsInFlight() int { return sc.count(Unloading) }
+func (sc *Scheduler) unloadsInFlight() int { return sc.slotsIn(Unloading) }
 
-// count returns the number of slots in a state.
-func (sc *Scheduler) count(ss SlotState) int {
+// slotsIn returns the number of slots in a state.
+func (sc *Scheduler) slotsIn(ss SlotState) int {
 	count := 0
 	for ix := range sc.slots {
 		if sc.slots[ix].State == ss {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -54,9 +54,9 @@
 	Urgency  int
 	Arrived  time.Time
 	Deadline time.Time
-	// countStall is true if the request's wait counts as load stall, because its adapter was
+	// countsAsStall is true if the request's wait counts as load stall, because its adapter was
 	// not ready when it arrived.
-	countStall bool
+	countsAsStall bool
 }
 
 // Scheduler holds the slots and the queue of one backend server; a plain service has no slots.
--- a/core/sched/scheduler_test.go
+++ b/core/sched/scheduler_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// count returns the number of requests that run on a handle.
+// slotsIn returns the number of requests that run on a handle.
 func (dr *driver) count(handle string) int {
 	count := 0
 	for _, on := range dr.running {
--- a/core/sched/slots.go
+++ b/core/sched/slots.go
@@ -72,7 +72,7 @@
 // emptySlot returns the index of an empty slot, or -1. Handles that belong to no slot take up
 // room at the engine as well, so each of them makes one empty slot unusable.
 func (sc *Scheduler) emptySlot() int {
-	if sc.count(Empty) <= len(sc.strayHandles) {
+	if sc.slotsIn(Empty) <= len(sc.strayHandles) {
 		return -1
 	}
 	for ix := range sc.slots {
--- a/core/sched/stats.go
+++ b/core/sched/stats.go
@@ -35,13 +35,13 @@
 	sc.accountedAt = now
 }
 
-// countStall adds the waiting times of the queued requests for an adapter that has been loaded.
-func (sc *Scheduler) countStall(av conf.AdapterVersion, now time.Time) {
+// recordStalls adds the waiting times of the queued requests for an adapter that has been loaded.
+func (sc *Scheduler) recordStalls(av conf.AdapterVersion, now time.Time) {
 	for ix := range sc.queue {
 		qr := &sc.queue[ix]
-		if qr.Adapter == av && qr.countStall {
+		if qr.Adapter == av && qr.countsAsStall {
 			sc.stats.LoadStall += now.Sub(qr.Arrived)
-			qr.countStall = false
+			qr.countsAsStall = false
 		}
 	}
 }
--- a/stand/engine/cache.go
+++ b/stand/engine/cache.go
@@ -41,9 +41,9 @@
 	events       []CacheEvent
 }
 
-// blockHashes returns the hashes of a prompt's full blocks, each chained to the one before, and
+// hashBlocks returns the hashes of a prompt's full blocks, each chained to the one before, and
 // the number of tokens in the prompt.
-func blockHashes(model, prompt string) ([]uint64, int) {
+func hashBlocks(model, prompt string) ([]uint64, int) {
 	tokens := strings.Fields(prompt)
 	hash := xxh3.HashString(model)
 	hashes := make([]uint64, 0, len(tokens)/blockTokens)
@@ -56,7 +56,7 @@
 
 // uncachedTokens returns the number of prompt tokens after the longest cached prefix.
 func (pc *prefixCache) uncachedTokens(model, prompt string) int {
-	hashes, tokens := blockHashes(model, prompt)
+	hashes, tokens := hashBlocks(model, prompt)
 	for _, block := range hashes {
 		if _, ok := pc.blockHashes[block]; !ok {
 			break
@@ -71,7 +71,7 @@
 	if pc.blockHashes == nil {
 		pc.blockHashes = map[uint64]int{}
 	}
-	hashes, _ := blockHashes(model, prompt)
+	hashes, _ := hashBlocks(model, prompt)
 	for _, block := range hashes {
 		pc.useCount++
 		if _, ok := pc.blockHashes[block]; !ok {
@@ -127,7 +127,7 @@
 func (en *Engine) ExportKV(model, prompt string) []uint64 {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	hashes, _ := blockHashes(model, prompt)
+	hashes, _ := hashBlocks(model, prompt)
 	cached := make([]uint64, 0, len(hashes))
 	for _, block := range hashes {
 		if _, ok := en.cache.blockHashes[block]; !ok {
