Prove that callers that do not read hold no more than the bound of all answers

Cause: the bounds of what an entry node holds were proved with callers that read at once; a caller that reads nothing had no test. Change: 40 callers over the loopback interface ask for an answer without an end and read nothing. Ruled out: a first form of the test saw 32 to 76 MiB; a heap profile showed 16 MiB held by the node and the rest as garbage of the test's own server, which copied a text at each write. No logic changed. Conclusion: the bound holds for callers that do not read.

--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"sync"
@@ -106,7 +108,7 @@
 	return hl
 }
 
-// hostileTable returns routes to the two services.
+// hostileTable returns routes to the services.
 func hostileTable() *paths.Table {
 	route := func(service string) paths.Route {
 		return paths.Route{
@@ -115,8 +117,8 @@
 		}
 	}
 	return (&paths.Table{
-		Version: 1, Routes: []paths.Route{route("sound"), route("hostile")},
-		Services: map[string]paths.Service{"sound": {Name: "sound"}, "hostile": {Name: "hostile"}},
+		Version: 1, Routes: []paths.Route{route("sound"), route("hostile"), route("long")},
+		Services: map[string]paths.Service{"sound": {Name: "sound"}, "hostile": {Name: "hostile"}, "long": {Name: "long"}},
 	}).Build()
 }
 
@@ -194,6 +196,54 @@
 	return time.Since(start), err == nil && resp.StatusCode == http.StatusOK
 }
 
+// Callers that do not read long answers must not make the entry node hold more than its bounds, nor keep it
+// from answering others; their connections end.
+func TestCallersThatDoNotReadHoldBoundedMemory(t *testing.T) {
+	hl := newHostileLoad(t)
+	sent, block := atomic.Int64{}, []byte(hostileText)
+	hl.serve("long", 0, func(nc net.Conn, id string) {
+		_, _ = io.WriteString(nc, hostileHead(id)+"\r\n")
+		for count, err := nc.Write(block); err == nil; count, err = nc.Write(block) {
+			sent.Add(int64(count))
+		}
+	})
+	time.Sleep(time.Second)
+	before, callers := heapBytes(), make([]net.Conn, 0, endlessAnswers)
+	for number := range endlessAnswers {
+		nc, err := net.Dial("tcp", hl.entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = nc.Close() }()
+		_, _ = fmt.Fprintf(nc, "GET /long/x HTTP/1.1\r\nHost: %s\r\n%s: long-%d\r\n%s: 2000\r\n\r\n", directHost, headerID, number, headerTimeout)
+		callers = append(callers, nc)
+	}
+	held, answered := int64(0), 0
+	for range 10 {
+		time.Sleep(100 * time.Millisecond)
+		held = max(held, int64(heapBytes())-int64(before))
+		if _, ok := hl.send("sound"); ok {
+			answered++
+		}
+	}
+	if answered == 0 {
+		t.Error("no sound request was answered beside callers that do not read")
+	}
+	t.Logf("%d MiB more at most; the server sent %d MiB", held>>20, sent.Load()>>20)
+	if sent.Load() < heldMax+heldSlack {
+		t.Errorf("the server sent %d MiB only, want more than the bound", sent.Load()>>20)
+	}
+	if held > heldMax+heldSlack {
+		t.Errorf("%d callers that do not read take %d MiB, want at most %d", endlessAnswers, held>>20, (heldMax+heldSlack)>>20)
+	}
+	for _, nc := range callers {
+		_ = nc.SetReadDeadline(time.Now().Add(time.Minute))
+		if _, err := io.Copy(io.Discard, nc); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal("the connection of a caller that does not read stays open")
+		}
+	}
+}
+
 // BenchmarkHostile measures what hostile servers cost an entry node in memory, and the requests to sound
 // servers in time.
 func BenchmarkHostile(b *testing.B) {
