--- a/agent/internal/client/forward.go
+++ b/agent/internal/client/forward.go
@@ -11,9 +11,9 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// sentOnce is a request body that net/http cannot send again. With another one, also with none, it sends a
-// GET request or one with an idempotency key a second time if a kept connection closes without an answer,
-// though the request may have run.
+// sentOnce is a request body that net/http cannot send again. If a kept connection closes without an answer,
+// net/http sends a GET request, or one with an idempotency key, a second time, though the first may have run.
+// It does so without a body, and with any body that it can rewind.
 type sentOnce struct{ *bytes.Reader }
 
 // Close does nothing, as the body needs no release.
