Look for the ports of the soak before any of its seeds starts processes

Ruled out: outgoing connections (their ports begin at 32768, this was 22774), a second process of the tests, ports given out twice (they are counted under a lock). Change: each seed finds its ports before it runs beside the others.

--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -418,8 +418,10 @@
 
 // runSoak runs callers and faults of one seed beside other seeds and checks the results.
 func runSoak(t *testing.T, seed uint64) {
-	t.Parallel()
+	// Ports are looked for before any seed starts processes: a child that is being started holds the sockets
+	// of its parent for a moment, also those that the search has closed.
 	basePort := freeBasePort(t)
+	t.Parallel()
 	proxies := map[string]*proxy{}
 	for ix, name := range soakRunners {
 		agent := basePort + 21 + ix
