Log the software version of servers, and which stream an attempt takes up

Change: server_record_applied and route_chosen name the software version of the server; route_chosen also the event after which a stream goes on and the request that began it. A node that subscribes gets records whose software version changed. No choice depends on any of it yet.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -27,6 +27,8 @@
 	// Address is IP:port.
 	Address string
 	Zone    string
+	// Software is the version of the server's software, empty if the record does not state it.
+	Software string
 	// Places is the number of requests that the server runs at the same time.
 	Places int
 	// Leaving is true while the server drains before it stops.
@@ -133,7 +135,7 @@
 func (ro *Roster) Changes(se Server) bool {
 	ts := ro.servers[se.ID]
 	return ts == nil || !ts.missingSince.IsZero() || ts.Service != se.Service || ts.Address != se.Address || ts.Zone != se.Zone ||
-		ts.Places != se.Places || ts.Leaving != se.Leaving || ts.Born != se.Born || ts.Model != se.Model
+		ts.Places != se.Places || ts.Leaving != se.Leaving || ts.Born != se.Born || ts.Model != se.Model || ts.Software != se.Software
 }
 
 // Remove handles the removal of a server's record at the given position. The server is dropped now,
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -32,6 +32,8 @@
 	Service string
 	Zone    string
 	Region  string
+	// Software is the version of the server's software, empty if it is not known.
+	Software string
 	// Born is the start time of the server's process in Unix milliseconds; it tells restarts apart.
 	Born int64
 	// Places is the number of requests that the server runs concurrently.
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -40,9 +40,9 @@
 	no.mu.Lock()
 	old, known := no.fleet.Server(lr.Server.ID)
 	no.mu.Unlock()
-	if !known || old.Leaving != lr.Server.Leaving || old.Born != lr.Server.Born {
+	if !known || old.Leaving != lr.Server.Leaving || old.Born != lr.Server.Born || old.Software != lr.Server.Software {
 		no.logger.Info().Str("server", lr.Server.ID).Str("service", lr.Server.Service).Str("address", lr.Server.Address).
-			Str("zone", lr.Server.Zone).Int64("born", lr.Server.Born).Bool("leaving", lr.Server.Leaving).
+			Str("zone", lr.Server.Zone).Int64("born", lr.Server.Born).Str("software", lr.Server.Software).Bool("leaving", lr.Server.Leaving).
 			Int64("offset", lr.Offset).Msg("server_record_applied")
 	}
 	no.view.withRoster(func(ro *roster.Roster) { ro.Put(*lr.Server, at) })
@@ -80,7 +80,7 @@
 	}
 	sv := spread.Server{
 		ID: se.ID, Service: se.Service, Zone: se.Zone, Region: no.options.Settings.Regions[se.Zone], Places: se.Places, Born: se.Born,
-		Leaving: se.Leaving, Model: se.Model, AdapterSlots: holds,
+		Leaving: se.Leaving, Software: se.Software, Model: se.Model, AdapterSlots: holds,
 	}
 	if ta := no.view.table.Load(); ta != nil {
 		sv.Engine = ta.Services[se.Service].Engine
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -31,10 +31,12 @@
 	server  string
 	address string
 	// born is the start of the server's run, in Unix milliseconds, as last reported.
-	born    int64
-	choice  spread.Choice
-	version int
-	granted bool
+	born int64
+	// software is the version of the server's software, empty if it is not known.
+	software string
+	choice   spread.Choice
+	version  int
+	granted  bool
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
 	start     time.Time
@@ -163,11 +165,12 @@
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
 			WithRetryAfter(retryAfter)
 	}
+	se, _ := no.fleet.Server(ch.ID)
 	at := &attempt{
-		id: rq.attemptID(number), server: ch.ID, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
+		id: rq.attemptID(number), server: ch.ID, software: se.Software, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
 		born: no.fleet.RunStart(ch.ID),
 	}
-	rq.logAttempt(at, "route_chosen").Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
+	rq.logAttempt(at, "route_chosen").Str("software", at.software).Str("resumes", rq.info.Resumes).Str("last_event", rq.lastEventID()).Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
 		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.ReportAge).Str("candidates", formatCandidates(&ch)).Int64("routes_version", rq.routesVersion).Send()
 	no.fleet.Sent(ch.ID, rq.info.PromptTokens, now)
 	return at, nil
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -30,6 +30,9 @@
 	// LastEvent is the ID of the last stream event that the caller has received, empty for
 	// none.
 	LastEvent string
+	// Resumes is the ID of the request that brought the first event of the stream that this one takes up,
+	// empty if it takes up none.
+	Resumes string
 }
 
 // ForwardInfo holds what the entry node adds to a request that it forwards to a backend server.
