--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -34,6 +34,7 @@
 	headerSeal      = "T-Seal"
 	headerNotRun    = "T-Not-Run"
 	headerLastEvent = "T-Last"
+	headerResumes   = "T-Resumes"
 	headerTimeLeft  = "T-Left"
 	headerLimit     = "T-Limit"
 	headerLeaving   = "T-Leaving"
@@ -45,7 +46,7 @@
 type testProtocol struct{}
 
 func (testProtocol) RequestInfo(rq *http.Request) (direct.RequestInfo, error) {
-	ri := direct.RequestInfo{ID: rq.Header.Get(headerID), Adapter: rq.Header.Get(headerAdapter), LastEvent: rq.Header.Get(headerLastEvent)}
+	ri := direct.RequestInfo{ID: rq.Header.Get(headerID), Adapter: rq.Header.Get(headerAdapter), LastEvent: rq.Header.Get(headerLastEvent), Resumes: rq.Header.Get(headerResumes)}
 	if ri.ID == "" {
 		return ri, fmt.Errorf("request has no %s header", headerID)
 	}
@@ -207,10 +208,10 @@
 	seq      int64
 	// born is the start of the server's present run, zero while it is down.
 	born int64
-	// announcedID, service and model are those that the server announces; httpServer is that of its
+	// announcedID, service, model and software are those that the server announces; httpServer is that of its
 	// present run.
-	announcedID, service, model string
-	httpServer                  *http.Server
+	announcedID, service, model, software string
+	httpServer                            *http.Server
 }
 
 // setScript sets the function that writes the responses.
@@ -398,7 +399,7 @@
 // announceServer appends a record about a backend server to the log.
 func (ds *directSimulation) announceServer(id, service, model string, leaving bool) {
 	ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{Server: &roster.Server{
-		ID: ds.backends[id].announcedID, Service: service, Address: id + ":1", Zone: directZone, Places: 4, Born: ds.backends[id].bornAt(), Model: model, Leaving: leaving,
+		ID: ds.backends[id].announcedID, Service: service, Address: id + ":1", Zone: directZone, Places: 4, Born: ds.backends[id].bornAt(), Software: ds.backends[id].softwareVersion(), Model: model, Leaving: leaving,
 	}})
 }
 
@@ -409,6 +410,13 @@
 	return ba.born
 }
 
+// softwareVersion returns the version of the software of the server's present run.
+func (ba *backend) softwareVersion() string {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return ba.software
+}
+
 // listen starts a run of a backend server.
 func (ds *directSimulation) listen(ba *backend) {
 	ls, err := ds.net.forHost(ba.id).Listen(ba.id + ":1")
