Let a stream go on only at the software version that began it

What callers saw: streams with events of two software versions of a backend server (ORDER). Cause: no decision knew a server's software version, and a stream that goes on, within one answer or by a caller's new request, was placed like a new one. Class: a property that a continued piece of work has to keep was not part of its state, nor of what travels with it to another node. Ruled out: H3 alone (servers that change beneath a node); most of the streams moved between servers whose records had not changed for seconds. It is answered all the same: a run that only its agent has reported has no known version, and the run is looked at again when the first event arrives.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -8,6 +8,7 @@
 
 	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/lease"
+	"github.com/bambooladder/bambooladder/core/origin"
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
@@ -82,6 +83,8 @@
 	crashes, parts []passedReport
 	// buckets holds what may be sent to servers with limits whose entry nodes ask this agent.
 	buckets map[poison.Run]lease.Bucket
+	// origins holds what began streams of which this agent is a home.
+	origins origin.Table
 	// boot is the ID of this run of the agent.
 	boot string
 }
@@ -236,6 +239,12 @@
 	case fr.LeaseAsk != nil:
 		br.answerLeaseAsk(ctx, se, fr.LeaseAsk, now)
 		return
+	case fr.Origins != nil:
+		br.keepOrigins(fr.Origins, now)
+		return
+	case fr.OriginQuery != nil:
+		br.answerOriginQuery(ctx, se, fr.OriginQuery, now)
+		return
 	}
 	br.markHoldingsStale()
 }
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -38,6 +38,8 @@
 	// Quarantined means the same on platforms whose callers take any 4xx status as final, although
 	// the request is accepted again after a while.
 	Quarantined Kind = "quarantined"
+	// NotResumable means that a stream cannot go on at any backend server; it can only begin anew.
+	NotResumable Kind = "not_resumable"
 )
 
 // Outcome says whether a failed request has run, over all its attempts.
@@ -72,6 +74,7 @@
 	NotReady:       http.StatusServiceUnavailable,
 	Blocked:        http.StatusUnprocessableEntity,
 	Quarantined:    http.StatusServiceUnavailable,
+	NotResumable:   http.StatusServiceUnavailable,
 }
 
 // Error is an error for a caller or operator, with what to do about it.
--- /dev/null
+++ b/core/origin/origin.go
@@ -0,0 +1,76 @@
+package origin
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	// RetentionMax bounds the time that a record is kept.
+	RetentionMax = 2 * time.Minute
+	// returnTime is the time after the end of its deadline in which a caller may still take up a stream.
+	returnTime = 10 * time.Second
+)
+
+// Numbers of homes. A query goes to one more than a record, because two nodes may know different agents.
+const (
+	RecordHomes = 3
+	QueryHomes  = RecordHomes + 1
+)
+
+// StreamKey identifies a stream by the ID of the request that brought its first event.
+type StreamKey uint64
+
+// KeyOf returns the key of the stream whose first event a request brought.
+func KeyOf(requestID string) StreamKey { return StreamKey(xxh3.HashString(requestID)) }
+
+// Origin is what began a stream.
+type Origin struct {
+	Service string
+	// Software is the software version of the server that sent the first event, empty if it was not known.
+	Software string
+}
+
+// Retention returns how long the record of a stream is kept whose caller waits for a time from now on.
+func Retention(callerWaits time.Duration) time.Duration {
+	return min(RetentionMax, max(0, callerWaits)+returnTime)
+}
+
+// Homes returns the first of the hosts of agents that keep the record of a stream, the best first. Nodes that
+// know the same hosts choose the same ones, and one more or less changes few.
+func Homes(key StreamKey, hosts []string, count int) []string {
+	list := slices.Clone(hosts)
+	slices.SortFunc(list, func(aa, bb string) int {
+		byScore := cmp.Compare(xxh3.HashStringSeed(bb, uint64(key)), xxh3.HashStringSeed(aa, uint64(key)))
+		return cmp.Or(byScore, cmp.Compare(aa, bb))
+	})
+	return list[:min(count, len(list))]
+}
+
+// Verdict is at which servers a stream may go on.
+type Verdict int
+
+// Verdicts.
+const (
+	// GoesOn means that the stream may go on at servers of one software version.
+	GoesOn Verdict = iota
+	// Undecided means that it is not known which software version began the stream.
+	Undecided
+)
+
+// Decide returns the software version at which a stream may go on. The origin, if known is true, is that of its
+// record; versions holds the software versions of the service that may have begun it.
+func Decide(or Origin, known bool, versions []string) (string, Verdict) {
+	switch {
+	case known && or.Software != "":
+		return or.Software, GoesOn
+	case len(versions) == 0:
+		return "", GoesOn
+	case len(versions) == 1 && (!known || versions[0] == ""):
+		return versions[0], GoesOn
+	}
+	return "", Undecided
+}
--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,165 @@
+package origin
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// start is a time to count from.
+var start = time.Unix(1_700_000_000, 0)
+
+func TestDecideLetsAStreamGoOnOnlyWhereItsVersionIsCertain(t *testing.T) {
+	for name, tc := range map[string]struct {
+		or       Origin
+		known    bool
+		versions []string
+		software string
+		verdict  Verdict
+	}{
+		"record":                                 {Origin{Software: "v1"}, true, []string{"v1", "v2"}, "v1", GoesOn},
+		"record of a version that is gone":       {Origin{Software: "v1"}, true, []string{"v2"}, "v1", GoesOn},
+		"no record, one version":                 {Origin{}, false, []string{"v2"}, "v2", GoesOn},
+		"no record, two versions":                {Origin{}, false, []string{"v1", "v2"}, "", Undecided},
+		"no record, no server known":             {Origin{}, false, nil, "", GoesOn},
+		"no server states a version":             {Origin{}, false, []string{""}, "", GoesOn},
+		"record, no server states a version":     {Origin{}, true, []string{""}, "", GoesOn},
+		"some servers state no version":          {Origin{}, false, []string{"", "v1"}, "", Undecided},
+		"begun by a run of an unknown version":   {Origin{}, true, []string{"v1"}, "", Undecided},
+		"begun by a server without a version":    {Origin{}, true, []string{"", "v1"}, "", Undecided},
+		"record, others state no version at all": {Origin{Software: "v1"}, true, []string{""}, "v1", GoesOn},
+	} {
+		if software, verdict := Decide(tc.or, tc.known, tc.versions); software != tc.software || verdict != tc.verdict {
+			t.Errorf("%s: %q, %v, want %q, %v", name, software, verdict, tc.software, tc.verdict)
+		}
+	}
+}
+
+// Two nodes that know different agents must still share a home of each stream.
+func TestNodesThatMissOneAgentEachShareAHome(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("a record reaches a queried home", prop.ForAll(func(key uint64, count, missA, missB int) bool {
+		all := make([]string, count)
+		for ix := range all {
+			all[ix] = fmt.Sprintf("10.1.0.%d", ix)
+		}
+		without := func(ix int) []string { return slices.Delete(slices.Clone(all), ix%count, ix%count+1) }
+		kept := Homes(StreamKey(key), without(missA), RecordHomes)
+		asked := Homes(StreamKey(key), without(missB), QueryHomes)
+		return slices.ContainsFunc(kept, func(host string) bool { return slices.Contains(asked, host) })
+	}, gen.UInt64(), gen.IntRange(3, 60), gen.IntRange(0, 59), gen.IntRange(0, 59)))
+	properties.TestingRun(t)
+}
+
+func TestHomesAreEvenAndDoNotDependOnTheOrderOfHosts(t *testing.T) {
+	hosts := []string{"a", "b", "c", "d", "e", "f"}
+	reversed := slices.Clone(hosts)
+	slices.Reverse(reversed)
+	counts := map[string]int{}
+	for key := range 6000 {
+		homes := Homes(StreamKey(key), hosts, RecordHomes)
+		if !slices.Equal(homes, Homes(StreamKey(key), reversed, RecordHomes)) {
+			t.Fatal("the order of the hosts changes the homes")
+		}
+		for _, host := range homes {
+			counts[host]++
+		}
+	}
+	for host, count := range counts {
+		if count < 2700 || count > 3300 {
+			t.Errorf("%s is a home of %d of 6000 streams, want about 3000", host, count)
+		}
+	}
+}
+
+func TestTableKeepsRecordsForTheirTimeAndIsBounded(t *testing.T) {
+	ta := Table{}
+	ta.Put(1, Origin{Service: "advice", Software: "v1"}, start.Add(10*time.Second), start)
+	ta.Put(2, Origin{Service: "advice", Software: "v1"}, start.Add(time.Hour), start)
+	ta.Put(2, Origin{Service: "advice", Software: "v2"}, start.Add(time.Hour), start)
+	if or, ok := ta.Get(1, start.Add(9*time.Second)); !ok || or.Software != "v1" {
+		t.Errorf("record is %+v, %t before its end", or, ok)
+	}
+	if _, ok := ta.Get(1, start.Add(10*time.Second)); ok {
+		t.Error("a record is kept after its end")
+	}
+	if or, _ := ta.Get(2, start.Add(time.Minute)); or.Software != "v2" {
+		t.Errorf("record is %+v after it was replaced", or)
+	}
+	if _, ok := ta.Get(2, start.Add(RetentionMax)); ok {
+		t.Error("a record is kept longer than RetentionMax")
+	}
+	for key := range 5 * generationMax {
+		ta.Put(StreamKey(key+10), Origin{}, start.Add(time.Minute), start)
+	}
+	if ta.Len() > 2*generationMax {
+		t.Errorf("%d records, want at most %d", ta.Len(), 2*generationMax)
+	}
+	if _, ok := ta.Get(StreamKey(5*generationMax+9), start); !ok {
+		t.Error("the newest record is gone")
+	}
+}
+
+func TestTableListsTheStreamsOfAService(t *testing.T) {
+	ta := Table{}
+	ta.Put(1, Origin{Service: "advice", Software: "v1"}, start.Add(10*time.Second), start)
+	ta.Put(2, Origin{Service: "other"}, start.Add(10*time.Second), start)
+	ta.Put(3, Origin{Service: "advice"}, start.Add(time.Second), start)
+	count := 0
+	ta.Each("advice", start.Add(2*time.Second), func(key StreamKey, or Origin, left time.Duration) {
+		count++
+		if key != 1 || or.Software != "v1" || left != 8*time.Second {
+			t.Errorf("stream %d, %+v, left %v", key, or, left)
+		}
+	})
+	if count != 1 {
+		t.Errorf("%d streams, want 1", count)
+	}
+}
+
+// A version that is gone counts for as long as a caller may take up a stream that it began.
+func TestHistoryRemembersVersionsThatAreGone(t *testing.T) {
+	hi := History{}
+	if hi.Listed("advice", "v1", start) || hi.Mixed("advice", start) {
+		t.Error("one version counts as mixed")
+	}
+	if !hi.Listed("advice", "v2", start.Add(time.Second)) || hi.Listed("advice", "v2", start.Add(time.Second)) {
+		t.Error("a second version is not reported once")
+	}
+	hi.Listed("advice", "v2", start.Add(time.Minute))
+	if got := hi.Versions("advice", start.Add(time.Minute)); !slices.Equal(got, []string{"v1", "v2"}) {
+		t.Errorf("versions %q", got)
+	}
+	later := start.Add(RetentionMax)
+	if hi.Mixed("advice", later) {
+		t.Error("a version counts for longer than RetentionMax")
+	}
+	hi.Listed("advice", "v2", later)
+	if !hi.Listed("advice", "v3", later) {
+		t.Error("a new second version is not reported after the first one was forgotten")
+	}
+	for ix := range 3 * versionsMax {
+		hi.Listed("advice", fmt.Sprintf("w%d", ix), later)
+	}
+	if got := len(hi.Versions("advice", later)); got > versionsMax {
+		t.Errorf("%d versions are remembered, want at most %d", got, versionsMax)
+	}
+	if hi.States("other", start) || !hi.States("advice", later) {
+		t.Error("States does not tell services whose servers state versions")
+	}
+}
+
+func TestRetentionCoversTheCallersDeadlineAndIsBounded(t *testing.T) {
+	for _, tc := range [...]struct{ waits, want time.Duration }{
+		{-time.Second, returnTime}, {15 * time.Second, 15*time.Second + returnTime}, {time.Hour, RetentionMax},
+	} {
+		if got := Retention(tc.waits); got != tc.want {
+			t.Errorf("Retention(%v) = %v, want %v", tc.waits, got, tc.want)
+		}
+	}
+}
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -29,6 +29,10 @@
 	PromptTokens int
 	Zone         string
 	Region       string
+	// SoftwareRequired is true if only servers that run the version Software of their software may take the
+	// request.
+	SoftwareRequired bool
+	Software         string
 	// Exclude holds the IDs of servers that are chosen again only as a last resort.
 	Exclude []string
 }
@@ -89,10 +93,11 @@
 // Choose returns the cheapest server for a request, or false if no server can take it.
 // Unhealthy servers are candidates only if no healthy one is left that is not excluded. Excluded
 // servers, healthy or not, are candidates only if no other server is left at all. A server that is
-// leaving, has asked for a pause or has got this node's share of its limit is never a candidate.
+// leaving, has asked for a pause, has got this node's share of its limit or runs another software version
+// than the one that is required is never a candidate.
 func (fl *Fleet) Choose(rq Request, now time.Time) (Choice, bool) {
 	ch := Choice{}
-	group := fl.services[rq.Service]
+	group := compatible(fl.services[rq.Service], &rq)
 	preferred := preferredEngines(group, &rq)
 	for _, pass := range passes {
 		for _, me := range group {
--- a/core/spread/limit_test.go
+++ b/core/spread/limit_test.go
@@ -85,7 +85,7 @@
 	if ch, ok := only.Choose(requestFor("x"), start); ok {
 		t.Errorf("chose %s as a last resort", ch.ID)
 	}
-	until, limited := only.TakesAgainAt("advice", start)
+	until, limited := only.TakesAgainAt(Request{Service: "advice"}, start)
 	if !limited || !until.Equal(start.Add(2*time.Second)) {
 		t.Errorf("limited %v until %v, want until two seconds later", limited, until)
 	}
@@ -115,7 +115,7 @@
 	if fl.LeaseUnanswered("e1", start) {
 		t.Error("the first request is allowed before the share begins")
 	}
-	if until, _ := fl.TakesAgainAt("advice", start); !until.Equal(start.Add(2 * time.Second)) {
+	if until, _ := fl.TakesAgainAt(Request{Service: "advice"}, start); !until.Equal(start.Add(2 * time.Second)) {
 		t.Errorf("the share begins at %v, want after half of four seconds", until)
 	}
 	if _, taken := fl.TakeLease("e1", start.Add(sharesTime)); taken {
--- a/core/spread/pause.go
+++ b/core/spread/pause.go
@@ -38,11 +38,11 @@
 	return me == nil || me.leaving()
 }
 
-// TakesAgainAt returns the earliest time at which a server of a service that takes no request of this
-// node now, because of a pause or its limit, takes one again. It returns false if there is none.
-func (fl *Fleet) TakesAgainAt(service string, now time.Time) (time.Time, bool) {
+// TakesAgainAt returns the earliest time at which a server that could take a request, but for a pause or its
+// limit, takes one again. It returns false if there is none.
+func (fl *Fleet) TakesAgainAt(rq Request, now time.Time) (time.Time, bool) {
 	earliest := time.Time{}
-	for _, me := range fl.services[service] {
+	for _, me := range compatible(fl.services[rq.Service], &rq) {
 		if me.leaving() || me.takesNow(now) {
 			continue
 		}
--- a/core/spread/pause_test.go
+++ b/core/spread/pause_test.go
@@ -21,7 +21,7 @@
 		}
 		now := start.Add(time.Duration(at) * time.Millisecond)
 		_, chosen := fl.Choose(requestFor("x"), now)
-		until, heldBack := fl.TakesAgainAt("advice", now)
+		until, heldBack := fl.TakesAgainAt(Request{Service: "advice"}, now)
 		if paused := at < latest; chosen == paused || fl.Accepts("e1", now) == paused || heldBack != paused {
 			return false
 		}
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -229,6 +229,15 @@
 	// LogBatch corresponds to the JSON schema field "log_batch".
 	LogBatch *LogBatch `json:"log_batch,omitempty,omitzero" yaml:"log_batch,omitempty" cbor:"22,keyasint,omitempty"`
 
+	// OriginAnswer corresponds to the JSON schema field "origin_answer".
+	OriginAnswer *OriginAnswer `json:"origin_answer,omitempty,omitzero" yaml:"origin_answer,omitempty" cbor:"29,keyasint,omitempty"`
+
+	// OriginQuery corresponds to the JSON schema field "origin_query".
+	OriginQuery *OriginQuery `json:"origin_query,omitempty,omitzero" yaml:"origin_query,omitempty" cbor:"28,keyasint,omitempty"`
+
+	// Origins corresponds to the JSON schema field "origins".
+	Origins *Origins `json:"origins,omitempty,omitzero" yaml:"origins,omitempty" cbor:"27,keyasint,omitempty"`
+
 	// PartReport corresponds to the JSON schema field "part_report".
 	PartReport *PartReport `json:"part_report,omitempty,omitzero" yaml:"part_report,omitempty" cbor:"26,keyasint,omitempty"`
 
@@ -396,6 +405,40 @@
 	Topic string `json:"topic" yaml:"topic" cbor:"1,keyasint,omitempty"`
 }
 
+// OriginAnswer answers an OriginQuery.
+type OriginAnswer struct {
+	// Attempt identifies the query.
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
+
+	// Known is true if the agent keeps what began the stream.
+	Known bool `json:"known" yaml:"known" cbor:"2,keyasint,omitempty"`
+
+	// Service is the name of the service of the backend server that sent the first
+	// event.
+	Service string `json:"service" yaml:"service" cbor:"3,keyasint,omitempty"`
+
+	// Software is the software version of that backend server, empty if it was not
+	// known.
+	Software string `json:"software" yaml:"software" cbor:"4,keyasint,omitempty"`
+}
+
+// OriginQuery asks an agent what began a stream.
+type OriginQuery struct {
+	// Attempt identifies the query.
+	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
+
+	// Stream is the hash of the ID of the request that brought the first event of the
+	// stream.
+	Stream uint64 `json:"stream" yaml:"stream" cbor:"2,keyasint,omitempty"`
+}
+
+// Origins gives an agent what began streams, to be kept for the entry nodes at
+// which callers take them up.
+type Origins struct {
+	// Streams lists the streams.
+	Streams []StreamOrigin `json:"streams" yaml:"streams" cbor:"1,keyasint,omitempty"`
+}
+
 // PartReport tells of parts of prompts that crash backend servers, or do not. An
 // entry node sends it to an agent, which passes it on to the other entry nodes,
 // also to those that connect later.
@@ -605,6 +648,24 @@
 	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 }
 
+// StreamOrigin tells which software version of a backend server began a stream.
+type StreamOrigin struct {
+	// Keep is how long callers may still take up the stream, in milliseconds.
+	Keep int64 `json:"keep" yaml:"keep" cbor:"4,keyasint,omitempty"`
+
+	// Service is the name of the service of the backend server that sent the first
+	// event.
+	Service string `json:"service" yaml:"service" cbor:"2,keyasint,omitempty"`
+
+	// Software is the software version of that backend server, empty if it was not
+	// known.
+	Software string `json:"software" yaml:"software" cbor:"3,keyasint,omitempty"`
+
+	// Stream is the hash of the ID of the request that brought the first event of the
+	// stream.
+	Stream uint64 `json:"stream" yaml:"stream" cbor:"1,keyasint,omitempty"`
+}
+
 // Verdict answers a Void, and a Credit with Replay for an attempt that has no
 // frames to resend.
 type Verdict struct {
@@ -644,6 +705,10 @@
 	// Boot identifies the run of the agent's process; it changes with every restart.
 	Boot string `json:"boot" yaml:"boot" cbor:"2,keyasint,omitempty"`
 
+	// KeepsOrigins is true when the agent keeps what began streams. An agent of an
+	// earlier version does not know the frames for that.
+	KeepsOrigins bool `json:"keeps_origins" yaml:"keeps_origins" cbor:"10,keyasint,omitempty"`
+
 	// Model is the engine's base model, empty for a plain service.
 	Model string `json:"model" yaml:"model" cbor:"5,keyasint,omitempty"`
 
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -31,6 +31,8 @@
 	co *link.Conn
 	// boot identifies the agent's run.
 	boot string
+	// keepsOrigins is true if the agent keeps what began streams.
+	keepsOrigins bool
 	// silent is true from an unanswered reservation until the agent sends anything.
 	silent bool
 }
@@ -56,8 +58,9 @@
 	granted map[string]*heldGrant
 }
 
-// grantWaiter receives the replies of an agent for an attempt that waits for a grant.
+// grantWaiter receives the replies of agents for an attempt that waits for a grant or another answer.
 type grantWaiter struct {
+	// server is the server that the attempt is meant for, empty if it is for none yet.
 	server string
 	frames chan *wire.Frame
 }
@@ -137,7 +140,7 @@
 		staying[servers[ix].ID] = !servers[ix].Leaving
 	}
 	for attempt, gw := range as.waiting {
-		if !staying[gw.server] {
+		if gw.server != "" && !staying[gw.server] {
 			gw.tryDeliver(&wire.Frame{Refusal: &wire.Refusal{Attempt: attempt, Reason: reasonServerLeaving}})
 		}
 	}
@@ -170,7 +173,7 @@
 		as.removeConnection(ho.Name, nil)
 		return
 	}
-	ac := &agentConn{co: co, boot: we.Boot}
+	ac := &agentConn{co: co, boot: we.Boot, keepsOrigins: we.KeepsOrigins}
 	as.addConnection(ctx, ho.Name, ac)
 	err = co.Run(ctx, &frameReceiver{as: as, host: ho.Name, ac: ac})
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", ho.Name).Str("reason", err.Error()).Msg("dependency_lost")
@@ -209,6 +212,9 @@
 	}
 	as.mu.Unlock()
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("frames", len(frames)).Msg("dependency_regained")
+	if ac.keepsOrigins {
+		as.restoreOrigins(host, as.no.origins.mixedStreams(as.no.view.services(), time.Now()))
+	}
 	if len(frames) == 0 {
 		return
 	}
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -70,6 +70,7 @@
 	no.mu.Unlock()
 	no.agents.setServers(servers, now)
 	no.crashes.recordServers(servers)
+	no.origins.recordServers(servers, now)
 }
 
 // spreadServer converts a server's record to the form that server selection needs.
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -157,17 +157,21 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	sr := rq.spreadRequest(now, exclude)
+	software, required, err := rq.requiredSoftware(now)
+	if err != nil {
+		return nil, err
+	}
+	sr.Software, sr.SoftwareRequired = software, required
 	ch, ok := no.fleet.Choose(sr, now)
 	if !ok {
-		return nil, no.noServerError(rq.service.Name, now)
+		return nil, no.noServerError(sr, now)
 	}
 	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
 			WithRetryAfter(retryAfter)
 	}
-	se, _ := no.fleet.Server(ch.ID)
 	at := &attempt{
-		id: rq.attemptID(number), server: ch.ID, software: se.Software, address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
+		id: rq.attemptID(number), server: ch.ID, software: no.fleet.Software(ch.ID), address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
 		born: no.fleet.RunStart(ch.ID),
 	}
 	rq.logAttempt(at, "route_chosen").Str("software", at.software).Str("resumes", rq.info.Resumes).Str("last_event", rq.lastEventID()).Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
--- a/entry/direct/demands.go
+++ b/entry/direct/demands.go
@@ -5,6 +5,7 @@
 
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
@@ -76,8 +77,11 @@
 // pause or a limit that they have asked for, the caller is told when the first of them takes a request
 // again, at a random time after that, so that callers do not return together. The node's lock must be
 // held.
-func (no *Node) noServerError(service string, now time.Time) error {
-	until, heldBack := no.fleet.TakesAgainAt(service, now)
+func (no *Node) noServerError(sr spread.Request, now time.Time) error {
+	if sr.SoftwareRequired && !no.fleet.HasSoftware(sr.Service, sr.Software) {
+		return notResumableError("no server of the software version " + sr.Software + " that began it is left")
+	}
+	until, heldBack := no.fleet.TakesAgainAt(sr, now)
 	if !heldBack {
 		return fault.New(fault.Unavailable, "no backend server of the service can take the request", "send it again").
 			WithRetryAfter(notReadyRetryAfter)
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -77,6 +77,8 @@
 		return "", &fr.Holdings.Load
 	case fr.LeaseAnswer != nil:
 		return fr.LeaseAnswer.Attempt, nil
+	case fr.OriginAnswer != nil:
+		return fr.OriginAnswer.Attempt, nil
 	}
 	return "", nil
 }
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// services returns the services of the routing table by name, none before the first table.
+func (lv *logView) services() map[string]paths.Service {
+	if ta := lv.table.Load(); ta != nil {
+		return ta.Services
+	}
+	return nil
+}
+
 // addVersion stores an adapter version and reports whether it is newer than the known one.
 func (lv *logView) addVersion(av *AdapterVersion, initial bool, now time.Time) bool {
 	lv.mu.Lock()
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -45,7 +45,12 @@
 	// because of pauses and limits of servers.
 	metricPauses   = newCounter("server_pauses")
 	metricHeldBack = newCounter("held_back_requests")
-	histograms     = map[string]*latencyHistogram{
+	// metricTakenUp counts the requests that take up a stream, metricNotResumable those that were refused
+	// because it can go on nowhere.
+	metricTakenUp      = newCounter("streams_taken_up")
+	metricNotResumable = newCounter("streams_not_resumable")
+
+	histograms = map[string]*latencyHistogram{
 		histogramFirstByte: newLatencyHistogram(histogramFirstByte), histogramWholeAnswer: newLatencyHistogram(histogramWholeAnswer), histogramGrant: newLatencyHistogram(histogramGrant),
 	}
 )
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -61,6 +61,7 @@
 	agents  *agents
 	feeds   *feeds
 	crashes *crashes
+	origins *origins
 	held    heldBytes
 	pool    *pool.Pool
 	// boot identifies this run of the node.
@@ -109,6 +110,7 @@
 	no.held.eachMax, no.held.allMax = options.Settings.AnswerHoldBytes, options.Settings.AnswersHoldBytes
 	no.agents = newAgents(no)
 	no.crashes = newCrashes(no)
+	no.origins = &origins{no: no}
 	no.feeds = newFeeds(no, newFollower(no, OperatorsTopic), newFollower(no, ServersTopic))
 	return no
 }
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -13,6 +13,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/origin"
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/spread"
@@ -57,6 +58,11 @@
 	answerStarted bool
 	// holds is the number of bytes that the node holds of answers to the request.
 	holds int
+	// streamKey identifies the stream that the request begins or takes up.
+	streamKey origin.StreamKey
+	// begun is true once the stream has its first event, or if the request takes it up; origin is what began it.
+	begun  bool
+	origin origin.Origin
 	// stream tracks the events written to the caller, for routes that stream.
 	stream streamState
 }
@@ -75,6 +81,10 @@
 	}
 	ctx, cancel := context.WithDeadline(gc.Request.Context(), rq.deadline)
 	defer cancel()
+	if err := rq.takeUp(ctx); err != nil {
+		rq.respondError(err)
+		return
+	}
 	rq.runAttempts(ctx)
 }
 
@@ -129,6 +139,14 @@
 	return max(0, timeout)
 }
 
+// callerWaits returns how long the caller waits for the answer from now on.
+func (rq *request) callerWaits() time.Duration {
+	if rq.info.CallerTimeout > 0 {
+		return rq.info.CallerTimeout - time.Since(rq.start)
+	}
+	return defaultTimeout
+}
+
 // timeLeft returns the time until the caller must be answered, zero if its timeout is not known yet.
 func (rq *request) timeLeft() time.Duration {
 	if rq.deadline.IsZero() {
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -72,6 +72,9 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
+		if first && !rq.admitFirstEvent(at) {
+			return result{outcome: retry.Unknown, reason: reasonSoftwareChanged}, false
+		}
 		if first {
 			first = false
 			rq.recordFirstEvent(at)
--- a/proofs/direct_software_test.go
+++ b/proofs/direct_software_test.go
@@ -55,8 +55,15 @@
 func (sw *softwareWorld) answer(ba *backend) func(wr http.ResponseWriter, rq *http.Request) {
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		ba.mu.Lock()
-		software := ba.software
+		software, loaded := ba.software, ba.loaded[rq.Header.Get(headerAdapter)] > 0
 		ba.mu.Unlock()
+		if !loaded {
+			// An engine that has just started holds nothing.
+			wr.Header().Set(headerID, rq.Header.Get(headerID))
+			wr.Header().Set(headerServer, ba.announcedID)
+			wr.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		sw.mu.Lock()
 		until, breaks := streamEventCount, sw.random.Float64() < sw.breakShare
 		sw.mu.Unlock()
