Keep streams to one software version on the product's own interface too

Cause: the same as on the users' platform: a stream that goes on at another engine after a crash was placed like a new request, and no message named an engine's software version. Found by looking the cause up on the other way; nobody has reported it there. Change: engines name it in each answer, agents pass it on with the head, and the relay ends an attempt of another version before anything of it reaches the caller. A first form of the test expected all four answers to break off; those that had begun at the engine that did not crash rightly do not.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -132,7 +132,7 @@
 
 // sendUnchanged sends a plain service's answer as it is.
 func (fw *forwarding) sendUnchanged(ctx context.Context, resp *http.Response, contentType string) error {
-	fw.out.Head(resp.StatusCode, contentType)
+	fw.out.Head(resp.StatusCode, contentType, resp.Header.Get(client.SoftwareHeader))
 	if err := fw.sendChunks(ctx, resp.Body); err != nil {
 		return err
 	}
@@ -180,7 +180,7 @@
 			return err
 		}
 	}
-	fw.out.Head(resp.StatusCode, contentType)
+	fw.out.Head(resp.StatusCode, contentType, resp.Header.Get(client.SoftwareHeader))
 	return fw.out.Finish(ctx, data)
 }
 
@@ -217,7 +217,7 @@
 		}
 		if first {
 			first = false
-			fw.out.Head(resp.StatusCode, streamType)
+			fw.out.Head(resp.StatusCode, streamType, resp.Header.Get(client.SoftwareHeader))
 		}
 		if err := fw.out.Chunk(ctx, formatEvent(replaced)); err != nil {
 			return err
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -17,6 +17,8 @@
 const (
 	// BootHeader is the header of each engine answer that identifies the engine process.
 	BootHeader = "X-Engine-Boot"
+	// SoftwareHeader is the header of engine answers that names the version of the engine's software.
+	SoftwareHeader = "X-Engine-Software"
 	// requestIDHeader carries the attempt ID: to the engine, each attempt is a request of its own.
 	requestIDHeader      = "X-Request-Id"
 	priorityHeader       = "X-Priority"
--- a/agent/internal/output/output.go
+++ b/agent/internal/output/output.go
@@ -70,10 +70,10 @@
 	}
 }
 
-// Head sets the status and the content type of the answer. They are sent with the first chunk or the
-// end.
-func (ou *Output) Head(status int, contentType string) {
-	fr := &wire.Frame{Head: &wire.Head{Attempt: ou.attempt, Status: status, ContentType: contentType}}
+// Head sets the status and the content type of the answer, and the software version of the engine that sends
+// it. They are sent with the first chunk or the end.
+func (ou *Output) Head(status int, contentType, software string) {
+	fr := &wire.Frame{Head: &wire.Head{Attempt: ou.attempt, Status: status, ContentType: contentType, Software: software}}
 	ou.mu.Lock()
 	defer ou.mu.Unlock()
 	ou.head = fr
--- a/agent/internal/output/output_test.go
+++ b/agent/internal/output/output_test.go
@@ -71,7 +71,7 @@
 		ctx := t.Context()
 		connections := []*connection{{}}
 		ou := New("a-1", 0, true, connections[0])
-		ou.Head(200, "text/plain")
+		ou.Head(200, "text/plain", "")
 		producer := sync.WaitGroup{}
 		producer.Go(func() {
 			for number := range testChunks {
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -297,6 +297,10 @@
 	// ContentType is the media type of the answer.
 	ContentType string `json:"content_type" yaml:"content_type" cbor:"3,keyasint,omitempty"`
 
+	// Software is the version of the software of the engine that answers, empty if it
+	// does not name one.
+	Software string `json:"software" yaml:"software" cbor:"4,keyasint,omitempty"`
+
 	// Status is the HTTP status code.
 	Status int `json:"status" yaml:"status" cbor:"2,keyasint,omitempty"`
 }
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -27,6 +27,9 @@
 	maxVoidedVerdictAge = 30 * time.Second
 
 	reasonCallerGone = "caller_gone"
+	// reasonOtherSoftware means that an engine of another software version than the one that began the stream
+	// has answered.
+	reasonOtherSoftware = "other_software"
 
 	chunksPerAcknowledgement = links.Window / 4
 )
@@ -80,6 +83,10 @@
 	// claimedAt is the log time of the claim in Unix milliseconds, zero without one.
 	claimedAt        int64
 	reconnectTimeout time.Duration
+	// begun is true if the caller has a part of the answer from an engine of the version software, at which
+	// alone the answer goes on.
+	begun    bool
+	software string
 
 	head *wire.Head
 	// received is the sequence number of the last chunk that was delivered.
@@ -158,11 +165,8 @@
 	case fr.Verdict != nil:
 		return re.handleVerdict(ctx, fr.Verdict.Outcome)
 	case fr.Head != nil:
-		if re.head == nil {
-			re.head = fr.Head
-			if err := re.an.Head(fr.Head.Status, fr.Head.ContentType); err != nil {
-				return result{ending: canceled, reason: reasonCallerGone}, true
-			}
+		if rs, ended := re.handleHead(fr.Head); ended {
+			return rs, true
 		}
 	case fr.Chunk != nil:
 		if err := re.handleChunk(ctx, fr.Chunk); err != nil {
@@ -174,6 +178,30 @@
 	return re.checkEnd(ctx)
 }
 
+// handleHead passes the first head of the answer on. An answer that goes on at an engine of another software
+// version ends before any of it is passed on.
+func (re *receiver) handleHead(hd *wire.Head) (result, bool) {
+	if re.head != nil {
+		return result{}, false
+	}
+	if re.begun && hd.Software != re.software {
+		return result{ending: interrupted, reason: reasonOtherSoftware}, true
+	}
+	re.head = hd
+	if err := re.an.Head(hd.Status, hd.ContentType); err != nil {
+		return result{ending: canceled, reason: reasonCallerGone}, true
+	}
+	return result{}, false
+}
+
+// answeredBy returns the software version of the engine that has answered, empty if none has or it named none.
+func (re *receiver) answeredBy() string {
+	if re.head == nil {
+		return ""
+	}
+	return re.head.Software
+}
+
 // handleConnectionChange handles the loss or the restoration of the connection to the agent. It waits
 // for a lost connection, and asks the same run of the agent for the missing frames once there is
 // a new one. A restarted agent has lost the attempt.
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -52,6 +52,10 @@
 	// mayHaveRun is true once an attempt may have run.
 	mayHaveRun   bool
 	attemptCount int
+	// begun is true once the caller has a part of the answer, software is the version of the software of the
+	// engine that sent the first one.
+	begun    bool
+	software string
 	// fingerprint identifies a model request, also when the caller sends it again. It is empty
 	// for a plain service and for a claimed call.
 	fingerprint string
@@ -179,13 +183,18 @@
 		return result{ending: notRun, reason: "no_link"}
 	}
 	defer at.Close()
-	rs := newReceiver(at, ex.an, claimedAt).run(ctx, ex.rq.Deadline)
+	re := newReceiver(at, ex.an, claimedAt)
+	re.begun, re.software = ex.begun, ex.software
+	rs := re.run(ctx, ex.rq.Deadline)
+	if ex.an.Begun() && !ex.begun {
+		ex.begun, ex.software = true, re.answeredBy()
+	}
 	if claimedAt == 0 && (rs.ending == canceled || rs.ending == timedOut || rs.ending == interrupted) {
 		at.Cancel(context.WithoutCancel(ctx))
 	}
 	ex.rl.recordOutcome(ch.Runner, rs)
 	ex.rl.lg.Info().Str("request", ex.rq.ID).Str("attempt", id).Str("runner", ch.Runner).
-		Str("outcome", rs.ending.String()).Str("reason", rs.reason).Msg("attempt_ended")
+		Str("outcome", rs.ending.String()).Str("reason", rs.reason).Str("software", re.answeredBy()).Msg("attempt_ended")
 	return rs
 }
 
@@ -200,6 +209,7 @@
 	switch {
 	case rs.ending == answered:
 		rl.ls.Succeeded(runner)
+	case rs.reason == reasonOtherSoftware:
 	case rs.ending == interrupted, rs.ending == notRun && isRunnerFault(rs.reason):
 		rl.ls.Failed(runner)
 	}
--- a/proofs/simulation_test.go
+++ b/proofs/simulation_test.go
@@ -59,6 +59,16 @@
 	policy              route.Policy
 	storeLoadsPerSecond float64
 	weights             conf.Weights
+	// software holds the software versions of the engines, none if it is empty.
+	software []string
+}
+
+// softwareOf returns the software version of an engine.
+func (op *simulationOptions) softwareOf(ix int) string {
+	if ix >= len(op.software) {
+		return ""
+	}
+	return op.software[ix]
 }
 
 // simulation is a complete deployment that runs in one process, in virtual time.
@@ -155,7 +165,7 @@
 	en := engine.New(engine.Options{
 		Name: name, Model: "base", Slots: sm.op.adapterSlots, BatchSize: sm.op.batchSize, ChecksFencing: sm.op.checksFencing && ix%2 == 0,
 		StepTime: 10 * time.Millisecond, StepTimePerRequest: time.Millisecond, PrefillPerToken: 100 * time.Microsecond,
-		ColdStart: time.Second, CrashWord: crashWord,
+		ColdStart: time.Second, CrashWord: crashWord, Software: sm.op.softwareOf(ix),
 	}, engine.HTTPStore{Client: client, URL: "http://store:1"})
 	sm.engines = append(sm.engines, en)
 	go en.Run(sm.ctx)
--- a/proofs/stream_test.go
+++ b/proofs/stream_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bambooladder/bambooladder/core/admin"
 	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/stand/engine"
 	"github.com/bambooladder/bambooladder/stand/hostls"
 )
 
@@ -27,16 +28,73 @@
 			})
 		}
 		time.Sleep(1500 * time.Millisecond)
-		for _, en := range sm.engines {
-			if _, filled := en.BatchFill(); filled > 0 {
-				en.Crash()
-				break
-			}
-		}
+		crashBusyEngine(sm)
 		wg.Wait()
 	})
 }
 
+// Engines of two software versions serve side by side. When an engine crashes, its streams must go on only at
+// engines of its version: completely if one is left, else not at all.
+func TestStreamGoesOnOnlyAtAnEngineOfItsSoftwareVersion(t *testing.T) {
+	for name, tc := range map[string]struct {
+		software []string
+		goesOn   bool
+	}{
+		"another engine of the version": {[]string{"v1", "v2", "v1", "v2"}, true},
+		"no other engine of it":         {[]string{"v1", "v2"}, false},
+		"engines that name no version":  {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			op := smallSimulation()
+			op.software, op.engines = tc.software, max(2, len(tc.software))
+			runSimulation(t, op, func(t *testing.T, sm *simulation) {
+				wg := sync.WaitGroup{}
+				replies := [4]reply{}
+				for ix := range replies {
+					wg.Go(func() {
+						replies[ix] = sm.sendChat("caller", entryName(ix%2), "boot@2", fmt.Sprint("long answer ", ix), 200, true, 19*time.Second)
+					})
+				}
+				time.Sleep(1500 * time.Millisecond)
+				begun := begunAt(crashBusyEngine(sm))
+				if len(begun) == 0 {
+					t.Fatal("no stream had begun at the engine that crashed")
+				}
+				wg.Wait()
+				for ix, re := range replies {
+					prompt := fmt.Sprint("long answer ", ix)
+					want := tc.goesOn || !begun[prompt]
+					if text, complete := re.text(); complete != want || complete && text != engine.ExpectedText("boot@2", prompt, 200) {
+						t.Errorf("answer complete: %t, want %t; status %d, error %v", complete, want, re.status, re.err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// begunAt returns the prompts whose answers broke off at an engine after their first tokens.
+func begunAt(en *engine.Engine) map[string]bool {
+	begun := map[string]bool{}
+	for _, se := range en.Served() {
+		if !se.Complete && se.Tokens > 10 {
+			begun[se.Prompt] = true
+		}
+	}
+	return begun
+}
+
+// crashBusyEngine crashes the first engine that has decoded tokens, and returns it.
+func crashBusyEngine(sm *simulation) *engine.Engine {
+	for _, en := range sm.engines {
+		if _, filled := en.BatchFill(); filled > 0 {
+			en.Crash()
+			return en
+		}
+	}
+	return &engine.Engine{}
+}
+
 // A caller that does not read its stream must not block other requests on the same agent connection.
 // The test leaves a long stream unread while others are answered; then the stream must be complete.
 func TestUnreadStreamDoesNotDelayOtherCallers(t *testing.T) {
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -33,6 +33,8 @@
 	ReportLag time.Duration
 	// ColdStart is the time after a crash in which the engine refuses requests, orders and inspections.
 	ColdStart time.Duration
+	// Software is the version of the engine's software that its answers name, empty for none.
+	Software string
 	// CrashWord makes the engine crash on a prompt that contains it; empty switches this off.
 	CrashWord string
 }
--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -13,6 +13,8 @@
 const (
 	// BootHeader carries the ID of the engine's current run in every response.
 	BootHeader = "X-Engine-Boot"
+	// SoftwareHeader carries the version of the engine's software in every response, if it has one.
+	SoftwareHeader = "X-Engine-Software"
 	// RequestHeader carries the ID of the request, for which an agent sends its attempt ID.
 	RequestHeader = "X-Request-Id"
 	// PriorityHeader carries the priority of the request; higher priorities run first.
@@ -72,6 +74,9 @@
 	mux.HandleFunc("GET /violations", func(wr http.ResponseWriter, _ *http.Request) { writeJSON(wr, en.Violations()) })
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		wr.Header().Set(BootHeader, en.Boot())
+		if en.op.Software != "" {
+			wr.Header().Set(SoftwareHeader, en.op.Software)
+		}
 		mux.ServeHTTP(wr, rq)
 	})
 }
--- a/stand/internal/launch/launch.go
+++ b/stand/internal/launch/launch.go
@@ -102,6 +102,7 @@
 	cc.Flag("prefill", "Time of one prompt token.").Default("200us").DurationVar(&op.engine.PrefillPerToken)
 	cc.Flag("report-lag", "Age of the reported load.").Default("500ms").DurationVar(&op.engine.ReportLag)
 	cc.Flag("cold-start", "Time without answers after a crash.").Default("3s").DurationVar(&op.engine.ColdStart)
+	cc.Flag("software", "Version of the engine's software that its answers name.").StringVar(&op.engine.Software)
 	cc.Flag("crash-word", "Word in a prompt that crashes the engine.").StringVar(&op.engine.CrashWord)
 	cc.Flag("store", "URL of the weight store.").Required().StringVar(&op.storeURL)
 }
