--- a/entry/direct/demands.go
+++ b/entry/direct/demands.go
@@ -51,7 +51,7 @@
 	if no.fleet.PauseAsked(at.server, now.Add(pause+longer)) {
 		metricPauses.Add(1)
 		no.logger.Info().Str("attempt", at.id).Str("server", at.server).Int64("born", at.born).Dur("asked", pause).
-			Dur("kept", pause+longer).Msg("server_paused")
+			Dur("kept", pause+longer).Dur("since_choice", now.Sub(at.start)).Msg("server_paused")
 	}
 }
 
