--- a/proofs/direct_demands_test.go
+++ b/proofs/direct_demands_test.go
@@ -7,6 +7,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/entry/direct"
 )
 
 const (
@@ -170,6 +173,52 @@
 	}
 }
 
+// The record of a server lapses and comes back, or first lacks the start time of its run, while a pause goes on
+// that the server has asked for. The pause must go on all the same, and end in time.
+func TestDirectPauseOutlivesTheRecordOfItsServer(t *testing.T) {
+	const (
+		pause = 8 * time.Second
+		// lapse is long enough for nodes to read the log in between.
+		lapse = 1500 * time.Millisecond
+	)
+	for name, interrupt := range map[string]func(ds *directSimulation, tc demandCase){
+		"removed and written again": func(ds *directSimulation, tc demandCase) {
+			ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{RemovedServer: tc.server})
+			time.Sleep(lapse)
+			ds.announceServer(tc.server, ds.backends[tc.server].service, ds.backends[tc.server].model, false)
+		},
+		"without a start time, then with it": func(ds *directSimulation, tc demandCase) {
+			ba := ds.backends[tc.server]
+			ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{Server: &roster.Server{
+				ID: tc.server, Service: ba.service, Address: tc.server + ":1", Zone: directZone, Places: 4, Model: ba.model,
+			}})
+			time.Sleep(lapse)
+			ds.announceServer(tc.server, ba.service, ba.model, false)
+		},
+	} {
+		for _, kind := range []string{"plain service", "engine"} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				tc := demandCases[kind]
+				runDemandCase(t, tc, func(t *testing.T, ds *directSimulation, de *demandingServer, dl *directLoad) {
+					de.set(func(de *demandingServer) { de.refusing, de.pause = true, pause })
+					time.Sleep(time.Second)
+					interrupt(ds, tc)
+					from := time.Now()
+					time.Sleep(pause - time.Second - lapse - pauseGrace)
+					if got := len(de.arrivalsFrom(from)); got > 0 {
+						t.Errorf("%d requests reached the server in its pause after its record came back", got)
+					}
+					de.set(func(de *demandingServer) { de.refusing = false })
+					time.Sleep(2 * pause)
+					if len(de.arrivalsFrom(from)) == 0 {
+						t.Error("the server gets no requests after its pause")
+					}
+				})
+			})
+		}
+	}
+}
+
 // All servers ask for a pause. Callers must be refused at once and told when the first pause ends, each
 // another time, and be served then.
 func TestDirectCallersLearnTheEndOfThePauseOfAllServers(t *testing.T) {
