Keep the pause that a server has asked for by its run, not with its record

Cause: the pause was part of the fleet's entry of a server, which goes with the record: a record that lapses and comes back, or that first lacks the start time of its run, began without one. Class: knowledge from one source kept in the lifetime of another. Change: a pause belongs to a run; a removal keeps it (bounded), and only a record of another known start time ends it. An unknown start time ends nothing.

--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -75,8 +75,8 @@
 	consecutiveFailures int
 	failureBackoffUntil time.Time
 	limit               limit
-	// pausedUntil is the end of the pause that the server has asked this node for.
-	pausedUntil time.Time
+	// pause is the one that the server has asked this node for.
+	pause pause
 }
 
 // Fleet is an entry node's view of the backend servers; its zero value is empty.
@@ -86,6 +86,8 @@
 	services map[string][]*member
 	// nodes is the number of entry nodes that share the limits of servers.
 	nodes int
+	// pauses holds the pauses of the servers that were removed, by server ID.
+	pauses map[string]pause
 }
 
 // Put adds a server or replaces its record.
@@ -100,16 +102,18 @@
 		me = nil
 	}
 	if me == nil {
-		me = &member{hash: xxh3.HashString(se.ID), latencyRatio: 1}
+		me = &member{hash: xxh3.HashString(se.ID), latencyRatio: 1, pause: fl.pauses[se.ID]}
+		delete(fl.pauses, se.ID)
 		fl.members[se.ID] = me
 		group := fl.services[se.Service]
 		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
 		fl.services[se.Service] = slices.Insert(group, ix, me)
 	}
 	if se.Born != me.Born {
-		// A new run of the server has asked for nothing yet.
-		me.limit, me.pausedUntil = limit{}, time.Time{}
+		// A new run of the server has named no limit yet.
+		me.limit = limit{}
 	}
+	me.pause = me.pause.ofRun(se.Born)
 	me.Server = se
 }
 
@@ -119,6 +123,7 @@
 	if me == nil {
 		return
 	}
+	fl.keepPause(id, me.pause)
 	delete(fl.members, id)
 	fl.services[me.Service] = slices.DeleteFunc(fl.services[me.Service], func(other *member) bool { return other == me })
 }
--- a/core/spread/pause_test.go
+++ b/core/spread/pause_test.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,54 @@
 		t.Error("a new run of the server is kept to the pause of the one before")
 	}
 }
+
+// Whatever becomes of the record of a server meanwhile, the pause that its run has asked for holds exactly until
+// its end, unless the record shows another run.
+func TestPauseDependsOnTheRunAloneNotOnItsRecord(t *testing.T) {
+	server := func(born int64) Server {
+		return Server{ID: "e1", Service: "advice", Zone: "z1", Region: "r1", Engine: true, Model: "m", Born: born}
+	}
+	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
+	properties.Property("paused until the end", prop.ForAll(func(steps []int) bool {
+		fl := &Fleet{}
+		fl.Put(server(7))
+		fl.PauseAsked("e1", start.Add(time.Minute))
+		for _, step := range steps {
+			switch step {
+			case 0:
+				fl.Remove("e1")
+			case 1:
+				fl.Put(server(0))
+			case 2:
+				fl.Put(server(7))
+			}
+		}
+		fl.Put(server(7))
+		return !fl.Accepts("e1", start) && fl.Accepts("e1", start.Add(time.Minute))
+	}, gen.SliceOf(gen.IntRange(0, 2))))
+	properties.TestingRun(t)
+	fl := &Fleet{}
+	fl.Put(server(7))
+	fl.PauseAsked("e1", start.Add(time.Minute))
+	fl.Remove("e1")
+	fl.Put(server(8))
+	if !fl.Accepts("e1", start) {
+		t.Error("a new run that comes after the removal of the one before is kept to its pause")
+	}
+}
+
+func TestPausesOfRemovedServersAreBounded(t *testing.T) {
+	fl := &Fleet{}
+	for ix := range 2 * removedPausesMax {
+		id := fmt.Sprintf("e%d", ix)
+		fl.Put(Server{ID: id, Service: "advice", Born: 1})
+		fl.PauseAsked(id, start.Add(time.Duration(ix)*time.Second))
+		fl.Remove(id)
+	}
+	if len(fl.pauses) > removedPausesMax {
+		t.Errorf("%d pauses are kept, want at most %d", len(fl.pauses), removedPausesMax)
+	}
+	if _, kept := fl.pauses[fmt.Sprintf("e%d", 2*removedPausesMax-1)]; !kept {
+		t.Error("the pause that ends last is forgotten")
+	}
+}
