Keep the limit that a server has named by its run, too

Cause: the same as of the lost pauses: a limit was part of the fleet's entry of a server, which goes with its record. Found by looking for the cause elsewhere. Change: pauses and limits are the demands of a run, kept together when a server is removed (core/spread/demands.go). Test: TestLimitOutlivesTheRecordOfItsServer fails in both cases without the change, passes with it.

--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -52,6 +52,7 @@
 // member is a backend server with the load, latency and failures that this entry node has seen.
 type member struct {
 	Server
+	demands
 	hash uint64
 	load Load
 	// agentAvailable is true while the agent reports and gives grants.
@@ -74,9 +75,6 @@
 	failureShare        float64
 	consecutiveFailures int
 	failureBackoffUntil time.Time
-	limit               limit
-	// pause is the one that the server has asked this node for.
-	pause pause
 }
 
 // Fleet is an entry node's view of the backend servers; its zero value is empty.
@@ -86,8 +84,8 @@
 	services map[string][]*member
 	// nodes is the number of entry nodes that share the limits of servers.
 	nodes int
-	// pauses holds the pauses of the servers that were removed, by server ID.
-	pauses map[string]pause
+	// removed holds what the servers that were removed have asked for, by server ID.
+	removed map[string]demands
 }
 
 // Put adds a server or replaces its record.
@@ -102,18 +100,14 @@
 		me = nil
 	}
 	if me == nil {
-		me = &member{hash: xxh3.HashString(se.ID), latencyRatio: 1, pause: fl.pauses[se.ID]}
-		delete(fl.pauses, se.ID)
+		me = &member{hash: xxh3.HashString(se.ID), latencyRatio: 1, demands: fl.removed[se.ID]}
+		delete(fl.removed, se.ID)
 		fl.members[se.ID] = me
 		group := fl.services[se.Service]
 		ix, _ := slices.BinarySearchFunc(group, se.ID, func(el *member, id string) int { return strings.Compare(el.ID, id) })
 		fl.services[se.Service] = slices.Insert(group, ix, me)
 	}
-	if se.Born != me.Born {
-		// A new run of the server has named no limit yet.
-		me.limit = limit{}
-	}
-	me.pause = me.pause.ofRun(se.Born)
+	me.demands = me.demands.ofRun(se.Born)
 	me.Server = se
 }
 
@@ -123,7 +117,7 @@
 	if me == nil {
 		return
 	}
-	fl.keepPause(id, me.pause)
+	fl.keepDemands(id, me.demands)
 	delete(fl.members, id)
 	fl.services[me.Service] = slices.DeleteFunc(fl.services[me.Service], func(other *member) bool { return other == me })
 }
--- a/core/spread/limit_test.go
+++ b/core/spread/limit_test.go
@@ -156,3 +156,25 @@
 		t.Error("a leased request that was not sent cannot be sent later")
 	}
 }
+
+// A limit must hold on when the record of its server lapses and comes back, or lacks the start time of the run.
+func TestLimitOutlivesTheRecordOfItsServer(t *testing.T) {
+	server := func(born int64) Server { return Server{ID: "e1", Service: "advice", Zone: "z1", Born: born} }
+	for name, interrupt := range map[string]func(fl *Fleet){
+		"removed":              func(fl *Fleet) { fl.Remove("e1") },
+		"without a start time": func(fl *Fleet) { fl.Put(server(0)) },
+	} {
+		fl := &Fleet{}
+		fl.Put(server(7))
+		fl.LimitNamed("e1", 2, 0, start)
+		interrupt(fl)
+		fl.Put(server(7))
+		if _, taken := fl.TakeLease("e1", start); taken {
+			t.Errorf("%s: a request may be sent without a lease", name)
+		}
+		fl.Put(server(8))
+		if _, taken := fl.TakeLease("e1", start); !taken {
+			t.Errorf("%s: a new run is kept to the limit of the one before", name)
+		}
+	}
+}
--- a/core/spread/pause.go
+++ b/core/spread/pause.go
@@ -2,60 +2,19 @@
 
 import "time"
 
-// removedPausesMax is the number of pauses of removed servers that are kept.
-const removedPausesMax = 1024
-
-// pause is the time in which a run of a server wants no requests from this node.
-type pause struct {
-	// born is the start time of the run in Unix milliseconds, zero if it is not known.
-	born  int64
-	until time.Time
-}
-
-// ofRun returns the pause for a run of the server: a run that is known to be another one has asked for none.
-func (pa pause) ofRun(born int64) pause {
-	if pa.born != 0 && born != 0 && pa.born != born {
-		return pause{born: born}
-	}
-	pa.born = max(pa.born, born)
-	return pa
-}
-
-// keepPause keeps the pause of a server that is removed: its record may only have lapsed. Beyond
-// removedPausesMax, the pause that ends first is forgotten.
-func (fl *Fleet) keepPause(id string, pa pause) {
-	if pa.until.IsZero() {
-		return
-	}
-	if fl.pauses == nil {
-		fl.pauses = map[string]pause{}
-	}
-	fl.pauses[id] = pa
-	if len(fl.pauses) <= removedPausesMax {
-		return
-	}
-	first := id
-	for other, pa := range fl.pauses {
-		if pa.until.Before(fl.pauses[first].until) {
-			first = other
-		}
-	}
-	delete(fl.pauses, first)
-}
-
 // PauseAsked records that a server wants no requests from this node until a time. A shorter pause than
 // one that is under way changes nothing. It reports whether the end of the pause has changed.
 func (fl *Fleet) PauseAsked(id string, until time.Time) bool {
 	me := fl.members[id]
-	if me == nil || !until.After(me.pause.until) {
+	if me == nil || !until.After(me.pausedUntil) {
 		return false
 	}
-	me.pause.until = until
+	me.pausedUntil = until
 	return true
 }
 
 // paused reports whether the server wants no requests from this node.
-func (me *member) paused(now time.Time) bool { return now.Before(me.pause.until) }
+func (me *member) paused(now time.Time) bool { return now.Before(me.pausedUntil) }
 
 // takesNow reports whether the server takes a request of this node now: it is neither leaving nor
 // paused, and its limit allows a request or an ask for a lease.
@@ -87,7 +46,7 @@
 		if me.leaving() || me.takesNow(now) {
 			continue
 		}
-		next := me.pause.until
+		next := me.pausedUntil
 		if allowed := me.limit.allowedAt(now); me.limit.active() && allowed.After(next) {
 			next = allowed
 		}
--- a/core/spread/pause_test.go
+++ b/core/spread/pause_test.go
@@ -77,16 +77,16 @@
 
 func TestPausesOfRemovedServersAreBounded(t *testing.T) {
 	fl := &Fleet{}
-	for ix := range 2 * removedPausesMax {
+	for ix := range 2 * removedMax {
 		id := fmt.Sprintf("e%d", ix)
 		fl.Put(Server{ID: id, Service: "advice", Born: 1})
 		fl.PauseAsked(id, start.Add(time.Duration(ix)*time.Second))
 		fl.Remove(id)
 	}
-	if len(fl.pauses) > removedPausesMax {
-		t.Errorf("%d pauses are kept, want at most %d", len(fl.pauses), removedPausesMax)
+	if len(fl.removed) > removedMax {
+		t.Errorf("%d pauses are kept, want at most %d", len(fl.removed), removedMax)
 	}
-	if _, kept := fl.pauses[fmt.Sprintf("e%d", 2*removedPausesMax-1)]; !kept {
+	if _, kept := fl.removed[fmt.Sprintf("e%d", 2*removedMax-1)]; !kept {
 		t.Error("the pause that ends last is forgotten")
 	}
 }
