--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -345,7 +345,9 @@
 	// renamed makes crashed servers start again under other IDs.
 	renamed bool
 	apps    []*fx.App
-	lg      zerolog.Logger
+	// agents holds the programs of the agents by the names of their engines.
+	agents map[string]*fx.App
+	lg     zerolog.Logger
 }
 
 const (
@@ -359,7 +361,7 @@
 	tb.Helper()
 	ds := &directSimulation{
 		tb: tb, net: newNetwork(time.Millisecond), source: &testSource{changed: make(chan struct{}), epoch: 1}, backends: map[string]*backend{},
-		readers: map[string]direct.LogReader{}, lg: zerolog.Nop(),
+		readers: map[string]direct.LogReader{}, agents: map[string]*fx.App{}, lg: zerolog.Nop(),
 	}
 	if os.Getenv("PROOF_LOG") != "" {
 		ds.lg = logs.New(os.Stderr, zerolog.DebugLevel, "simulation", "")
@@ -472,12 +474,26 @@
 	if model == "" {
 		return
 	}
-	ds.start(agentdirect.New(agentdirect.Options{
+	ds.startAgent(ba)
+}
+
+// startAgent starts the agent beside an engine.
+func (ds *directSimulation) startAgent(ba *backend) {
+	id := ba.id
+	app := agentdirect.New(agentdirect.Options{
 		Settings: conf.DirectAgentSettings{
 			Place: conf.Place{Name: id, Region: "region-1", Zone: directZone}, ListenAddress: id + ":7", BackendAddress: id + ":1",
 		},
 		Network: ds.net.forHost(id), Engine: ba, Logger: ds.lg.With().Str("node", "agent-"+id).Logger(),
-	}))
+	})
+	ds.agents[id] = app
+	ds.start(app)
+}
+
+// restartAgent stops the agent beside an engine and starts it again with nothing known.
+func (ds *directSimulation) restartAgent(id string) {
+	_ = ds.agents[id].Stop(context.Background())
+	ds.startAgent(ds.backends[id])
 }
 
 // startEntry starts an entry node and gives it 1.5 s to become ready.
--- a/proofs/direct_software_test.go
+++ b/proofs/direct_software_test.go
@@ -226,6 +226,8 @@
 	entries  []string
 	// act happens after the callers have begun.
 	act func(sw *softwareWorld)
+	// frozen is how long the node is frozen that some callers come to.
+	frozen time.Duration
 	// goesOn is true if streams must go on at least half as often as new ones begin.
 	goesOn bool
 }
@@ -287,6 +289,29 @@
 			}
 		},
 	},
+	"a node loses half of the agents": {
+		versions: []string{"v1", "v2", "v1", "v2"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true,
+		act: func(sw *softwareWorld) {
+			sw.ds.net.partition("entry-2", "engine-0")
+			sw.ds.net.partition("entry-2", "engine-1")
+		},
+	},
+	"agents start again one after the other": {
+		versions: []string{"v1", "v1", "v2", "v2"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true,
+		act: func(sw *softwareWorld) {
+			for ix := range 4 {
+				time.Sleep(time.Second)
+				sw.ds.restartAgent(engineName(ix))
+			}
+		},
+	},
+	"a node freezes": {
+		versions: []string{"v1", "v1", "v2", "v2"}, entries: []string{"entry-1", "entry-2", "entry-3"}, frozen: 2 * time.Second,
+		act: func(sw *softwareWorld) {
+			time.Sleep(time.Second)
+			sw.ds.net.freeze("entry-1", 2*time.Second)
+		},
+	},
 	"one version": {versions: []string{"v1", "v1", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true},
 }
 
@@ -338,7 +363,7 @@
 			if tc.goesOn && goesOn < begins/2 {
 				t.Errorf("%.2f of the streams that were taken up went on, %.2f of the new ones began", goesOn, begins)
 			}
-			if su.slowest > time.Second {
+			if su.slowest > time.Second+tc.frozen {
 				t.Errorf("a stream that could not go on was refused after %v", su.slowest)
 			}
 			t.Logf("%+v", su)
