--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -6,14 +6,6 @@
 	"time"
 )
 
-// MaxRewriteDelay is the time after the log's return within which every backend server that
-// is alive has written its record again. The platform promises about two seconds.
-const MaxRewriteDelay = 2300 * time.Millisecond
-
-// maxRemovals is the number of removals that are remembered. Records arrive late by seconds, in which
-// far fewer servers are removed.
-const maxRemovals = 4096
-
 // Adapter is an adapter version that an engine has loaded.
 type Adapter struct {
 	Name    string
@@ -52,15 +44,6 @@
 	return po.Epoch < other.Epoch || po.Epoch == other.Epoch && po.Offset < other.Offset
 }
 
-// removal is the removal of a server's record.
-type removal struct {
-	position Position
-	// born is the start of the run that was removed, zero if it is not known; leaving is true if that
-	// run was leaving.
-	born    int64
-	leaving bool
-}
-
 // trackedServer is a server with the position of its record.
 type trackedServer struct {
 	Server
@@ -138,57 +121,6 @@
 		ts.Places != se.Places || ts.Leaving != se.Leaving || ts.Born != se.Born || ts.Model != se.Model || ts.Software != se.Software
 }
 
-// Remove handles the removal of a server's record at the given position. The server is dropped now,
-// or by a later Expire if the log is or was recently unreadable.
-func (ro *Roster) Remove(id string, at Position, now time.Time) {
-	ts := ro.servers[id]
-	if ts == nil {
-		ro.recordRemoval(id, removal{position: at})
-		return
-	}
-	if at.Before(ts.position) {
-		return
-	}
-	ts.position = at
-	if ts.missingSince.IsZero() {
-		ts.missingSince = now
-	}
-	ro.recordRemoval(id, removal{position: at, born: ts.Born, leaving: ts.Leaving})
-	ro.Expire(now)
-}
-
-// recordRemoval remembers a removal, and forgets the oldest one beyond maxRemovals.
-func (ro *Roster) recordRemoval(id string, re removal) {
-	if ro.removals == nil {
-		ro.removals = map[string]removal{}
-	}
-	if earlier := ro.removals[id]; re.position.Before(earlier.position) {
-		return
-	}
-	ro.removals[id] = re
-	if len(ro.removals) <= maxRemovals {
-		return
-	}
-	oldest := id
-	for other, re := range ro.removals {
-		first := ro.removals[oldest].position
-		if re.position.Before(first) || re.position == first && other < oldest {
-			oldest = other
-		}
-	}
-	delete(ro.removals, oldest)
-}
-
-// ApplyListing handles a listing of all server records in the log that ends at the given position.
-// Servers whose ID is not in present are handled like removed ones.
-func (ro *Roster) ApplyListing(present map[string]bool, end Position, now time.Time) {
-	for _, id := range ro.ids() {
-		if !present[id] {
-			ro.Remove(id, end, now)
-		}
-	}
-}
-
 // Epoch returns the latest epoch of the servers' records, zero if there are none.
 func (ro *Roster) Epoch() int64 {
 	latest := int64(0)
@@ -198,44 +130,6 @@
 	return latest
 }
 
-// MarkRestored records that the log has come back from an older copy, whose first listing ends at the
-// given position. Servers that are missing in it have MaxRewriteDelay to write their records again.
-func (ro *Roster) MarkRestored(end Position, now time.Time) {
-	ro.copyEnd = end
-	ro.logUnreadable, ro.logBackAt = false, now
-}
-
-// MarkLogUnreadable records that a read of the log failed.
-func (ro *Roster) MarkLogUnreadable() { ro.logUnreadable = true }
-
-// MarkLogReadable records that a read of the log succeeded.
-func (ro *Roster) MarkLogReadable(now time.Time) {
-	if ro.logUnreadable {
-		ro.logUnreadable = false
-		ro.logBackAt = now
-	}
-}
-
-// Expire drops the servers whose records are gone, unless the log is unreadable or its last
-// outage ended less than MaxRewriteDelay ago.
-func (ro *Roster) Expire(now time.Time) {
-	for id, ts := range ro.servers {
-		if !ts.missingSince.IsZero() && ro.missingMeansGone(now) {
-			delete(ro.servers, id)
-		}
-	}
-}
-
-// missingMeansGone reports whether a server without a record can be taken to be gone: the
-// log is readable and its last outage ended at least MaxRewriteDelay ago.
-func (ro *Roster) missingMeansGone(now time.Time) bool {
-	return !ro.logUnreadable && (ro.logBackAt.IsZero() || now.Sub(ro.logBackAt) >= MaxRewriteDelay)
-}
-
-// RemoveReplaced drops a server at once, because the caller found another one at its address.
-// Unlike Remove, it remembers no removal, so an older record can add the server again.
-func (ro *Roster) RemoveReplaced(id string) { delete(ro.servers, id) }
-
 // Servers returns the servers, sorted by ID, without those whose address belongs to another server
 // that started later: their records only have not expired yet.
 func (ro *Roster) Servers() []Server {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -34,7 +34,7 @@
 	info    RequestInfo
 	route   *paths.Route
 	service *paths.Service
-	// table is the version of the routing table that matched the request.
+	// routesVersion is the version of the routing table that matched the request.
 	routesVersion int64
 	method        string
 	target        string
