Report a software version that comes back after it was forgotten

Cause: a version whose time had passed stayed in the history until another one appeared, and counted as known when it came back; the streams that had begun in between got no records. Found by reading the change again. Test: TestHistoryRemembersVersionsThatAreGone fails without the change.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -27,7 +27,7 @@
 		seen = map[string]time.Time{}
 		hi.lastSeen[service] = seen
 	}
-	if _, ok := seen[software]; !ok {
+	if at, ok := seen[software]; !ok || now.Sub(at) >= RetentionMax {
 		hi.forget(seen, now)
 	}
 	_, known := seen[software]
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -143,6 +143,12 @@
 	if !hi.Listed("advice", "v3", later) {
 		t.Error("a new second version is not reported after the first one was forgotten")
 	}
+	again := later.Add(2 * RetentionMax)
+	hi.Listed("advice", "v2", again)
+	if !hi.Listed("advice", "v3", again) {
+		t.Error("a version that comes back after it was forgotten is not reported")
+	}
+	later = again
 	for ix := range 3 * versionsMax {
 		hi.Listed("advice", fmt.Sprintf("w%d", ix), later)
 	}
