--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -36,46 +36,46 @@
 
 // recordServers records the software versions of all servers in the log. Once a second version of a service
 // appears, the streams that began before it need records too.
-func (os *origins) recordServers(servers []roster.Server, now time.Time) {
+func (ors *origins) recordServers(servers []roster.Server, now time.Time) {
 	mixed := []string(nil)
-	os.mu.Lock()
+	ors.mu.Lock()
 	for ix := range servers {
-		if os.history.Listed(servers[ix].Service, servers[ix].Software, now) {
+		if ors.history.Listed(servers[ix].Service, servers[ix].Software, now) {
 			mixed = append(mixed, servers[ix].Service)
 		}
 	}
-	os.mu.Unlock()
+	ors.mu.Unlock()
 	for _, service := range mixed {
-		streams := os.streamsOf(service, now)
-		os.no.logger.Info().Str("service", service).Strs("versions", os.versions(service, now)).Int("streams", len(streams)).Msg("software_versions_mixed")
-		os.no.agents.shareOrigins(streams)
+		streams := ors.streamsOf(service, now)
+		ors.no.logger.Info().Str("service", service).Strs("versions", ors.versions(service, now)).Int("streams", len(streams)).Msg("software_versions_mixed")
+		ors.no.agents.shareOrigins(streams)
 	}
 }
 
 // versions returns the software versions with which a stream of a service may have begun.
-func (os *origins) versions(service string, now time.Time) []string {
-	os.mu.Lock()
-	defer os.mu.Unlock()
-	return os.history.Versions(service, now)
+func (ors *origins) versions(service string, now time.Time) []string {
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
+	return ors.history.Versions(service, now)
 }
 
 // streamsOf returns the streams of a service that this node has passed on.
-func (os *origins) streamsOf(service string, now time.Time) []wire.StreamOrigin {
-	os.mu.Lock()
-	defer os.mu.Unlock()
+func (ors *origins) streamsOf(service string, now time.Time) []wire.StreamOrigin {
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
 	list := []wire.StreamOrigin(nil)
-	os.begun.Each(service, now, func(key origin.StreamKey, or origin.Origin, left time.Duration) {
+	ors.begun.Each(service, now, func(key origin.StreamKey, or origin.Origin, left time.Duration) {
 		list = append(list, streamOrigin(key, or, left))
 	})
 	return list
 }
 
 // mixedStreams returns the streams of all services whose servers run several software versions.
-func (os *origins) mixedStreams(services map[string]paths.Service, now time.Time) []wire.StreamOrigin {
+func (ors *origins) mixedStreams(services map[string]paths.Service, now time.Time) []wire.StreamOrigin {
 	list := []wire.StreamOrigin(nil)
 	for service := range services {
-		if os.needsRecord(service, "", now) {
-			list = append(list, os.streamsOf(service, now)...)
+		if ors.needsRecord(service, "", now) {
+			list = append(list, ors.streamsOf(service, now)...)
 		}
 	}
 	return list
@@ -88,36 +88,36 @@
 
 // needsRecord reports whether other nodes cannot know by themselves that a stream of a service began with a
 // software version.
-func (os *origins) needsRecord(service, software string, now time.Time) bool {
-	os.mu.Lock()
-	defer os.mu.Unlock()
-	return os.history.Mixed(service, now) || software == "" && os.history.States(service, now)
+func (ors *origins) needsRecord(service, software string, now time.Time) bool {
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
+	return ors.history.Mixed(service, now) || software == "" && ors.history.States(service, now)
 }
 
 // record records what began the stream of a request, before the caller gets the first event.
-func (os *origins) record(rq *request) {
+func (ors *origins) record(rq *request) {
 	now := time.Now()
 	keep := origin.Retention(rq.callerWaits())
-	os.mu.Lock()
-	os.begun.Put(rq.streamKey, rq.origin, now.Add(keep), now)
-	os.mu.Unlock()
-	if os.needsRecord(rq.origin.Service, rq.origin.Software, now) {
-		os.no.agents.shareOrigins([]wire.StreamOrigin{streamOrigin(rq.streamKey, rq.origin, keep)})
+	ors.mu.Lock()
+	ors.begun.Put(rq.streamKey, rq.origin, now.Add(keep), now)
+	ors.mu.Unlock()
+	if ors.needsRecord(rq.origin.Service, rq.origin.Software, now) {
+		ors.no.agents.shareOrigins([]wire.StreamOrigin{streamOrigin(rq.streamKey, rq.origin, keep)})
 	}
 }
 
 // find returns what began a stream, and where that was found.
-func (os *origins) find(ctx context.Context, rq *request) (origin.Origin, string) {
+func (ors *origins) find(ctx context.Context, rq *request) (origin.Origin, string) {
 	if rq.info.Resumes == "" {
 		return origin.Origin{}, originUnknown
 	}
-	os.mu.Lock()
-	or, known := os.begun.Get(rq.streamKey, time.Now())
-	os.mu.Unlock()
+	ors.mu.Lock()
+	or, known := ors.begun.Get(rq.streamKey, time.Now())
+	ors.mu.Unlock()
 	if known {
 		return or, originOwn
 	}
-	if or, known = os.no.agents.queryOrigin(ctx, rq.attemptID(0), rq.streamKey); known {
+	if or, known = ors.no.agents.queryOrigin(ctx, rq.attemptID(0), rq.streamKey); known {
 		return or, originAgent
 	}
 	return origin.Origin{}, originUnknown
@@ -193,7 +193,7 @@
 	if !rq.begun {
 		rq.setOrigin(origin.Origin{Service: rq.service.Name, Software: software})
 	}
-	if rq.route.Resumable {
+	if rq.route.Resumable && rq.stream.count == 0 {
 		no.origins.record(rq)
 	}
 	return true
