Name what stood for two things, or under a vague word

A lease is queried (LeaseQuery, beside OriginQuery; numbers stand for fields on the wire, so nothing changes there); usageOf returns a usage; the client of an engine is EngineClient, beside grant.Engine; texts say fencing token where some said number.

--- a/agent/direct/agent.go
+++ b/agent/direct/agent.go
@@ -34,7 +34,7 @@
 type Options struct {
 	Settings conf.DirectAgentSettings
 	Network  Network
-	Engine   Engine
+	Engine   EngineClient
 	Logger   zerolog.Logger
 }
 
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -20,9 +20,9 @@
 	refusalSendTime = 100 * time.Millisecond
 )
 
-// Engine sends inspections and orders to the model engine that the agent controls. It is the client of
+// EngineClient sends inspections and orders to the model engine that the agent controls. It is the client of
 // that engine; grant.Engine holds what the agent knows about the engine and decides on grants and orders.
-type Engine interface {
+type EngineClient interface {
 	// Inspect returns the engine's state: its models, adapters, sequence number and memory.
 	Inspect(ctx context.Context) (grant.Observation, error)
 	// Order sends an order to the engine and returns its outcome.
@@ -61,7 +61,7 @@
 // goroutines post events to it.
 type Broker struct {
 	// eg is the client of the model engine; it carries out inspections and the orders that en returns.
-	eg     Engine
+	eg     EngineClient
 	lg     zerolog.Logger
 	events chan event
 	// en holds what the agent knows about the model engine and decides on grants and orders; it does not
@@ -90,7 +90,7 @@
 }
 
 // NewBroker returns the broker for a run of the agent with the given boot ID.
-func NewBroker(eg Engine, boot string, lg zerolog.Logger) *Broker {
+func NewBroker(eg EngineClient, boot string, lg zerolog.Logger) *Broker {
 	return &Broker{
 		eg: eg, lg: lg, events: make(chan event, eventQueueMax), en: grant.New(time.Now()),
 		sessions: map[string]*session{}, buckets: map[poison.Run]lease.Bucket{}, boot: boot,
@@ -236,8 +236,8 @@
 	case fr.PartReport != nil:
 		br.passParts(ctx, se, fr.PartReport, now)
 		return
-	case fr.LeaseAsk != nil:
-		br.answerLeaseAsk(ctx, se, fr.LeaseAsk, now)
+	case fr.LeaseQuery != nil:
+		br.answerLeaseQuery(ctx, se, fr.LeaseQuery, now)
 		return
 	case fr.Origins != nil:
 		br.keepOrigins(fr.Origins, now)
--- a/agent/direct/leases.go
+++ b/agent/direct/leases.go
@@ -11,8 +11,8 @@
 // bucketIdleMax is how long the bucket of a server is kept after the last ask.
 const bucketIdleMax = time.Minute
 
-// answerLeaseAsk answers an entry node that asks whether it may send requests to a server with a limit.
-func (br *Broker) answerLeaseAsk(ctx context.Context, se *session, la *wire.LeaseAsk, now time.Time) {
+// answerLeaseQuery answers an entry node that asks whether it may send requests to a server with a limit.
+func (br *Broker) answerLeaseQuery(ctx context.Context, se *session, la *wire.LeaseQuery, now time.Time) {
 	run := poison.Run{Server: la.Server, Born: la.Born}
 	bucket, known := br.buckets[run]
 	if !known {
--- a/core/limit/teams.go
+++ b/core/limit/teams.go
@@ -27,7 +27,7 @@
 // Admit counts a request as in flight, or returns a rate_limited error with the time after
 // which the caller may retry. Release must be called once for each admitted request.
 func (ts *Teams) Admit(name string, li conf.Limits, now time.Time) error {
-	us := ts.usage(name, li, now)
+	us := ts.usageOf(name, li, now)
 	if li.InFlight > 0 && us.inFlight >= li.InFlight {
 		return fault.New(fault.RateLimited, "team "+name+" has as many requests in flight as its limit allows",
 			"come back later or ask an operator for a higher limits.in_flight").WithRetryAfter(inFlightRetryAfter)
@@ -55,10 +55,10 @@
 	return 0
 }
 
-// usage returns the usage of a team, which is created if it does not exist. If the limits have
+// usageOf returns the usage of a team, which is created if it does not exist. If the limits have
 // changed, the bucket keeps its level, so that a change gives no team more requests than either
 // limit allows. While a team has no limit, its bucket stays as it is.
-func (ts *Teams) usage(name string, li conf.Limits, now time.Time) *usage {
+func (ts *Teams) usageOf(name string, li conf.Limits, now time.Time) *usage {
 	if ts.teams == nil {
 		ts.teams = map[string]*usage{}
 	}
--- a/core/limit/teams_test.go
+++ b/core/limit/teams_test.go
@@ -30,7 +30,7 @@
 		}
 		again := 0
 		for range 5 {
-			_ = ts.usage("team", other, testStart)
+			_ = ts.usageOf("team", other, testStart)
 			again += admitted(ts, narrow, 20, testStart)
 		}
 		if again != 0 {
--- a/core/spread/limit.go
+++ b/core/spread/limit.go
@@ -191,8 +191,8 @@
 	return true
 }
 
-// LeaseAsk says for what a node must ask before it sends a request to a server with a limit.
-type LeaseAsk struct {
+// LeaseQuery says for what a node must ask before it sends a request to a server with a limit.
+type LeaseQuery struct {
 	// PerSecond is the limit that the server has named.
 	PerSecond float64
 	// Count is the number of requests to ask for.
@@ -201,16 +201,16 @@
 
 // TakeLease counts a request that is about to be sent to a server. It returns false if the node has to
 // ask for a lease first, and for what.
-func (fl *Fleet) TakeLease(id string, now time.Time) (LeaseAsk, bool) {
+func (fl *Fleet) TakeLease(id string, now time.Time) (LeaseQuery, bool) {
 	me := fl.members[id]
 	if me == nil || !me.limit.active() {
-		return LeaseAsk{}, true
+		return LeaseQuery{}, true
 	}
 	if !me.limit.hasLease(now) && !me.limit.keepsShare(now) {
-		return LeaseAsk{PerSecond: me.limit.perSecond, Count: max(1, me.limit.askNext)}, false
+		return LeaseQuery{PerSecond: me.limit.perSecond, Count: max(1, me.limit.askNext)}, false
 	}
 	me.limit = me.limit.WithSent(now)
-	return LeaseAsk{}, true
+	return LeaseQuery{}, true
 }
 
 // LeaseAnswered records the answer to an ask for a lease, and reports whether it allows the request.
--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -67,7 +67,7 @@
 		fr.Dispatch != nil, fr.Credit != nil, fr.Cancel != nil, fr.Void != nil,
 		fr.Verdict != nil, fr.Refusal != nil, fr.Head != nil, fr.Chunk != nil, fr.End != nil,
 		fr.Holdings != nil, fr.Reserve != nil, fr.Grant != nil, fr.Queued != nil, fr.Release != nil, fr.Prepare != nil,
-		fr.Started != nil, fr.Peers != nil, fr.LogBatch != nil, fr.CrashReport != nil, fr.LeaseAsk != nil, fr.LeaseAnswer != nil, fr.PartReport != nil,
+		fr.Started != nil, fr.Peers != nil, fr.LogBatch != nil, fr.CrashReport != nil, fr.LeaseQuery != nil, fr.LeaseAnswer != nil, fr.PartReport != nil,
 		fr.Origins != nil, fr.OriginQuery != nil, fr.OriginAnswer != nil,
 	} {
 		if present {
--- a/core/wire/codec_test.go
+++ b/core/wire/codec_test.go
@@ -40,7 +40,7 @@
 		{Peers: &Peers{Entries: []Peer{{Name: "e", Address: "10.0.0.1:7"}}}}, {LogBatch: &LogBatch{Topic: "servers", From: 1, End: 2, Records: []byte("x")}},
 		{CrashReport: &CrashReport{Server: "s", Born: 1, Age: 2, Fingerprints: []string{"f"}, Parts: []string{"p"}}},
 		{PartReport: &PartReport{Parts: []string{"p"}, Sound: true, Prober: "e", Age: 3}},
-		{LeaseAsk: &LeaseAsk{Attempt: "a", Server: "s", PerSecond: 1.6, Count: 1}}, {LeaseAnswer: &LeaseAnswer{Attempt: "a", Wait: 5}},
+		{LeaseQuery: &LeaseQuery{Attempt: "a", Server: "s", PerSecond: 1.6, Count: 1}}, {LeaseAnswer: &LeaseAnswer{Attempt: "a", Wait: 5}},
 	} {
 		buf := bytes.Buffer{}
 		if err := Append(&buf, fr); err != nil {
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -223,8 +223,8 @@
 	// LeaseAnswer corresponds to the JSON schema field "lease_answer".
 	LeaseAnswer *LeaseAnswer `json:"lease_answer,omitempty,omitzero" yaml:"lease_answer,omitempty" cbor:"25,keyasint,omitempty"`
 
-	// LeaseAsk corresponds to the JSON schema field "lease_ask".
-	LeaseAsk *LeaseAsk `json:"lease_ask,omitempty,omitzero" yaml:"lease_ask,omitempty" cbor:"24,keyasint,omitempty"`
+	// LeaseQuery corresponds to the JSON schema field "lease_query".
+	LeaseQuery *LeaseQuery `json:"lease_query,omitempty,omitzero" yaml:"lease_query,omitempty" cbor:"24,keyasint,omitempty"`
 
 	// LogBatch corresponds to the JSON schema field "log_batch".
 	LogBatch *LogBatch `json:"log_batch,omitempty,omitzero" yaml:"log_batch,omitempty" cbor:"22,keyasint,omitempty"`
@@ -346,7 +346,7 @@
 	Slots []SlotReport `json:"slots" yaml:"slots" cbor:"2,keyasint,omitempty"`
 }
 
-// LeaseAnswer answers a LeaseAsk.
+// LeaseAnswer answers a LeaseQuery.
 type LeaseAnswer struct {
 	// Attempt is the id of the attempt.
 	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
@@ -359,9 +359,9 @@
 	Wait int64 `json:"wait" yaml:"wait" cbor:"3,keyasint,omitempty"`
 }
 
-// LeaseAsk asks the agent that keeps the limit of a backend server whether
+// LeaseQuery asks the agent that keeps the limit of a backend server whether
 // requests may be sent to it.
-type LeaseAsk struct {
+type LeaseQuery struct {
 	// Attempt is the id of the attempt for which the entry node asks.
 	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
--- a/entry/direct/leases.go
+++ b/entry/direct/leases.go
@@ -22,7 +22,7 @@
 	if taken {
 		return result{}, true
 	}
-	le, answered := no.agents.askLease(ctx, &wire.LeaseAsk{
+	le, answered := no.agents.askLease(ctx, &wire.LeaseQuery{
 		Attempt: at.id, Server: at.server, Born: at.born, PerSecond: ask.PerSecond, Count: ask.Count,
 	})
 	no.mu.Lock()
@@ -42,7 +42,7 @@
 
 // askLease asks the agent that keeps the limit of a server for a lease. It returns false if no agent
 // has answered in time.
-func (as *agents) askLease(ctx context.Context, la *wire.LeaseAsk) (lease.Lease, bool) {
+func (as *agents) askLease(ctx context.Context, la *wire.LeaseQuery) (lease.Lease, bool) {
 	gw := &grantWaiter{server: la.Server, frames: make(chan *wire.Frame, grantFramesBuffer)}
 	as.mu.Lock()
 	ac := as.limitKeeper(la.Server)
@@ -50,7 +50,7 @@
 		as.waiting[la.Attempt] = gw
 	}
 	as.mu.Unlock()
-	if ac == nil || !ac.co.TrySend(&wire.Frame{LeaseAsk: la}) {
+	if ac == nil || !ac.co.TrySend(&wire.Frame{LeaseQuery: la}) {
 		return lease.Lease{}, false
 	}
 	defer func() {
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -253,7 +253,7 @@
 	return ba.canceled
 }
 
-// Inspect implements the Engine interface of the agent: it reports the loaded adapters.
+// Inspect implements the EngineClient interface of the agent: it reports the loaded adapters.
 func (ba *backend) Inspect(context.Context) (grant.Observation, error) {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
@@ -267,7 +267,7 @@
 	return grant.Observation{Born: ba.born, Models: []grant.Model{mo}, Sequence: ba.seq, MemoryTotal: 100_000, Coming: map[grant.Key]int{}}, nil
 }
 
-// Order implements the Engine interface of the agent: it loads or unloads an adapter.
+// Order implements the EngineClient interface of the agent: it loads or unloads an adapter.
 func (ba *backend) Order(_ context.Context, or grant.Order) grant.Result {
 	ba.mu.Lock()
 	defer ba.mu.Unlock()
--- a/stand/engine/engine.go
+++ b/stand/engine/engine.go
@@ -47,7 +47,7 @@
 
 // Errors of orders and requests.
 var (
-	ErrStaleFence = errors.New("engine: the order carries an old fencing number")
+	ErrStaleFence = errors.New("engine: the order carries an old fencing token")
 	ErrNoSlot     = errors.New("engine: every adapter slot is taken")
 	ErrNoHandle   = errors.New("engine: the handle is not loaded")
 	ErrStoreBusy  = errors.New("engine: the weight store has no room")
--- a/stand/internal/launch/launch.go
+++ b/stand/internal/launch/launch.go
@@ -96,7 +96,7 @@
 	cc.Flag("model", "Base model.").Default("base").StringVar(&op.engine.Model)
 	cc.Flag("slots", "Adapter slots.").Default("4").IntVar(&op.engine.Slots)
 	cc.Flag("places", "Requests run together.").Default("8").IntVar(&op.engine.BatchSize)
-	cc.Flag("fencing", "Refuse orders with an old fencing number.").BoolVar(&op.engine.ChecksFencing)
+	cc.Flag("fencing", "Refuse orders with an old fencing token.").BoolVar(&op.engine.ChecksFencing)
 	cc.Flag("step", "Time of one decoding step.").Default("10ms").DurationVar(&op.engine.StepTime)
 	cc.Flag("step-per-request", "Time added to a step for each request.").Default("500us").DurationVar(&op.engine.StepTimePerRequest)
 	cc.Flag("prefill", "Time of one prompt token.").Default("200us").DurationVar(&op.engine.PrefillPerToken)
