--- a/proofs/direct_demands_test.go
+++ b/proofs/direct_demands_test.go
@@ -199,7 +199,7 @@
 		for _, kind := range []string{"plain service", "engine"} {
 			t.Run(name+", "+kind, func(t *testing.T) {
 				tc := demandCases[kind]
-				runDemandCase(t, tc, func(t *testing.T, ds *directSimulation, de *demandingServer, dl *directLoad) {
+				runDemandCase(t, tc, func(t *testing.T, ds *directSimulation, de *demandingServer, _ *directLoad) {
 					de.set(func(de *demandingServer) { de.refusing, de.pause = true, pause })
 					time.Sleep(time.Second)
 					interrupt(ds, tc)
