--- a/entry/direct/doc.go
+++ b/entry/direct/doc.go
@@ -14,5 +14,8 @@
 //	agents   agents: grants, loads of engines, crash reports, leases for servers with limits
 //	answers  crashes and demands: servers that crashed, leave, ask for a pause or name a limit
 //
+// What began a stream (origins) comes from the node's own answers and, for streams that others began, from
+// the agents that keep its record (homes.go).
+//
 // All of it ends in the fleet (core/spread), which chooses the server of each attempt.
 package direct
