Show that nodes of a zone miss the record of a leaving server

The node that reads the log for its zone does not forward a record that says draining once an answer has told it the same (forwardedFrame in entry/direct/logread.go, Changes in core/roster), so that requests reach the server later than drain_ms after that (DRAIN) and are lost when it exits.

--- a/review/main.go
+++ b/review/main.go
@@ -33,7 +33,8 @@
 // cases maps the names of the cases to what plays them. Each one returns the number of times that the rule was
 // broken.
 var cases = map[string]func(ctx context.Context, pl *play) (int, error){
-	"stop": playStop,
+	"stop":  playStop,
+	"drain": playDrain,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
