Show that a request that waits for a grant begins on an outdated version

Whether an older version may be used is decided before the wait for a grant and not again after it (reserve in entry/direct/send.go), so that requests begin on it later than version_ms after a newer one was acknowledged (VERSION).

--- a/review/main.go
+++ b/review/main.go
@@ -33,8 +33,9 @@
 // cases maps the names of the cases to what plays them. Each one returns the number of times that the rule was
 // broken.
 var cases = map[string]func(ctx context.Context, pl *play) (int, error){
-	"stop":  playStop,
-	"drain": playDrain,
+	"version": playVersion,
+	"stop":    playStop,
+	"drain":   playDrain,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
