Show that bodies of requests take more memory than an entry node has

Bodies are read whole and copied for each attempt without a bound for all of them together (readBody in entry/direct/serve.go, exchange in entry/internal/pool), so that callers who stay within max_body_bytes make the platform kill the node, and calls that servers run end without an answer (LOST).

--- a/review/main.go
+++ b/review/main.go
@@ -36,6 +36,7 @@
 	"version": playVersion,
 	"stop":    playStop,
 	"drain":   playDrain,
+	"memory":  playMemory,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/sim/caller.go
+++ b/review/sim/caller.go
@@ -42,35 +42,58 @@
 
 // Send sends a call on a new connection and waits for its answer.
 func Send(ctx context.Context, re *Record, address string, ca *Call) *Result {
+	ch := NewChannel(address)
+	defer ch.Close()
+	return ch.Send(ctx, re, ca)
+}
+
+// Channel is a connection to an entry node that a caller keeps. It is created by NewChannel.
+type Channel struct {
+	address string
+	tr      *http.Transport
+}
+
+// NewChannel returns a channel to an address, which is opened by the first call.
+func NewChannel(address string) *Channel {
+	return &Channel{address: address, tr: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true, MaxConnsPerHost: 1,
+	}}
+}
+
+// Close closes the channel.
+func (ch *Channel) Close() { ch.tr.CloseIdleConnections() }
+
+// Send sends a call and waits for its answer.
+func (ch *Channel) Send(ctx context.Context, re *Record, ca *Call) *Result {
 	rt := &Result{Call: *ca, Sent: time.Now()}
-	re.Printf("caller sends %s to %s: %s %s %s", ca.ID, address, ca.Method, ca.Path, ca.Model)
-	rt.exchange(ctx, address)
+	re.Printf("caller sends %s to %s: %s %s %s, %d bytes", ca.ID, ch.address, ca.Method, ca.Path, ca.Model, len(ca.Body))
+	rt.exchange(ctx, ch)
 	rt.Ended = time.Now()
 	re.Printf("caller of %s sees status %d, whole %t, gave up %t, after %.3f s, error %v", ca.ID, rt.Status, rt.Whole, rt.GaveUp, rt.Ended.Sub(rt.Sent).Seconds(), rt.Err)
 	return rt
 }
 
 // exchange sends the request and reads the answer.
-func (rt *Result) exchange(ctx context.Context, address string) {
+func (rt *Result) exchange(ctx context.Context, ch *Channel) {
 	ca := &rt.Call
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	deadline := time.AfterFunc(ca.Deadline, func() { cancel(context.DeadlineExceeded) })
 	defer deadline.Stop()
-	rq, err := http.NewRequestWithContext(ctx, ca.Method, "http://"+address+ca.Path, strings.NewReader(ca.Body))
+	rq, err := http.NewRequestWithContext(ctx, ca.Method, "http://"+ch.address+ca.Path, strings.NewReader(ca.Body))
 	if err != nil {
 		rt.Err = err
 		return
 	}
+	// Without GetBody, the library cannot send the call again on its own.
+	rq.GetBody = nil
 	ca.setHeaders(rq)
-	tr := &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
-	defer tr.CloseIdleConnections()
 	patience := time.NewTimer(time.Hour)
 	if ca.Patience > 0 {
 		patience = time.AfterFunc(ca.Patience, func() { cancel(errPatience) })
 	}
 	defer patience.Stop()
-	resp, err := tr.RoundTrip(rq)
+	resp, err := ch.tr.RoundTrip(rq)
 	if err == nil {
 		rt.Status, rt.Server = resp.StatusCode, resp.Header.Get(headerSeal)
 		err = readBody(resp, func() {
--- a/review/sim/system.go
+++ b/review/sim/system.go
@@ -35,6 +35,9 @@
 	LossSlack       = 200 * time.Millisecond
 )
 
+// EntryMemory is the memory of an entry node in megabytes, beyond which the platform kills it.
+const EntryMemory = 284
+
 // System starts the project's programs and the stand-ins beside them. It is created by NewSystem.
 type System struct {
 	Record *Record
@@ -108,7 +111,7 @@
 		addresses[name] = net.JoinHostPort(ip, strconv.Itoa(sy.frontPort+ix))
 	}
 	name := fmt.Sprintf("front-%d", number+1)
-	fields := sy.fields(name, ip, 284)
+	fields := sy.fields(name, ip, EntryMemory)
 	fields["listen_addrs"], fields["seeds"] = addresses, seeds
 	pr, err := sy.start("entry", name, fields)
 	if err != nil {
