Show that a call runs although its caller is told that it has not

Case 1 of the review; the cases after it move on by one, and the one of bodies in memory makes room for it. A rejection that comes a second time on a kept connection is taken for the answer to the second sending of the same call, which the server runs (REFUSED): an excluded server and its connection are used again (runAttempts, handleAnswer, pool), and both sendings bear the same ID.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec review/bin/review stop review/1
+exec review/bin/review refused review/1
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,4 +8,4 @@
     exit 2
   fi
 done
-exec review/bin/review version review/4
+exec review/bin/review drain review/4
--- a/review/deployment.go
+++ b/review/deployment.go
@@ -20,6 +20,8 @@
 	orderLimit   = 5 * time.Second
 	settleTime   = 3 * time.Second
 	adapterSlots = 6
+	// engineNumber is that of the engine's address.
+	engineNumber = 100
 )
 
 // Fields of the operator's records.
@@ -58,9 +60,9 @@
 	return err
 }
 
-// startEngine starts an engine with its agent.
-func (pl *play) startEngine(number, memory int, eventPeriod time.Duration) (*sim.Engine, error) {
-	en, err := sim.StartEngine(pl.re, pl.sy.Store, fmt.Sprintf("i-engine-%d", number), pl.sy.IP(100+number), sim.EngineOptions{
+// startEngine starts the engine with its agent.
+func (pl *play) startEngine(memory int, eventPeriod time.Duration) (*sim.Engine, error) {
+	en, err := sim.StartEngine(pl.re, pl.sy.Store, "i-engine-1", pl.sy.IP(engineNumber), sim.EngineOptions{
 		Service: adviceName, Model: modelName, Memory: memory, AdapterSlots: adapterSlots, EventPeriod: eventPeriod, TokensPerEvent: 2,
 		LoadTime: 500 * time.Millisecond, AdapterTime: 250 * time.Millisecond,
 	})
--- a/review/drain.go
+++ b/review/drain.go
@@ -32,7 +32,7 @@
 	if err := pl.publish(time.Second, drainMemory); err != nil {
 		return 0, err
 	}
-	if _, err := pl.startEngine(1, drainMemory, 100*time.Millisecond); err != nil {
+	if _, err := pl.startEngine(drainMemory, 100*time.Millisecond); err != nil {
 		return 0, err
 	}
 	servers := make([]*sim.Plain, 0, drainServers)
--- a/review/main.go
+++ b/review/main.go
@@ -36,7 +36,8 @@
 	"version": playVersion,
 	"stop":    playStop,
 	"drain":   playDrain,
-	"memory":  playMemory,
+
+	"refused": playRefused,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/sim/server.go
+++ b/review/sim/server.go
@@ -49,8 +49,9 @@
 	store   *Store
 	service string
 	born    int64
-	hs      *http.Server
 	stop    context.CancelFunc
+	// onClose ends the listener and its connections.
+	onClose func()
 	leaving atomic.Bool
 	// describe adds fields to the record.
 	describe func(fields map[string]any)
@@ -66,13 +67,24 @@
 	if err != nil {
 		return nil, err
 	}
+	hs := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = hs.Serve(ls) }()
+	se, err := registerServer(re, st, id, service, ls.Addr().String(), describe)
+	if err != nil {
+		return nil, err
+	}
+	se.onClose = func() { _ = hs.Close() }
+	return se, nil
+}
+
+// registerServer writes the record of a server from now on.
+func registerServer(re *Record, st *Store, id, service, address string, describe func(fields map[string]any)) (*server, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	se := &server{
-		ID: id, Address: ls.Addr().String(), re: re, store: st, service: service, born: time.Now().UnixMilli(),
-		hs: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, stop: cancel, describe: describe,
+		ID: id, Address: address, re: re, store: st, service: service, born: time.Now().UnixMilli(), stop: cancel, describe: describe,
 	}
-	go func() { _ = se.hs.Serve(ls) }()
 	if err := se.writeRecord(); err != nil {
+		cancel()
 		return nil, err
 	}
 	go se.beat(ctx)
@@ -131,7 +143,7 @@
 // Exit ends the server and removes its record.
 func (se *server) Exit() {
 	se.stop()
-	_ = se.hs.Close()
+	se.onClose()
 	se.store.Put(TopicServers, se.ID, nil)
 	se.re.Printf("%s has exited", se.ID)
 }
@@ -139,7 +151,7 @@
 // Close ends the server.
 func (se *server) Close() {
 	se.stop()
-	_ = se.hs.Close()
+	se.onClose()
 }
 
 // expects reports whether a request is meant for this server, and answers it with 421 if not.
--- a/review/stop.go
+++ b/review/stop.go
@@ -33,7 +33,7 @@
 	if err := pl.publish(2*time.Second, stopMemory); err != nil {
 		return 0, err
 	}
-	en, err := pl.startEngine(1, stopMemory, stopEvent)
+	en, err := pl.startEngine(stopMemory, stopEvent)
 	if err != nil {
 		return 0, err
 	}
--- a/review/version.go
+++ b/review/version.go
@@ -30,7 +30,7 @@
 	if err := pl.publish(time.Second, versionMemory); err != nil {
 		return 0, err
 	}
-	en, err := pl.startEngine(1, versionMemory, versionEvent)
+	en, err := pl.startEngine(versionMemory, versionEvent)
 	if err != nil {
 		return 0, err
 	}
