Send no request twice on one connection

Cause: a server sends a rejection once more where the next answer of its connection is due. The entry node came back to that server on the same connection, and took the second rejection for the answer to the second sending, as both bear the caller's ID.

Evidence: attempt_ended names the connection now.

A request now remembers the connections that it was sent on, and none of them carries it again, so that no answer to one sending can arrive where the answer to another one is read. At the limit of connections an idle one gives way to a new one.

--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -37,6 +37,10 @@
 	choice   spread.Choice
 	version  int
 	granted  bool
+	// connection is the number of the connection that the attempt was sent on, zero if it was not sent; reused
+	// is true if that connection had carried other requests before.
+	connection uint64
+	reused     bool
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
 	start     time.Time
@@ -96,7 +100,8 @@
 		}
 		step := retry.NextStep(st, re.outcome, func() bool { return no.allowRetry(rq.service.Name) })
 		rq.logAttempt(at, "attempt_ended").Str("outcome", re.outcome.String()).Str("reason", re.reason).Int("ran", st.PossibleRuns).
-			Int("refused", st.NotRunCount).Str("step", step.String()).Send()
+			Int("refused", st.NotRunCount).
+			Uint64("connection", at.connection).Bool("reused", at.reused).Str("step", step.String()).Send()
 		switch step {
 		case retry.Again:
 			// A busy engine has reported its load with the refusal and may still be the best one.
--- a/entry/direct/crashes.go
+++ b/entry/direct/crashes.go
@@ -12,6 +12,7 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/roster"
 	"github.com/bambooladder/bambooladder/core/wire"
+	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
 // Evidence that a run of a server has ended, as logged.
@@ -76,7 +77,7 @@
 func (cr *crashes) check(run poison.Run, address string) {
 	ctx, cancel := context.WithTimeout(cr.no.ctx, connectTimeout)
 	defer cancel()
-	co, err := cr.no.pool.Get(ctx, address, false, 0)
+	co, err := cr.no.pool.Get(ctx, address, pool.Want{})
 	if err == nil {
 		co.PutBack()
 	}
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -92,8 +92,9 @@
 	RequestInfo(rq *http.Request) (RequestInfo, error)
 	// Header returns the headers to send to a backend server with a caller's request.
 	Header(caller http.Header, ri *RequestInfo, fi *ForwardInfo) http.Header
-	// MatchesRequest reports whether an answer's headers belong to the given request.
-	MatchesRequest(hd http.Header, ri *RequestInfo) bool
+	// MatchesRequest reports whether an answer's headers belong to the given request. On a reused connection,
+	// answers to earlier requests may come late.
+	MatchesRequest(hd http.Header, ri *RequestInfo, reused bool) bool
 	// AnswerKind classifies the answer to a request that was sent to the given server.
 	AnswerKind(status int, hd http.Header, server string) AnswerKind
 	// Demands reads what a server asks for in the headers of an answer. If it also returns an
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -122,21 +122,28 @@
 	if rq.info.Adapter != "" {
 		fi.Version = at.version
 	}
+	at.connection, at.reused = co.Number, co.Reused
+	rq.connections = append(rq.connections, co.Number)
 	ctx, stop := rq.watchServer(ctx, at)
 	defer stop()
 	an, err := co.Do(ctx, &pool.Request{
 		Method: rq.method, Target: rq.target, Host: rq.hostHeader, Body: rq.body,
 		Header: no.options.Protocol.Header(rq.header, &rq.info, fi),
-	}, func(hd http.Header) bool { return no.options.Protocol.MatchesRequest(hd, &rq.info) })
+	}, func(hd http.Header) bool { return no.options.Protocol.MatchesRequest(hd, &rq.info, at.reused) })
 	if err != nil {
 		return rq.classifySendError(ctx, at, err), false
 	}
 	defer an.Close()
+	if an.SkippedCount > 0 {
+		rq.logAttempt(at, "answers_skipped").Int("skipped", an.SkippedCount).Uint64("connection", at.connection).Int("status", an.Status).Send()
+	}
 	return rq.handleAnswer(ctx, at, an)
 }
 
 // connect returns a connection to the attempt's server. A request that must not run twice
-// reuses only a recently used connection, as the server may be about to close an older one.
+// reuses only a recently used connection, as the server may be about to close an older one. No request is sent
+// again on a connection that has carried it: the answer to an earlier attempt may come there a second time, and
+// bears the same ID.
 func (rq *request) connect(ctx context.Context, at *attempt) (*pool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
@@ -145,7 +152,7 @@
 		// The service's limit applies to the connections of all entry nodes together.
 		limit = max(minConnsPerServer, rq.service.ConnsMax/rq.no.agents.entryCount())
 	}
-	return rq.no.pool.Get(ctx, at.address, !rq.route.Repeatable(), limit)
+	return rq.no.pool.Get(ctx, at.address, pool.Want{RecentlyUsed: !rq.route.Repeatable(), Limit: limit, Except: rq.connections})
 }
 
 // classifySendError determines whether the request may have run after sending it or reading its
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -56,6 +56,8 @@
 	contentFingerprint string
 	// answerStarted is true once any part of an answer has been written.
 	answerStarted bool
+	// connections holds the numbers of the connections that the request was sent on.
+	connections []uint64
 	// holds is the number of bytes that the node holds of answers to the request.
 	holds int
 	// streamKey identifies the stream that the request begins or takes up.
--- a/entry/internal/pool/answer_test.go
+++ b/entry/internal/pool/answer_test.go
@@ -51,7 +51,7 @@
 func replay(tb testing.TB, answer []byte, end error) (an *Answer, body []byte, err error) {
 	tb.Helper()
 	po := New(replayDialer{co: &replayConn{answer: bytes.NewReader(answer), end: end}}, 0)
-	co, err := po.Get(tb.Context(), "server", false, 0)
+	co, err := po.Get(tb.Context(), "server", Want{})
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -39,6 +39,8 @@
 	// Body reads the answer's body. An error other than io.EOF means that the answer is
 	// incomplete.
 	Body io.Reader
+	// SkippedCount is the number of answers to other requests that came before this one.
+	SkippedCount int
 
 	co   *Conn
 	resp *http.Response
@@ -65,7 +67,8 @@
 func (se *SendError) Unwrap() error { return se.Err }
 
 // Do sends a request and reads the answer's head. It skips answers for which match returns false,
-// as they belong to other requests. The connection is closed if the context ends before
+// as they belong to other requests. An answer may come a second time where the next one is due, so a request
+// must not be sent again on a connection that has carried it already. The connection is closed if the context ends before
 // Answer.Close.
 func (co *Conn) Do(ctx context.Context, rq *Request, match func(hd http.Header) bool) (*Answer, error) {
 	stop := context.AfterFunc(ctx, co.Close)
@@ -97,6 +100,7 @@
 		}()
 	}
 	co.hr.allow(co.po.headBytesMax)
+	skippedCount := 0
 	for range maxSkippedAnswers + 1 {
 		resp, err := co.readHead(rq.Method) //nolint:bodyclose // the body is a part of the connection, which Answer.Close keeps or closes
 		if err != nil {
@@ -109,9 +113,12 @@
 			if err := co.skipAnswer(resp); err != nil {
 				return nil, err
 			}
+			skippedCount++
 			continue
 		}
-		return co.newAnswer(resp, writeDone), nil
+		an := co.newAnswer(resp, writeDone)
+		an.SkippedCount = skippedCount
+		return an, nil
 	}
 	return nil, &SendError{Written: true, Err: errors.New("the server sent only answers to other requests")}
 }
--- a/entry/internal/pool/exchange_test.go
+++ b/entry/internal/pool/exchange_test.go
@@ -77,7 +77,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), exchangeTimeout)
 	defer cancel()
-	co, err := po.Get(ctx, as.address, false, 0)
+	co, err := po.Get(ctx, as.address, Want{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +48,18 @@
 	// idle holds the idle connections by address, the last used at the end.
 	idle      map[string][]*Conn
 	openCount map[string]int
+	// lastNumber is the number of the connection that was opened last.
+	lastNumber uint64
+}
+
+// Want describes the connection that a request needs.
+type Want struct {
+	// RecentlyUsed means that an idle connection must have been used within maxRecentIdle.
+	RecentlyUsed bool
+	// Limit is the highest number of open connections to the address, zero for no limit.
+	Limit int
+	// Except holds the numbers of connections that must not be used.
+	Except []uint64
 }
 
 // New returns an empty pool. The heads of an answer, interim ones included, have headBytesMax bytes at
@@ -65,6 +78,8 @@
 	nc      net.Conn
 	hr      *headReader
 	br      *bufio.Reader
+	// Number identifies the connection among all of its pool.
+	Number uint64
 	// Reused is true after the first exchange.
 	Reused bool
 	// idleTimeout is how long the server keeps an idle connection open.
@@ -73,12 +88,12 @@
 	closeOnce   sync.Once
 }
 
-// Get returns the usable idle connection to an address that was used last, or a new connection.
-// With recentlyUsed, an idle connection must have been used within maxRecentIdle. Get returns
-// ErrConnectionLimit if it needs a new connection and limit of them are open; zero means no limit.
-func (po *Pool) Get(ctx context.Context, address string, recentlyUsed bool, limit int) (*Conn, error) {
+// Get returns the usable idle connection to an address that was used last and that the request may use, or a
+// new connection. It closes an idle connection that the request may not use if it needs a new one beyond the
+// limit, and returns ErrConnectionLimit if none is idle.
+func (po *Pool) Get(ctx context.Context, address string, wa Want) (*Conn, error) {
 	for {
-		co := po.takeIdle(address, recentlyUsed)
+		co := po.takeIdle(address, wa)
 		if co == nil {
 			break
 		}
@@ -87,7 +102,8 @@
 		}
 		co.Close()
 	}
-	if !po.reserve(address, limit) {
+	number, ok := po.reserve(address, wa.Limit)
+	if !ok {
 		return nil, ErrConnectionLimit
 	}
 	nc, err := po.dialer.DialContext(ctx, "tcp", address)
@@ -96,45 +112,62 @@
 		return nil, errors.Wrapf(err, "pool: dial %s", address)
 	}
 	hr := &headReader{src: nc}
-	return &Conn{po: po, address: address, nc: nc, hr: hr, br: bufio.NewReaderSize(hr, readBufferBytes), idleTimeout: defaultIdleTimeout}, nil
+	return &Conn{
+		po: po, address: address, Number: number, nc: nc, hr: hr, br: bufio.NewReaderSize(hr, readBufferBytes), idleTimeout: defaultIdleTimeout,
+	}, nil
 }
 
 // PutBack keeps a connection that has carried no exchange since Get for the next one.
 func (co *Conn) PutBack() { co.po.putIdle(co) }
 
-// takeIdle removes and returns the idle connection that was used last. It closes connections that
-// are about to reach the server's idle timeout. It returns nil if none is left, or if recentlyUsed
-// is set and the connection has been idle for longer than maxRecentIdle.
-func (po *Pool) takeIdle(address string, recentlyUsed bool) *Conn {
+// takeIdle removes and returns the idle connection that was used last and that the request may use, or nil if
+// there is none. It closes connections that are about to reach the server's idle timeout.
+func (po *Pool) takeIdle(address string, wa Want) *Conn {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	for {
-		list := po.idle[address]
-		if len(list) == 0 {
-			return nil
-		}
-		co := list[len(list)-1]
+	for ix := len(po.idle[address]) - 1; ix >= 0; ix-- {
+		co := po.idle[address][ix]
 		idle := time.Since(co.idleSince)
-		if recentlyUsed && idle > maxRecentIdle && idle <= co.idleTimeout-idleTimeoutMargin {
+		switch {
+		case idle > co.idleTimeout-idleTimeoutMargin:
+			po.removeIdle(address, ix)
+			go co.Close()
+		case wa.RecentlyUsed && idle > maxRecentIdle:
 			return nil
-		}
-		po.idle[address] = list[:len(list)-1]
-		if idle <= co.idleTimeout-idleTimeoutMargin {
+		case !slices.Contains(wa.Except, co.Number):
+			po.removeIdle(address, ix)
 			return co
 		}
-		go co.Close()
 	}
+	return nil
 }
 
-// reserve counts a new connection, or returns false if limit connections are open.
-func (po *Pool) reserve(address string, limit int) bool {
+// removeIdle removes an idle connection from the list of its address. The lock must be held.
+func (po *Pool) removeIdle(address string, ix int) {
+	po.idle[address] = slices.Delete(po.idle[address], ix, ix+1)
+}
+
+// reserve counts a new connection and returns its number. If limit connections are open already, it closes the
+// idle one that was used first in favour of the new one, or returns false if none is idle.
+func (po *Pool) reserve(address string, limit int) (uint64, bool) {
 	po.mu.Lock()
-	defer po.mu.Unlock()
+	surplus := (*Conn)(nil)
 	if limit > 0 && po.openCount[address] >= limit {
-		return false
+		if len(po.idle[address]) == 0 {
+			po.mu.Unlock()
+			return 0, false
+		}
+		surplus = po.idle[address][0]
+		po.removeIdle(address, 0)
 	}
 	po.openCount[address]++
-	return true
+	po.lastNumber++
+	number := po.lastNumber
+	po.mu.Unlock()
+	if surplus != nil {
+		surplus.Close()
+	}
+	return number, true
 }
 
 // release subtracts a closed connection from the count.
--- a/entry/internal/pool/pool_test.go
+++ b/entry/internal/pool/pool_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // deliveryTime is more than loopback takes to deliver a byte or the end of a connection.
@@ -19,7 +21,7 @@
 	}
 	t.Cleanup(func() { _ = ls.Close() })
 	po := New(&net.Dialer{}, 0)
-	co, err := po.Get(t.Context(), ls.Addr().String(), false, 0)
+	co, err := po.Get(t.Context(), ls.Addr().String(), Want{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +36,7 @@
 
 func TestOpenIdleConnectionIsUsedAgain(t *testing.T) {
 	po, address, _ := newIdleConn(t)
-	co, err := po.Get(t.Context(), address, true, 0)
+	co, err := po.Get(t.Context(), address, Want{RecentlyUsed: true})
 	if err != nil || !co.Reused {
 		t.Errorf("connection %+v, error %v, want the idle one", co, err)
 	}
@@ -71,10 +73,41 @@
 			po, address, far := newIdleConn(t)
 			end(far)
 			time.Sleep(deliveryTime)
-			co, err := po.Get(t.Context(), address, true, 0)
+			co, err := po.Get(t.Context(), address, Want{RecentlyUsed: true})
 			if err != nil || co.Reused {
 				t.Errorf("the idle connection is used again, error %v", err)
 			}
 		})
 	}
 }
+
+// A request that is sent again must not get a connection that has carried it: the answer to its first sending
+// may come there once more.
+func TestConnectionThatIsExceptedIsNotUsed(t *testing.T) {
+	po, address, _ := newIdleConn(t)
+	used := po.idle[address][0].Number
+	co, err := po.Get(t.Context(), address, Want{Except: []uint64{used}})
+	if err != nil || co.Reused || co.Number == used {
+		t.Errorf("connection %+v, error %v, want a new one", co, err)
+	}
+	other, err := po.Get(t.Context(), address, Want{})
+	if err != nil || other.Number != used {
+		t.Errorf("connection %+v, error %v, want the one that is idle", other, err)
+	}
+}
+
+// Idle connections that a request may not use must not make it fail for want of a new one.
+func TestIdleConnectionGivesWayToANewOneAtTheLimit(t *testing.T) {
+	po, address, far := newIdleConn(t)
+	used := po.idle[address][0].Number
+	co, err := po.Get(t.Context(), address, Want{Except: []uint64{used}, Limit: 1})
+	if err != nil || co.Number == used || po.openCount[address] != 1 {
+		t.Errorf("connection %+v, error %v, %d open, want a new one alone", co, err, po.openCount[address])
+	}
+	if _, err := far.Read(make([]byte, 1)); err == nil {
+		t.Error("the idle connection stays open")
+	}
+	if _, err := po.Get(t.Context(), address, Want{Limit: 1}); !errors.Is(err, ErrConnectionLimit) {
+		t.Errorf("error %v with all connections in use, want %v", err, ErrConnectionLimit)
+	}
+}
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -71,7 +71,7 @@
 	return hd
 }
 
-func (testProtocol) MatchesRequest(hd http.Header, ri *direct.RequestInfo) bool {
+func (testProtocol) MatchesRequest(hd http.Header, ri *direct.RequestInfo, _ bool) bool {
 	return hd.Get(headerID) == ri.ID
 }
 
