Tell answers of engines apart by the ID of their request

On the product's own interface an agent took what came next on a kept connection to its engine for the answer to its request. If an engine sends a rejection once more, the next request counted as not run while the engine ran it: it was sent to a second engine, its caller could be told that it had not run, and its adapter lost its pin.

Cause: net/http tells answers apart by their place on the connection alone.

Engines repeat X-Request-Id, which is the attempt's ID, in each answer; orders, inspections and cancellations have IDs of their own. An answer with another ID, and a rejection without one on a kept connection, ends the attempt as unknown and closes the connection, so that it cannot shift the answers of later requests either.

TestForwardDoesNotTakeALateAnswerForTheNextOne failed before in both of its cases.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -34,6 +34,7 @@
 	doneEvent          = "[DONE]"
 	reasonBackendLost  = "backend_lost"
 	reasonWrongAdapter = "wrong_adapter"
+	reasonOtherAnswer  = "other_answer"
 	// reasonDeadline is also the reason if the attempt was stopped, as both end requestCtx.
 	reasonDeadline      = "deadline"
 	reasonEngineCrashed = "engine_crashed"
@@ -89,6 +90,8 @@
 	switch {
 	case errors.Is(err, errWrongAdapter):
 		res.reason = reasonWrongAdapter
+	case errors.Is(err, client.ErrOtherAnswer):
+		res.reason = reasonOtherAnswer
 	case requestCtx.Err() != nil:
 		res.reason = reasonDeadline
 	}
--- a/agent/internal/client/forward.go
+++ b/agent/internal/client/forward.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -19,8 +21,18 @@
 // Close does nothing, as the body needs no release.
 func (sentOnce) Close() error { return nil }
 
+// ErrOtherAnswer means that an answer belongs to another request, or that nothing tells to which one it belongs.
+var ErrOtherAnswer = errors.New("client: the answer is not known to be that of the request; look at what the server sends")
+
+// usedConn is the connection that carried a request.
+type usedConn struct {
+	nc     net.Conn
+	reused bool
+}
+
 // Forward sends a request to the backend server and returns its answer. The caller closes the answer's
-// body. The handle identifies the adapter at the engine and is empty for a plain service.
+// body. The handle identifies the adapter at the engine and is empty for a plain service. It fails with
+// ErrOtherAnswer and closes the connection if the answer names another request.
 func (cl *Client) Forward(ctx context.Context, di *wire.Dispatch, handle string) (*http.Response, error) {
 	body := di.Body
 	if handle != "" {
@@ -32,14 +44,39 @@
 	}
 	rq.ContentLength = int64(len(body))
 	rq.Header.Set("Content-Type", di.ContentType)
-	rq.Header.Set(requestIDHeader, di.Attempt)
 	// The engine runs higher priorities first, so the urgency is sent as it is.
 	rq.Header.Set(priorityHeader, strconv.Itoa(di.Urgency))
 	if di.Key != "" {
 		rq.Header.Set(idempotencyKeyHeader, di.Key)
 	}
-	resp, err := cl.http.Do(rq)
-	return resp, errors.Wrap(err, "client: forward")
+	return cl.do(rq, di.Attempt, handle != "")
+}
+
+// do sends a request with an ID and returns its answer, which must be that of the request. The argument rejects
+// is true if a status of an error means that the engine has not run the request.
+func (cl *Client) do(rq *http.Request, id string, rejects bool) (*http.Response, error) {
+	rq.Header.Set(requestIDHeader, id)
+	uc := usedConn{}
+	trace := &httptrace.ClientTrace{GotConn: func(gi httptrace.GotConnInfo) { uc = usedConn{nc: gi.Conn, reused: gi.Reused} }}
+	resp, err := cl.http.Do(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	if err != nil {
+		return nil, errors.Wrap(err, "client: send request")
+	}
+	if !uc.owns(resp, id, rejects) {
+		_ = resp.Body.Close()
+		_ = uc.nc.Close()
+		return nil, errors.Wrapf(ErrOtherAnswer, "status %d, %s %q", resp.StatusCode, requestIDHeader, resp.Header.Get(requestIDHeader))
+	}
+	return resp, nil
+}
+
+// owns reports whether an answer is that of the request with an ID. A server may send an answer once more where
+// the next one of the connection is due. An answer that names no request is believed, but for a rejection on a
+// reused connection.
+func (uc usedConn) owns(resp *http.Response, id string, rejects bool) bool {
+	answered := resp.Header.Get(requestIDHeader)
+	rejection := rejects && resp.StatusCode >= http.StatusBadRequest
+	return answered == id || answered == "" && !(uc.reused && rejection)
 }
 
 // engineBody returns the body, a JSON object from which the entry node has removed the keys model and
--- a/agent/internal/client/once_test.go
+++ b/agent/internal/client/once_test.go
@@ -1,7 +1,10 @@
 package client
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -43,3 +46,54 @@
 		}
 	}
 }
+
+// serveOnce answers the requests of one connection with the given bytes, in order, and returns the URL.
+func serveOnce(t *testing.T, answers ...string) string {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ls.Close() })
+	go func() {
+		nc, err := ls.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		rd := bufio.NewReader(nc)
+		for _, answer := range answers {
+			rq, err := http.ReadRequest(rd)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, rq.Body)
+			_, _ = io.WriteString(nc, answer)
+		}
+		_, _ = rd.ReadByte()
+	}()
+	return "http://" + ls.Addr().String()
+}
+
+// An engine rejects a request and sends the rejection once more where the next answer is due. The agent must not
+// take it for the answer to the next request, which the engine runs.
+func TestForwardDoesNotTakeALateAnswerForTheNextOne(t *testing.T) {
+	const handle = "cure@1#boot-1"
+	for name, id := range map[string]string{"with the ID of its request": requestIDHeader + ": first\r\n", "without an ID": ""} {
+		t.Run(name, func(t *testing.T) {
+			rejection := "HTTP/1.1 503 Service Unavailable\r\n" + id + "Content-Length: 0\r\n\r\n"
+			own := "HTTP/1.1 200 OK\r\n" + requestIDHeader + ": second\r\nContent-Length: 0\r\n\r\n"
+			cl := NewClient(&http.Client{Transport: &http.Transport{}}, serveOnce(t, rejection, rejection+own))
+			resp, err := cl.Forward(t.Context(), &wire.Dispatch{Attempt: "first", Method: http.MethodPost, Path: "/", Body: []byte("{}")}, handle)
+			if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+				t.Fatalf("answer %+v, error %v", resp, err)
+			}
+			discardBody(resp)
+			resp, err = cl.Forward(t.Context(), &wire.Dispatch{Attempt: "second", Method: http.MethodPost, Path: "/", Body: []byte("{}")}, handle)
+			if err == nil {
+				t.Errorf("the rejection of another request was taken for the answer: status %d", resp.StatusCode)
+				discardBody(resp)
+			}
+		})
+	}
+}
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +62,8 @@
 type Client struct {
 	http    *http.Client
 	baseURL string
+	// orders counts orders, inspections and cancellations, each of which has an ID of its own.
+	orders atomic.Int64
 }
 
 // NewClient returns a client for a backend server's URL.
@@ -70,6 +74,9 @@
 // BaseURL returns the backend server's URL.
 func (cl *Client) BaseURL() string { return cl.baseURL }
 
+// orderID returns the ID of the next order, inspection or cancellation.
+func (cl *Client) orderID() string { return "order-" + strconv.FormatInt(cl.orders.Add(1), 10) }
+
 // Load orders the engine to load an adapter. It returns the result and the boot ID of the engine
 // process that answered. By the status of the answer, the engine
 //   - has loaded the adapter: 200
@@ -120,7 +127,7 @@
 	if err != nil {
 		return 0, "", errors.Wrap(err, "client: build order")
 	}
-	resp, err := cl.http.Do(rq)
+	resp, err := cl.do(rq, cl.orderID(), false)
 	if err != nil {
 		return 0, "", errors.Wrap(err, "client: send order")
 	}
@@ -138,7 +145,7 @@
 	if err != nil {
 		return iv, errors.Wrap(err, "client: build inspection")
 	}
-	resp, err := cl.http.Do(rq)
+	resp, err := cl.do(rq, cl.orderID(), false)
 	if err != nil {
 		return iv, errors.Wrap(err, "client: inspect")
 	}
@@ -159,7 +166,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "client: build cancel")
 	}
-	resp, err := cl.http.Do(rq)
+	resp, err := cl.do(rq, cl.orderID(), false)
 	if err != nil {
 		return "", errors.Wrap(err, "client: cancel")
 	}
--- a/stand/engine/http.go
+++ b/stand/engine/http.go
@@ -15,7 +15,8 @@
 	BootHeader = "X-Engine-Boot"
 	// SoftwareHeader carries the version of the engine's software in every response, if it has one.
 	SoftwareHeader = "X-Engine-Software"
-	// RequestHeader carries the ID of the request, for which an agent sends its attempt ID.
+	// RequestHeader carries the ID of the request, for which an agent sends its attempt ID. Every response to a
+	// request with an ID repeats it.
 	RequestHeader = "X-Request-Id"
 	// PriorityHeader carries the priority of the request; higher priorities run first.
 	PriorityHeader = "X-Priority"
@@ -74,6 +75,9 @@
 	mux.HandleFunc("GET /violations", func(wr http.ResponseWriter, _ *http.Request) { writeJSON(wr, en.Violations()) })
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		wr.Header().Set(BootHeader, en.Boot())
+		if id := rq.Header.Get(RequestHeader); id != "" {
+			wr.Header().Set(RequestHeader, id)
+		}
 		if en.op.Software != "" {
 			wr.Header().Set(SoftwareHeader, en.op.Software)
 		}
