Answer every request before a planned stop ends

No server had got the requests.

Cause: nothing bounded a wait by the end of the stop. A request knew its own deadline, the stop knew its own, and closed the connections under requests that nobody had told.

Evidence: all five ended at one moment without an attempt_ended, at entry_stopped in_flight=5; the engine never saw them.

A stop has an order now: waits end three quarters through the time to drain, answers shortly before its end, connections last. Each wait is bound to it (grants, leases, connections, origins of streams, bodies), so that what no server has got is told so, truly and with a time to come back; what still runs is told that its outcome is unknown. A request that could be served only after that is refused at once.

TestDirectStopAnswersRequestsThatWaitForAGrant, TestDirectStopAnswersACallThatStillRuns and TestDirectStopAnswersARequestWithoutItsWholeBody failed before.

--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -94,7 +94,7 @@
 			no.crashes.recordEnd(rq, true)
 		}
 		st = st.WithOutcome(re.outcome)
-		st.TimeLeft = time.Until(rq.deadline)
+		st.TimeLeft = time.Until(no.drain.waitsUntil(rq.deadline))
 		if ctx.Err() != nil {
 			st.TimeLeft = 0
 		}
@@ -127,6 +127,9 @@
 	if retryDelay <= 0 {
 		retryDelay = defaultRetryAfter
 	}
+	if rq.no.drain.waits.Err() != nil {
+		return stoppingError()
+	}
 	kind := fault.Overloaded
 	if ctx.Err() != nil {
 		kind = fault.Unavailable
@@ -171,7 +174,10 @@
 	if !ok {
 		return nil, no.noServerError(sr, now)
 	}
-	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
+	if retryAfter, ok := ch.Admit(no.drain.waitsUntil(rq.deadline).Sub(now)); !ok {
+		if _, ok := ch.Admit(rq.deadline.Sub(now)); ok {
+			return nil, stoppingError()
+		}
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
 			WithRetryAfter(retryAfter)
 	}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -30,8 +30,6 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	sweepPeriod    = time.Second
-	// stopMargin is the part of the stop time reserved for closing the servers after draining.
-	stopMargin = 700 * time.Millisecond
 	// balancerNoticeTime is how long new connections still arrive after the readiness check
 	// has begun to fail. The load balancer removes a node after two failed checks, made one
 	// second apart.
@@ -69,7 +67,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	draining atomic.Bool
+	drain    *drain
 	inFlight atomic.Int64
 
 	// mu guards the fields below.
@@ -105,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, drain: newDrain(), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.held.eachMax, no.held.allMax = options.Settings.AnswerHoldBytes, options.Settings.AnswersHoldBytes
 	no.agents = newAgents(no)
@@ -198,11 +196,15 @@
 }
 
 // stop fails the readiness check, keeps serving for balancerNoticeTime so that the load balancer
-// removes the node, then waits for the requests in flight.
+// removes the node, then waits for the requests in flight. Each of them is answered before the stop ends.
 func (no *Node) stop(ctx context.Context, sv httpServers) error {
-	no.draining.Store(true)
-	no.logger.Info().Int64("in_flight", no.inFlight.Load()).Msg("entry_draining")
-	deadline := time.Now().Add(time.Duration(no.options.Settings.StopMs)*time.Millisecond - stopMargin)
+	now := time.Now()
+	deadline := now.Add(time.Duration(no.options.Settings.StopMs)*time.Millisecond - stopMargin)
+	no.drain.begin(now, deadline)
+	no.logger.Info().Int64("in_flight", no.inFlight.Load()).Dur("waits_end_in", time.Until(no.drain.waitsUntil(deadline))).
+		Dur("ends_in", time.Until(deadline)).Msg("entry_draining")
+	context.AfterFunc(no.drain.waits, func() { no.logDrain("drain_waits_ended") })
+	context.AfterFunc(no.drain.answers, func() { no.logDrain("drain_answers_ended") })
 	no.sleep(ctx, balancerNoticeTime)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -218,6 +220,13 @@
 	return errors.Wrap(err, "direct: close servers")
 }
 
+// logDrain logs a stage of the drain with the number of requests that it finds.
+func (no *Node) logDrain(event string) {
+	if count := no.inFlight.Load(); count > 0 {
+		no.logger.Info().Int64("in_flight", count).Msg(event)
+	}
+}
+
 // awaitIdle waits until no request has been in flight for idleBeforeStop, or the context ends.
 func (no *Node) awaitIdle(ctx context.Context) {
 	for idle := time.Duration(0); idle < idleBeforeStop && ctx.Err() == nil; idle += idlePollPeriod {
@@ -238,7 +247,7 @@
 
 // serveReady answers the load balancer's readiness check.
 func (no *Node) serveReady(wr http.ResponseWriter, _ *http.Request) {
-	if no.draining.Load() || !no.view.ready() {
+	if no.drain.begun() || !no.view.ready() {
 		wr.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -19,6 +19,8 @@
 	// attempt waited for its grant.
 	reasonServerDeclines = "server_declines"
 	reasonQuarantined    = "quarantined"
+	// reasonNodeStopping means that the attempt ended because this node is stopping.
+	reasonNodeStopping = "node_stopping"
 )
 
 // grantResult is the outcome of a reservation.
@@ -93,7 +95,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return grantResult{reason: reasonCallerGone, queued: queued}
+			return grantResult{reason: endReason(ctx), queued: queued}
 		case <-lateTimer.C:
 			return grantResult{reason: reasonGrantLate, queued: queued}
 		case <-answerTimer.C:
@@ -114,6 +116,14 @@
 	}
 }
 
+// endReason returns why a context has ended before an attempt was sent.
+func endReason(ctx context.Context) string {
+	if stopsNode(ctx) {
+		return reasonNodeStopping
+	}
+	return reasonCallerGone
+}
+
 // sendStarted reports to the agent that the engine has prefilled the prompt of a granted attempt.
 func (as *agents) sendStarted(attempt string) {
 	as.mu.Lock()
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -30,15 +30,9 @@
 	defer rq.no.recordAttemptEnd(at.server)
 	ctx, stop := rq.no.crashes.watchParts(ctx, rq, at)
 	defer stop()
-	if re, ok := rq.takeLease(ctx, at); !ok {
+	if re, ok := rq.awaitServer(ctx, at); !ok {
 		return re, false
 	}
-	if at.choice.Reason != spread.PlainService && at.choice.Reason != spread.AgentUnavailable {
-		if re, ok := rq.reserve(ctx, at); !ok {
-			rq.no.recordUnsent(at.server)
-			return re, false
-		}
-	}
 	// An answer that breaks off midway ends the handler with a panic.
 	re, delivered := result{outcome: retry.Unknown}, false
 	defer func() { rq.release(at, re) }()
@@ -49,10 +43,27 @@
 	return re, delivered
 }
 
+// awaitServer waits until the attempt may be sent, and reports whether it may.
+func (rq *request) awaitServer(ctx context.Context, at *attempt) (result, bool) {
+	ctx, endWait := rq.no.drain.boundWait(ctx)
+	defer endWait()
+	if re, ok := rq.takeLease(ctx, at); !ok {
+		return re, false
+	}
+	if at.choice.Reason == spread.PlainService || at.choice.Reason == spread.AgentUnavailable {
+		return result{}, true
+	}
+	re, ok := rq.reserve(ctx, at)
+	if !ok {
+		rq.no.recordUnsent(at.server)
+	}
+	return re, ok
+}
+
 // reserve requests a grant for the attempt and reports whether it was given.
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
 	_, settled := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), time.Now())
-	budget := spread.WaitBudget(time.Until(rq.deadline))
+	budget := spread.WaitBudget(time.Until(rq.no.drain.waitsUntil(rq.deadline)))
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
 		Attempt: at.id, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: at.version, VersionRequired: settled,
 		Urgency: maxUrgency - rq.route.Rank, PromptTokens: rq.info.PromptTokens, OutputTokens: rq.info.OutputTokens,
@@ -165,6 +176,8 @@
 	}
 	reason, callerGone := "connection_lost", false
 	switch {
+	case stopsNode(ctx):
+		return result{outcome: outcome, reason: reasonNodeStopping}
 	case errors.Is(context.Cause(ctx), errPartRefused):
 		return rq.canceledForPart(at, outcome)
 	case errors.Is(context.Cause(ctx), errServerSilent):
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -41,7 +41,9 @@
 	hostHeader    string
 	header        http.Header
 	body          []byte
-	start         time.Time
+	// bodyBytesMax is the operators' limit on the size of the body, zero for the default.
+	bodyBytesMax int64
+	start        time.Time
 	// deadline is when the caller must be answered: answerMargin before the end of its timeout, or
 	// at the end of defaultTimeout if it states none, but no later than the end of the route's
 	// timeout.
@@ -74,23 +76,39 @@
 	no.inFlight.Add(1)
 	defer no.inFlight.Add(-1)
 	rq := &request{no: no, start: time.Now(), wr: gc.Writer}
-	if no.draining.Load() {
+	if no.drain.begun() {
 		gc.Header("Connection", "close")
 	}
 	if err := rq.parse(gc.Request); err != nil {
 		rq.respondError(err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(gc.Request.Context(), rq.deadline)
+	ctx, endAnswer := no.drain.boundAnswer(gc.Request.Context())
+	defer endAnswer()
+	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
-	if err := rq.takeUp(ctx); err != nil {
+	if err := rq.prepare(ctx, gc.Request); err != nil {
 		rq.respondError(err)
 		return
 	}
 	rq.runAttempts(ctx)
 }
 
-// parse reads the request and matches it to a route and a service; its errors have type
+// prepare reads the body and finds out what began the stream that the request takes up, if it does.
+func (rq *request) prepare(ctx context.Context, hr *http.Request) error {
+	ctx, endWait := rq.no.drain.boundWait(ctx)
+	defer endWait()
+	if err := rq.readBody(ctx, hr); err != nil {
+		return err
+	}
+	err := rq.takeUp(ctx)
+	if stopsNode(ctx) {
+		return stoppingError()
+	}
+	return err
+}
+
+// parse reads the head of the request and matches it to a route and a service; its errors have type
 // fault.Error.
 func (rq *request) parse(hr *http.Request) error {
 	no := rq.no
@@ -117,7 +135,8 @@
 		return fault.New(fault.Unavailable, "the route's service is not known", "ask an operator").WithRetryAfter(notReadyRetryAfter)
 	}
 	rq.service = &service
-	return rq.readBody(hr, ta.Limits.BodyBytes)
+	rq.bodyBytesMax = ta.Limits.BodyBytes
+	return nil
 }
 
 // notReadyError returns the error for requests that arrive before the node has read the
@@ -157,8 +176,9 @@
 	return time.Until(rq.deadline)
 }
 
-// readBody reads the whole request body, up to a limit in bytes.
-func (rq *request) readBody(hr *http.Request, limit int64) error {
+// readBody reads the whole request body, up to the operators' limit, until the context ends.
+func (rq *request) readBody(ctx context.Context, hr *http.Request) error {
+	limit := rq.bodyBytesMax
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
@@ -168,8 +188,17 @@
 	if hr.ContentLength == 0 {
 		return nil
 	}
+	stop := context.AfterFunc(ctx, func() {
+		// Without a deadline on the connection, the handler waits until the caller sends more.
+		_ = http.NewResponseController(rq.wr).SetReadDeadline(time.Now())
+	})
 	data, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
+	stopped := stop()
 	switch {
+	case stopsNode(ctx):
+		return stoppingError()
+	case !stopped:
+		return fault.New(fault.Unavailable, "the body did not arrive in time", "send the request again").WithRetryAfter(defaultRetryAfter)
 	case err != nil:
 		return fault.New(fault.Invalid, "the body did not arrive whole", "send the request again")
 	case int64(len(data)) > limit:
