Answer what is left before a stop on the own interface ends

On the product's own interface, a planned stop of an entry node waited ten minutes for a request whose body did not arrive, and then cut it off without an answer; a call with a key that outlasted the stop was cut off, too.

A body was read without regard to the request's deadline, and calls with a key, which go on without their callers, did not learn of the end of the stop.

A body must arrive by the request's deadline. A second before the end of the stop the requests that are left end with a cause of their own, which calls with a key heed.

--- a/entry/internal/caller/completion.go
+++ b/entry/internal/caller/completion.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -134,13 +135,23 @@
 	if err != nil {
 		return due, nil, err
 	}
-	body, err := readBody(gc, de.BodyBytes)
+	body, err := readBody(gc, de.BodyBytes, due)
 	return due, body, err
 }
 
-// readBody reads the body of a request, or returns an error if it is longer than the limit.
-func readBody(gc *gin.Context, limit int) ([]byte, error) {
+// readBody reads the body of a request, or returns an error if it is longer than the limit or does not arrive by
+// the deadline.
+func readBody(gc *gin.Context, limit int, due time.Time) ([]byte, error) {
+	ctx, cancel := context.WithDeadline(gc.Request.Context(), due)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		// Without a deadline on the connection, the handler waits until the caller sends more.
+		_ = http.NewResponseController(gc.Writer).SetReadDeadline(time.Now())
+	})
 	data, err := io.ReadAll(http.MaxBytesReader(gc.Writer, gc.Request.Body, int64(limit)))
+	if !stop() {
+		return nil, fault.New(fault.Unavailable, "the body did not arrive in time", "send the request again").WithRetryAfter(notReadyRetryAfter)
+	}
 	tooLong := &http.MaxBytesError{}
 	if errors.As(err, &tooLong) {
 		return nil, fault.New(fault.TooLarge, "the body is longer than the limit", "shorten it or ask an operator for a higher deployment.body_bytes")
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -36,12 +36,31 @@
 	Kept(limit int) (int, string, []byte, bool)
 }
 
+// ErrStopping is the cancellation cause of requests that a planned stop of the node ends.
+var ErrStopping = errors.New("relay: the node is stopping; send the request to another node")
+
+// untilStop returns a context that outlasts its parent, unless that ends because the node is stopping.
+func untilStop(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() {
+		if errors.Is(context.Cause(parent), ErrStopping) {
+			cancel()
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // RunClaimed runs a call that must not run twice. It appends a claim on the call's idempotency
 // key to the log before it dispatches an attempt. If an earlier attempt holds the key, it finds
 // out what became of that attempt first.
 func (rl *Relay) RunClaimed(ctx context.Context, rq *Request, entry string, an Answer) error {
 	// The call continues when its caller disconnects, so that its answer can be stored.
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), rq.Deadline)
+	ctx, end := untilStop(ctx)
+	defer end()
+	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
 	rl.addToRetryBudget(rq.RetryPercent)
 	ex := &execution{rl: rl, rq: rq, an: an}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -38,6 +38,8 @@
 	maxIdleConnsPerHost = 64
 	// stopTimeout is the maximum duration of a planned stop.
 	stopTimeout = 10 * time.Minute
+	// answerMargin is how long before the end of a planned stop the requests that are left are answered.
+	answerMargin = time.Second
 )
 
 // Network opens and accepts the entry node's connections.
@@ -81,12 +83,17 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	draining atomic.Bool
+	// requests is the context of callers' requests. It ends shortly before a planned stop does.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 }
 
 // newLifetime returns the lifetime of a new node.
 func newLifetime() *lifetime {
-	ctx, cancel := context.WithCancel(context.Background())
-	return &lifetime{ctx: ctx, cancel: cancel}
+	li := &lifetime{}
+	li.ctx, li.cancel = context.WithCancel(context.Background())
+	li.requests, li.endRequests = context.WithCancelCause(context.Background())
+	return li
 }
 
 // newHTTPClient returns the HTTP client for requests to the platform and to peers.
@@ -190,6 +197,7 @@
 // registerHooks registers the functions that start and stop the node.
 func registerHooks(lc fx.Lifecycle, co components) {
 	callerServer := newServer(co.Caller.Handler())
+	callerServer.BaseContext = func(net.Listener) context.Context { return co.Lifetime.requests }
 	adminServer := newServer(co.Admin.Handler())
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return co.start(callerServer, adminServer) },
@@ -250,7 +258,8 @@
 }
 
 // stop drains the node: it fails the readiness check, waits for drain_grace_ms so that the load
-// balancer removes the node, and then waits for the requests in flight to end.
+// balancer removes the node, and then waits for the requests in flight to end. Those that are left shortly before
+// the end of the stop are answered then.
 func (co components) stop(ctx context.Context, callerServer, adminServer *http.Server) error {
 	co.Lifetime.draining.Store(true)
 	co.Options.Logger.Info().Msg("entry_draining")
@@ -258,6 +267,9 @@
 	case <-time.After(time.Duration(co.Options.Settings.DrainGraceMs) * time.Millisecond):
 	case <-ctx.Done():
 	}
+	if end, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(end)-answerMargin, func() { co.Lifetime.endRequests(relay.ErrStopping) }).Stop()
+	}
 	err := callerServer.Shutdown(ctx)
 	co.Lifetime.cancel()
 	_ = adminServer.Close()
