Decide what a node passes on of the log by the log alone

Cause: the node that reads the log for its zone left records out that changed nothing that it believed itself. An answer of the server had told it before its record did, so that the other nodes never read the record, and their offset went on past it. Likewise a record that was removed and written again between two reads: the removal was passed on, the record was not, and the server stayed unknown to the others.

What records last said is kept apart from what a node believes (roster.Published). A record is left out only if the one before it said the same, adapters aside, so that a node that gets the rest knows what it would know by reading everything.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -113,14 +113,6 @@
 	return true
 }
 
-// Changes reports whether a record says anything new about a server, its adapters aside. Agents
-// report the adapters of their engines sooner than the records do.
-func (ro *Roster) Changes(se Server) bool {
-	ts := ro.servers[se.ID]
-	return ts == nil || !ts.missingSince.IsZero() || ts.Service != se.Service || ts.Address != se.Address || ts.Zone != se.Zone ||
-		ts.Places != se.Places || ts.Leaving != se.Leaving || ts.Born != se.Born || ts.Model != se.Model || ts.Software != se.Software
-}
-
 // Epoch returns the latest epoch of the servers' records, zero if there are none.
 func (ro *Roster) Epoch() int64 {
 	latest := int64(0)
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -65,6 +65,8 @@
 	// hasNewest is true once the newest record of each key has been read.
 	hasNewest bool
 	logLost   bool
+	// published is what the records of the servers last said, for the topic that holds them.
+	published roster.Published
 	// readAt is when the node's last own read began.
 	readAt time.Time
 	// confirmedAt is when a read last returned all records of the topic.
--- a/entry/direct/forward.go
+++ b/entry/direct/forward.go
@@ -51,12 +51,9 @@
 	delete(fe.subscribers, co)
 }
 
-// forward sends a read to all subscribers; a nil frame is ignored. A subscriber whose connection
+// forward sends a read to all subscribers. A subscriber whose connection
 // takes no more frames is disconnected, as it would not notice what it missed.
 func (fe *feeds) forward(frame *wire.Frame) {
-	if frame == nil {
-		return
-	}
 	fe.mu.Lock()
 	defer fe.mu.Unlock()
 	for co, cancel := range fe.subscribers {
--- a/entry/direct/logread.go
+++ b/entry/direct/logread.go
@@ -30,9 +30,9 @@
 		// The log has come back from an older copy since the read began.
 		return
 	}
-	forwarded := fo.forwardedFrame(rd)
+	news := fo.publish(rd)
 	fo.apply(rd, time.Now())
-	fo.no.feeds.forward(forwarded)
+	fo.forward(news)
 }
 
 // applyForwarded applies a read that another node forwarded. A read that does not begin where
@@ -63,6 +63,7 @@
 		fo.no.view.withRoster(func(ro *roster.Roster) { ro.MarkLogUnreadable() })
 	}
 	metricForwardedReads.Add(1)
+	fo.publish(rd)
 	fo.apply(rd, time.Now())
 	return nil
 }
@@ -135,26 +136,51 @@
 	}
 }
 
-// forwardedFrame returns the frame that forwards a read, without the records that change nothing
-// but the adapters of a known server. It returns nil if no node relies on this one.
-func (fo *follower) forwardedFrame(rd logRead) *wire.Frame {
+// publish takes the records of a read into account that were not read before, and returns the read without those
+// that say nothing new. What the node has learned in other ways plays no part in that: the nodes that rely on it have
+// not learned it.
+func (fo *follower) publish(rd logRead) logRead {
+	if fo.topic != ServersTopic || rd.listing && rd.batch.End < fo.nextOffset {
+		return rd
+	}
+	if rd.listing {
+		fo.published.Clear()
+	}
+	news := make([]LogRecord, 0, len(rd.batch.Records))
+	for _, lr := range rd.batch.Records {
+		known := !rd.listing && lr.Offset < fo.nextOffset
+		if known || fo.publishRecord(&lr) || rd.listing {
+			news = append(news, lr)
+		}
+	}
+	rd.batch.Records = news
+	return rd
+}
+
+// publishRecord takes a record into account, and reports whether it says anything new.
+func (fo *follower) publishRecord(lr *LogRecord) bool {
+	if lr.Server != nil {
+		return fo.published.Put(*lr.Server)
+	}
+	if lr.RemovedServer != "" {
+		fo.published.Remove(lr.RemovedServer)
+	}
+	return true
+}
+
+// forward sends a read to the nodes that rely on this one, if there are any.
+func (fo *follower) forward(rd logRead) {
 	if !fo.no.feeds.hasSubscribers() {
-		return nil
+		return
 	}
-	records := make([]LogRecord, 0, len(rd.batch.Records))
-	fo.no.view.withRoster(func(ro *roster.Roster) {
-		for _, lr := range rd.batch.Records {
-			if rd.listing || lr.Server == nil || ro.Changes(*lr.Server) {
-				records = append(records, lr)
-			}
-		}
-	})
-	data, err := cbor.Marshal(records)
+	data, err := cbor.Marshal(rd.batch.Records)
 	if err != nil {
 		fo.no.logger.Error().Str("topic", fo.topic.String()).Str("error", err.Error()).Msg("read_not_forwarded")
-		return nil
+		return
 	}
-	return &wire.Frame{LogBatch: &wire.LogBatch{
+	fo.no.logger.Debug().Str("topic", fo.topic.String()).Int64("from", rd.from).Int64("end", rd.batch.End).Int("records", len(rd.batch.Records)).
+		Bool("listing", rd.listing).Msg("read_forwarded")
+	fo.no.feeds.forward(&wire.Frame{LogBatch: &wire.LogBatch{
 		Topic: fo.topic.String(), Epoch: rd.batch.Epoch, From: rd.from, End: rd.batch.End, Listing: rd.listing, AfterFailure: rd.afterFailure, Records: data,
-	}}
+	}})
 }
