Keep at agents what software versions served, for nodes that start

Callers whose streams broke when all entry nodes were killed took them up again, and got the rest from another software version, with nothing in the answer to show it (ORDER).

Cause: a node that had just started took the one version that it saw for all that may have begun a stream.

Evidence: stream_taken_up source=unknown versions=["v2"] goes_on=true for streams that v1 began.

Entry nodes tell agents which versions of services serve, and since when they know all of them; a node that starts takes both over. A stream without a record goes on only where one version alone has served for as long as the stream can have lasted, and otherwise is refused at once. The records of an agent that is gone go to the one that takes its place, and a node that has just started waits for its connections before it asks.

The simulated log lists the newest record of each key now, as a log does, and services no longer count as mixed from the start: both hid the fault.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -85,6 +85,8 @@
 	buckets map[poison.Run]lease.Bucket
 	// origins holds what began streams of which this agent is a home.
 	origins origin.Table
+	// history holds the software versions of services, as entry nodes tell.
+	history origin.History
 	// boot is the ID of this run of the agent.
 	boot string
 }
@@ -242,6 +244,9 @@
 	case fr.Origins != nil:
 		br.keepOrigins(fr.Origins, now)
 		return
+	case fr.Versions != nil:
+		br.keepVersions(ctx, se, fr.Versions, now)
+		return
 	case fr.OriginQuery != nil:
 		br.answerOriginQuery(ctx, se, fr.OriginQuery, now)
 		return
--- a/agent/direct/link.go
+++ b/agent/direct/link.go
@@ -39,7 +39,7 @@
 	ctx, cancel := context.WithTimeout(ag.ctx, helloTimeout)
 	defer cancel()
 	place := ag.op.Settings.Place
-	return co.Welcome(ctx, &wire.Welcome{Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region, KeepsOrigins: true})
+	return co.Welcome(ctx, &wire.Welcome{Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region, KeepsOrigins: true, KeepsVersions: true})
 }
 
 // frameReceiver passes the frames of one connection to the broker.
--- a/agent/direct/session.go
+++ b/agent/direct/session.go
@@ -40,6 +40,8 @@
 	// state may have changed since.
 	holdingsSentAt time.Time
 	holdingsStale  bool
+	// versionsTold is true once the entry node has been told the software versions of services.
+	versionsTold bool
 	// peersDueAt is when the next Peers frame is due, the zero time if none is.
 	peersDueAt time.Time
 }
--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -138,6 +138,10 @@
 	// CallerAddress is the listen address for callers, as IP:port.
 	CallerAddress string `json:"caller_address" yaml:"caller_address"`
 
+	// FirstStart is true if the whole system starts for the first time, so that no
+	// caller has a stream from before.
+	FirstStart bool `json:"first_start,omitempty,omitzero" yaml:"first_start,omitempty"`
+
 	// LeaveMs is the time within which new work for a leaving backend server must
 	// stop, in milliseconds.
 	LeaveMs int `json:"leave_ms" yaml:"leave_ms"`
--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -15,6 +15,14 @@
 	returnTime = 10 * time.Second
 )
 
+// TellPeriod is how often an entry node tells agents the software versions of services.
+const TellPeriod = 30 * time.Second
+
+// Age returns an age that was sent in milliseconds, bounded to what matters.
+func Age(millis int64) time.Duration {
+	return time.Duration(min(max(0, millis), RetentionMax.Milliseconds())) * time.Millisecond
+}
+
 // Numbers of homes. A query goes to one more than a record, because two nodes may know different agents.
 const (
 	RecordHomes = 3
@@ -34,6 +42,12 @@
 	Software string
 }
 
+// Horizon returns how long ago a stream can have begun whose caller waits for a time from now on, and whose route
+// allows requests to take as long as timeout.
+func Horizon(callerWaits, timeout time.Duration) time.Duration {
+	return Retention(max(callerWaits, timeout))
+}
+
 // Retention returns how long the record of a stream is kept whose caller waits for a time from now on.
 func Retention(callerWaits time.Duration) time.Duration {
 	return min(RetentionMax, max(0, callerWaits)+returnTime)
@@ -61,16 +75,25 @@
 	Undecided
 )
 
+// Candidates are the software versions of a service that may have begun a stream.
+type Candidates struct {
+	Versions []string
+	// Complete is true if no other version can have begun it.
+	Complete bool
+}
+
 // Decide returns the software version at which a stream may go on. The origin, if known is true, is that of its
-// record; versions holds the software versions of the service that may have begun it.
-func Decide(or Origin, known bool, versions []string) (string, Verdict) {
+// record. Without a record, the stream goes on only where no more than one version can have begun it. Servers that
+// state no version are all alike.
+func Decide(or Origin, known bool, ca Candidates) (string, Verdict) {
+	alike := len(ca.Versions) == 1 && ca.Versions[0] == ""
 	switch {
 	case known && or.Software != "":
 		return or.Software, GoesOn
-	case len(versions) == 0:
+	case alike || known && len(ca.Versions) == 0:
 		return "", GoesOn
-	case len(versions) == 1 && (!known || versions[0] == ""):
-		return versions[0], GoesOn
+	case len(ca.Versions) == 1 && !known && ca.Complete:
+		return ca.Versions[0], GoesOn
 	}
 	return "", Undecided
 }
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -19,22 +19,25 @@
 		or       Origin
 		known    bool
 		versions []string
+		complete bool
 		software string
 		verdict  Verdict
 	}{
-		"record":                                 {Origin{Software: "v1"}, true, []string{"v1", "v2"}, "v1", GoesOn},
-		"record of a version that is gone":       {Origin{Software: "v1"}, true, []string{"v2"}, "v1", GoesOn},
-		"no record, one version":                 {Origin{}, false, []string{"v2"}, "v2", GoesOn},
-		"no record, two versions":                {Origin{}, false, []string{"v1", "v2"}, "", Undecided},
-		"no record, no server known":             {Origin{}, false, nil, "", GoesOn},
-		"no server states a version":             {Origin{}, false, []string{""}, "", GoesOn},
-		"record, no server states a version":     {Origin{}, true, []string{""}, "", GoesOn},
-		"some servers state no version":          {Origin{}, false, []string{"", "v1"}, "", Undecided},
-		"begun by a run of an unknown version":   {Origin{}, true, []string{"v1"}, "", Undecided},
-		"begun by a server without a version":    {Origin{}, true, []string{"", "v1"}, "", Undecided},
-		"record, others state no version at all": {Origin{Software: "v1"}, true, []string{""}, "v1", GoesOn},
+		"record":                                 {Origin{Software: "v1"}, true, []string{"v1", "v2"}, true, "v1", GoesOn},
+		"record of a version that is gone":       {Origin{Software: "v1"}, true, []string{"v2"}, false, "v1", GoesOn},
+		"no record, one version":                 {Origin{}, false, []string{"v2"}, true, "v2", GoesOn},
+		"no record, others may have served":      {Origin{}, false, []string{"v2"}, false, "", Undecided},
+		"no record, two versions":                {Origin{}, false, []string{"v1", "v2"}, true, "", Undecided},
+		"no record, no server known":             {Origin{}, false, nil, true, "", Undecided},
+		"no server states a version":             {Origin{}, false, []string{""}, false, "", GoesOn},
+		"record, no server states a version":     {Origin{}, true, []string{""}, false, "", GoesOn},
+		"record, no server known":                {Origin{}, true, nil, false, "", GoesOn},
+		"some servers state no version":          {Origin{}, false, []string{"", "v1"}, true, "", Undecided},
+		"begun by a run of an unknown version":   {Origin{}, true, []string{"v1"}, true, "", Undecided},
+		"begun by a server without a version":    {Origin{}, true, []string{"", "v1"}, true, "", Undecided},
+		"record, others state no version at all": {Origin{Software: "v1"}, true, []string{""}, false, "v1", GoesOn},
 	} {
-		if software, verdict := Decide(tc.or, tc.known, tc.versions); software != tc.software || verdict != tc.verdict {
+		if software, verdict := Decide(tc.or, tc.known, Candidates{Versions: tc.versions, Complete: tc.complete}); software != tc.software || verdict != tc.verdict {
 			t.Errorf("%s: %q, %v, want %q, %v", name, software, verdict, tc.software, tc.verdict)
 		}
 	}
@@ -125,8 +128,8 @@
 // A version that is gone counts for as long as a caller may take up a stream that it began.
 func TestHistoryRemembersVersionsThatAreGone(t *testing.T) {
 	hi := History{}
-	if hi.Listed("advice", "v1", start) || hi.Mixed("advice", start) {
-		t.Error("one version counts as mixed")
+	if !hi.Listed("advice", "v1", start) || hi.Mixed("advice", start) {
+		t.Error("one version counts as mixed, or is not reported")
 	}
 	if !hi.Listed("advice", "v2", start.Add(time.Second)) || hi.Listed("advice", "v2", start.Add(time.Second)) {
 		t.Error("a second version is not reported once")
@@ -169,3 +172,29 @@
 		}
 	}
 }
+
+// What a node is told of versions, by others that saw them earlier, counts until the time at which it was true is
+// over, and makes nothing younger older.
+func TestHistoryTakesInWhatOthersHaveSeen(t *testing.T) {
+	hi := History{}
+	now := start.Add(time.Hour)
+	if hi.Seen("advice", "v0", now.Add(-RetentionMax), now) || len(hi.Versions("advice", now)) > 0 {
+		t.Error("a version counts that no stream can have begun with")
+	}
+	hi.Listed("advice", "v2", now)
+	if !hi.Seen("advice", "v1", now.Add(-time.Minute), now) || hi.Seen("advice", "v2", now.Add(-time.Minute), now) {
+		t.Error("a version that is new is not reported, or a known one is")
+	}
+	later := now.Add(time.Minute)
+	if ages := hi.LastSeen("advice", later); len(ages) != 1 || ages["v2"] != time.Minute {
+		t.Errorf("versions were last seen %v ago", ages)
+	}
+	if hi.KnownFor("advice", now) != 0 {
+		t.Error("versions count as known without anything that says so")
+	}
+	hi.Known("advice", now.Add(-10*time.Second))
+	hi.Known("advice", now)
+	if got := hi.KnownFor("advice", now.Add(5*time.Second)); got != 15*time.Second {
+		t.Errorf("all versions are known for %v, want 15 s", got)
+	}
+}
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -268,6 +268,9 @@
 	// Verdict corresponds to the JSON schema field "verdict".
 	Verdict *Verdict `json:"verdict,omitempty,omitzero" yaml:"verdict,omitempty" cbor:"9,keyasint,omitempty"`
 
+	// Versions corresponds to the JSON schema field "versions".
+	Versions *Versions `json:"versions,omitempty,omitzero" yaml:"versions,omitempty" cbor:"30,keyasint,omitempty"`
+
 	// Void corresponds to the JSON schema field "void".
 	Void *Void `json:"void,omitempty,omitzero" yaml:"void,omitempty" cbor:"8,keyasint,omitempty"`
 
@@ -424,6 +427,10 @@
 	// Software is the software version of that backend server, empty if it was not
 	// known.
 	Software string `json:"software" yaml:"software" cbor:"4,keyasint,omitempty"`
+
+	// Versions holds the software versions of the service that is to go on with the
+	// stream. An agent of an earlier version does not tell them.
+	Versions *ServiceVersions `json:"versions,omitempty,omitzero" yaml:"versions,omitempty" cbor:"5,keyasint,omitempty"`
 }
 
 // OriginQuery asks an agent what began a stream.
@@ -431,6 +438,10 @@
 	// Attempt identifies the query.
 	Attempt string `json:"attempt" yaml:"attempt" cbor:"1,keyasint,omitempty"`
 
+	// Service is the name of the service that is to go on with the stream, whose
+	// software versions are asked for as well.
+	Service string `json:"service" yaml:"service" cbor:"3,keyasint,omitempty"`
+
 	// Stream is the hash of the ID of the request that brought the first event of the
 	// stream.
 	Stream uint64 `json:"stream" yaml:"stream" cbor:"2,keyasint,omitempty"`
@@ -626,6 +637,29 @@
 	Version int `json:"version" yaml:"version" cbor:"4,keyasint,omitempty"`
 }
 
+// SeenVersion is a software version that backend servers of a service ran lately.
+type SeenVersion struct {
+	// Age is the time since a backend server of that version was last listed, in
+	// milliseconds.
+	Age int64 `json:"age" yaml:"age" cbor:"2,keyasint,omitempty"`
+
+	// Software is the version, empty for backend servers that state none.
+	Software string `json:"software" yaml:"software" cbor:"1,keyasint,omitempty"`
+}
+
+// ServiceVersions holds the software versions that backend servers of a service
+// ran lately.
+type ServiceVersions struct {
+	// Known is for how long up to now all versions are known, in milliseconds.
+	Known int64 `json:"known" yaml:"known" cbor:"3,keyasint,omitempty"`
+
+	// Seen lists the versions.
+	Seen []SeenVersion `json:"seen" yaml:"seen" cbor:"2,keyasint,omitempty"`
+
+	// Service is the name of the service.
+	Service string `json:"service" yaml:"service" cbor:"1,keyasint,omitempty"`
+}
+
 // SlotReport describes one occupied adapter slot.
 type SlotReport struct {
 	// Adapter is the name of the adapter.
@@ -687,6 +721,14 @@
 const VerdictOutcomeUnknown VerdictOutcome = "unknown"
 const VerdictOutcomeVoided VerdictOutcome = "voided"
 
+// Versions tells an agent the software versions of services, to be kept for entry
+// nodes that start. The agent answers the first one on a connection with what it
+// has been told before.
+type Versions struct {
+	// Services lists the services.
+	Services []ServiceVersions `json:"services" yaml:"services" cbor:"1,keyasint,omitempty"`
+}
+
 // Void asks the agent to guarantee that an attempt never runs.
 type Void struct {
 	// Attempt is the id of the attempt.
@@ -713,6 +755,10 @@
 	// earlier version does not know the frames for that.
 	KeepsOrigins bool `json:"keeps_origins" yaml:"keeps_origins" cbor:"10,keyasint,omitempty"`
 
+	// KeepsVersions is true when the agent keeps the software versions of services.
+	// An agent of an earlier version does not know the frames for that.
+	KeepsVersions bool `json:"keeps_versions" yaml:"keeps_versions" cbor:"11,keyasint,omitempty"`
+
 	// Model is the engine's base model, empty for a plain service.
 	Model string `json:"model" yaml:"model" cbor:"5,keyasint,omitempty"`
 
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -32,6 +32,8 @@
 	boot string
 	// keepsOrigins is true if the agent keeps what began streams.
 	keepsOrigins bool
+	// keepsVersions is true if the agent keeps the software versions of services.
+	keepsVersions bool
 	// silent is true from an unanswered reservation until the agent sends anything.
 	silent bool
 }
--- a/entry/direct/dial.go
+++ b/entry/direct/dial.go
@@ -36,7 +36,7 @@
 		as.removeConnection(ho.Name, nil)
 		return
 	}
-	ac := &agentConn{co: co, boot: we.Boot, keepsOrigins: we.KeepsOrigins}
+	ac := &agentConn{co: co, boot: we.Boot, keepsOrigins: we.KeepsOrigins, keepsVersions: we.KeepsVersions}
 	as.addConnection(ctx, ho.Name, ac)
 	err = co.Run(ctx, &frameReceiver{as: as, host: ho.Name, ac: ac})
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", ho.Name).Str("reason", err.Error()).Msg("dependency_lost")
@@ -75,6 +75,7 @@
 	}
 	as.mu.Unlock()
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("frames", len(frames)).Msg("dependency_regained")
+	as.no.origins.tellVersions(ac)
 	if ac.keepsOrigins {
 		as.restoreOrigins(host, as.no.origins.mixedStreams(as.no.view.services(), time.Now()))
 	}
@@ -99,6 +100,7 @@
 	}
 	as.mu.Unlock()
 	if current {
+		as.moveOrigins(host, as.no.origins.mixedStreams(as.no.view.services(), time.Now()))
 		as.no.feeds.removePeers(host)
 		as.no.recordAgentUnreachable(id)
 	}
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -48,6 +48,9 @@
 	if fr.CrashReport != nil {
 		as.no.crashes.applyReport(fr.CrashReport)
 	}
+	if fr.Versions != nil {
+		as.no.origins.learnVersions(fr.Versions.Services, time.Now())
+	}
 	if fr.PartReport != nil {
 		as.no.crashes.applyPartReport(fr.PartReport)
 	}
--- a/entry/direct/homes.go
+++ b/entry/direct/homes.go
@@ -2,14 +2,21 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/origin"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// originsPerFrame bounds the records of streams in one frame.
-const originsPerFrame = 1024
+const (
+	// originsPerFrame bounds the records of streams in one frame.
+	originsPerFrame = 1024
+	// linkTime is how long after its start a node waits for connections to agents before it asks them, linkWait how
+	// long a request waits for that.
+	linkTime = 3 * time.Second
+	linkWait = 500 * time.Millisecond
+)
 
 // shareOrigins sends the records of streams to the agents that are their homes.
 func (as *agents) shareOrigins(streams []wire.StreamOrigin) {
@@ -44,6 +51,27 @@
 	as.sendOrigins(host, list)
 }
 
+// moveOrigins gives the records of which an agent that is gone was a home to the agents that take its place.
+func (as *agents) moveOrigins(gone string, streams []wire.StreamOrigin) {
+	as.mu.Lock()
+	hosts := as.homeHosts()
+	as.mu.Unlock()
+	before := append(slices.Clone(hosts), gone)
+	byHost := map[string][]wire.StreamOrigin{}
+	for _, so := range streams {
+		if !slices.Contains(origin.Homes(origin.StreamKey(so.Stream), before, origin.RecordHomes), gone) {
+			continue
+		}
+		if homes := origin.Homes(origin.StreamKey(so.Stream), hosts, origin.RecordHomes); len(homes) == origin.RecordHomes {
+			last := homes[origin.RecordHomes-1]
+			byHost[last] = append(byHost[last], so)
+		}
+	}
+	for host, list := range byHost {
+		as.sendOrigins(host, list)
+	}
+}
+
 // sendOrigins sends records of streams to the agent on a host.
 func (as *agents) sendOrigins(host string, list []wire.StreamOrigin) {
 	as.mu.Lock()
@@ -70,9 +98,16 @@
 	return hosts
 }
 
-// queryOrigin asks the homes of a stream what began it. It returns false if none of them knows, or none has
-// answered in time.
-func (as *agents) queryOrigin(ctx context.Context, query string, key origin.StreamKey) (origin.Origin, bool) {
+// originReply is what the homes of a stream know of it.
+type originReply struct {
+	origin origin.Origin
+	known  bool
+	// versions holds the software versions of the service that is to go on with the stream, as each home tells them.
+	versions []wire.ServiceVersions
+}
+
+// queryOrigin asks the homes of a stream what began it, and otherwise for the software versions of a service.
+func (as *agents) queryOrigin(ctx context.Context, query string, key origin.StreamKey, service string) originReply {
 	gw := &grantWaiter{frames: make(chan *wire.Frame, grantFramesBuffer)}
 	as.mu.Lock()
 	links := make([]*agentConn, 0, origin.QueryHomes)
@@ -88,7 +123,7 @@
 	}()
 	asked := 0
 	for _, ac := range links {
-		if ac.co.TrySend(&wire.Frame{OriginQuery: &wire.OriginQuery{Attempt: query, Stream: uint64(key)}}) {
+		if ac.co.TrySend(&wire.Frame{OriginQuery: &wire.OriginQuery{Attempt: query, Stream: uint64(key), Service: service}}) {
 			asked++
 		}
 	}
@@ -96,25 +131,52 @@
 }
 
 // awaitOrigin waits until an agent knows what began a stream, or all that were asked have answered.
-func awaitOrigin(ctx context.Context, frames chan *wire.Frame, asked int) (origin.Origin, bool) {
+func awaitOrigin(ctx context.Context, frames chan *wire.Frame, asked int) originReply {
 	timer := time.NewTimer(agentAnswerTimeout)
 	defer timer.Stop()
+	or := originReply{}
 	for answered := 0; answered < asked; {
 		select {
 		case <-ctx.Done():
-			return origin.Origin{}, false
+			return or
 		case <-timer.C:
-			return origin.Origin{}, false
+			return or
 		case fr := <-frames:
 			oa := fr.OriginAnswer
 			if oa == nil {
 				continue
 			}
 			if oa.Known {
-				return origin.Origin{Service: oa.Service, Software: oa.Software}, true
+				or.origin, or.known = origin.Origin{Service: oa.Service, Software: oa.Software}, true
+				return or
+			}
+			if oa.Versions != nil {
+				or.versions = append(or.versions, *oa.Versions)
 			}
 			answered++
 		}
 	}
-	return origin.Origin{}, false
+	return or
+}
+
+// awaitLinks waits until a node that has just started is connected to the agents of all servers that it knows, or
+// for linkWait. Before that, it would ask others than the homes of a stream.
+func (as *agents) awaitLinks(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, linkWait)
+	defer cancel()
+	for ctx.Err() == nil && time.Since(as.no.origins.startedAt) < linkTime && !as.linked() {
+		as.no.sleep(ctx, dialPeriod)
+	}
+}
+
+// linked reports whether the node is connected to the agents of all servers that it knows.
+func (as *agents) linked() bool {
+	as.mu.Lock()
+	defer as.mu.Unlock()
+	for host := range as.servers {
+		if as.links[host] == nil {
+			return false
+		}
+	}
+	return true
 }
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -108,7 +108,7 @@
 	no.held.eachMax, no.held.allMax = options.Settings.AnswerHoldBytes, options.Settings.AnswersHoldBytes
 	no.agents = newAgents(no)
 	no.crashes = newCrashes(no)
-	no.origins = &origins{no: no}
+	no.origins = &origins{no: no, startedAt: time.Now()}
 	no.feeds = newFeeds(no, newFollower(no, OperatorsTopic), newFollower(no, ServersTopic))
 	return no
 }
@@ -161,6 +161,7 @@
 	}
 	go no.feeds.run(no.ctx)
 	go no.agents.run(no.ctx)
+	go no.agents.tellPeriodically(no.ctx)
 	go no.sweepIdleConnections()
 	no.logger.Info().Str("callers", se.CallerAddress).Str("boot", no.boot).Str("log", se.LogAddress).Msg("entry_started")
 	return nil
--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -22,31 +22,97 @@
 type origins struct {
 	no *Node
 
-	mu      sync.Mutex
+	// startedAt is when the node started.
+	startedAt time.Time
+
+	mu sync.Mutex
+	// history holds the software versions that the node has seen or been told of.
 	history origin.History
 	// begun holds the streams whose first event, or whose first event after they were taken up, this node has
 	// passed on.
 	begun origin.Table
 }
 
-// recordServers records the software versions of all servers in the log. Once a second version of a service
-// appears, the streams that began before it need records too.
+// recordServers records the software versions of all servers in the log.
 func (ors *origins) recordServers(servers []roster.Server, now time.Time) {
-	mixed := []string(nil)
+	added := map[string]bool{}
 	ors.mu.Lock()
 	for ix := range servers {
 		if ors.history.Listed(servers[ix].Service, servers[ix].Software, now) {
-			mixed = append(mixed, servers[ix].Service)
+			added[servers[ix].Service] = true
 		}
+		ors.history.Known(servers[ix].Service, ors.knownFrom())
 	}
 	ors.mu.Unlock()
-	for _, service := range mixed {
+	if len(added) > 0 {
+		ors.no.agents.tellVersions()
+		ors.shareMixed(added, now)
+	}
+}
+
+// knownFrom returns the time from which on the node knows all software versions by itself.
+func (ors *origins) knownFrom() time.Time {
+	if ors.no.options.Settings.FirstStart {
+		return time.Time{}
+	}
+	return ors.startedAt
+}
+
+// learnVersions records the software versions of services that an agent tells.
+func (ors *origins) learnVersions(services []wire.ServiceVersions, now time.Time) {
+	added := map[string]bool{}
+	ors.mu.Lock()
+	for ix := range services {
+		sv := &services[ix]
+		for _, seen := range sv.Seen {
+			if ors.history.Seen(sv.Service, seen.Software, now.Add(-origin.Age(seen.Age)), now) {
+				added[sv.Service] = true
+			}
+		}
+		ors.history.Known(sv.Service, now.Add(-origin.Age(sv.Known)))
+	}
+	ors.mu.Unlock()
+	ors.shareMixed(added, now)
+}
+
+// shareMixed gives agents the records of the streams under way of services that have a second software version
+// now: the streams that began before need records too.
+func (ors *origins) shareMixed(added map[string]bool, now time.Time) {
+	for service := range added {
+		if len(ors.versions(service, now)) != 2 {
+			continue
+		}
 		streams := ors.streamsOf(service, now)
 		ors.no.logger.Info().Str("service", service).Strs("versions", ors.versions(service, now)).Int("streams", len(streams)).Msg("software_versions_mixed")
 		ors.no.agents.shareOrigins(streams)
 	}
 }
 
+// versionsFrame returns the frame that tells agents the software versions of all services.
+func (ors *origins) versionsFrame(now time.Time) *wire.Frame {
+	fr := &wire.Versions{}
+	services := ors.no.view.services()
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
+	for service := range services {
+		sv := wire.ServiceVersions{Service: service, Known: ors.history.KnownFor(service, now).Milliseconds()}
+		for software, age := range ors.history.LastSeen(service, now) {
+			sv.Seen = append(sv.Seen, wire.SeenVersion{Software: software, Age: age.Milliseconds()})
+		}
+		if len(sv.Seen) > 0 {
+			fr.Services = append(fr.Services, sv)
+		}
+	}
+	return &wire.Frame{Versions: fr}
+}
+
+// candidates returns the software versions of a service that may have begun a stream up to a time ago.
+func (ors *origins) candidates(service string, horizon time.Duration, now time.Time) origin.Candidates {
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
+	return origin.Candidates{Versions: ors.history.Versions(service, now), Complete: ors.history.KnownFor(service, now) >= horizon}
+}
+
 // versions returns the software versions with which a stream of a service may have begun.
 func (ors *origins) versions(service string, now time.Time) []string {
 	ors.mu.Lock()
@@ -112,8 +178,11 @@
 	if known {
 		return or, originOwn
 	}
-	if or, known = ors.no.agents.queryOrigin(ctx, rq.attemptID(0), rq.streamKey); known {
-		return or, originAgent
+	ors.no.agents.awaitLinks(ctx)
+	re := ors.no.agents.queryOrigin(ctx, rq.attemptID(0), rq.streamKey, rq.service.Name)
+	if re.known {
+		return re.origin, originAgent
 	}
+	ors.learnVersions(re.versions, time.Now())
 	return origin.Origin{}, originUnknown
 }
--- a/entry/direct/takeup.go
+++ b/entry/direct/takeup.go
@@ -28,10 +28,10 @@
 		rq.no.logger.Info().Str("request", rq.info.ID).Str("resumes", rq.info.Resumes).Str("service", or.Service).Msg("stream_changes_service")
 		return nil
 	}
-	versions := rq.no.origins.versions(rq.service.Name, time.Now())
-	software, verdict := origin.Decide(or, source != originUnknown, versions)
+	ca := rq.candidates(time.Now())
+	software, verdict := origin.Decide(or, source != originUnknown, ca)
 	rq.no.logger.Info().Str("request", rq.info.ID).Str("resumes", rq.info.Resumes).Str("last_event", rq.info.LastEvent).Str("source", source).
-		Str("software", software).Strs("versions", versions).Bool("goes_on", verdict == origin.GoesOn).Dur("took", time.Since(rq.start)).Msg("stream_taken_up")
+		Str("software", software).Strs("versions", ca.Versions).Bool("versions_complete", ca.Complete).Bool("goes_on", verdict == origin.GoesOn).Dur("took", time.Since(rq.start)).Msg("stream_taken_up")
 	if verdict == origin.Undecided {
 		return notResumableError("it is not known which software version began the stream")
 	}
@@ -39,6 +39,11 @@
 	return nil
 }
 
+// candidates returns the software versions of the request's service that may have begun the stream that it takes up.
+func (rq *request) candidates(now time.Time) origin.Candidates {
+	return rq.no.origins.candidates(rq.service.Name, origin.Horizon(rq.callerWaits(), rq.route.Timeout), now)
+}
+
 // moveTo makes a service of the route's serve the request, and reports whether the route leads to it.
 func (rq *request) moveTo(service string) bool {
 	if service == rq.service.Name {
@@ -62,7 +67,7 @@
 	if !rq.begun {
 		return "", false, nil
 	}
-	software, verdict := origin.Decide(rq.origin, true, rq.no.origins.versions(rq.origin.Service, now))
+	software, verdict := origin.Decide(rq.origin, true, rq.candidates(now))
 	if verdict == origin.Undecided {
 		return "", false, notResumableError("the software version that began the stream is not known")
 	}
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -165,8 +165,34 @@
 	so.down = down
 }
 
+// ReadNewest returns the newest record of each key alone, without those of removed servers.
 func (so *testSource) ReadNewest(ctx context.Context, to direct.Topic) (direct.LogBatch, error) {
-	return so.After(ctx, to, 0, 0)
+	ba, err := so.After(ctx, to, 0, 0)
+	newest := map[string]int{}
+	for ix := range ba.Records {
+		newest[recordKey(&ba.Records[ix])] = ix
+	}
+	kept := make([]direct.LogRecord, 0, len(newest))
+	for ix := range ba.Records {
+		if lr := &ba.Records[ix]; newest[recordKey(lr)] == ix && lr.RemovedServer == "" {
+			kept = append(kept, *lr)
+		}
+	}
+	ba.Records = kept
+	return ba, err
+}
+
+// recordKey returns the key of a record in its topic.
+func recordKey(lr *direct.LogRecord) string {
+	switch {
+	case lr.Version != nil:
+		return "version/" + lr.Version.Model + "." + lr.Version.Adapter
+	case lr.Server != nil:
+		return "server/" + lr.Server.ID
+	case lr.RemovedServer != "":
+		return "server/" + lr.RemovedServer
+	}
+	return "routes"
 }
 
 func (so *testSource) After(ctx context.Context, to direct.Topic, from int64, wait time.Duration) (direct.LogBatch, error) {
@@ -344,7 +370,9 @@
 	readers map[string]direct.LogReader
 	// renamed makes crashed servers start again under other IDs.
 	renamed bool
-	apps    []*fx.App
+	// mu guards apps while several programs are started at once.
+	mu   sync.Mutex
+	apps []*fx.App
 	// agents holds the programs of the agents by the names of their engines.
 	agents map[string]*fx.App
 	lg     zerolog.Logger
@@ -521,6 +549,8 @@
 	if err := app.Start(context.Background()); err != nil {
 		ds.tb.Fatal(err)
 	}
+	ds.mu.Lock()
+	defer ds.mu.Unlock()
 	ds.apps = append(ds.apps, app)
 }
 
--- a/proofs/direct_software_test.go
+++ b/proofs/direct_software_test.go
@@ -13,14 +13,20 @@
 	"testing"
 	"time"
 
+	"github.com/bambooladder/bambooladder/core/origin"
 	"github.com/bambooladder/bambooladder/entry/direct"
 )
 
 const (
 	// breakAfterEvents is the number of events after which an engine breaks a stream.
 	breakAfterEvents = 3
-	// softwareTries is the number of requests by which a caller tries to get one stream.
+	// softwareTries is the number of requests by which a caller tries to get one stream, patientTries that of a caller
+	// that waits until entry nodes are back.
 	softwareTries = 4
+	patientTries  = 60
+	// shortPeriod is the time between the events of a stream, longPeriod that of streams that outlast a restart.
+	shortPeriod = 20 * time.Millisecond
+	longPeriod  = 300 * time.Millisecond
 	// resumeDelay is the time after which a caller takes up a broken stream.
 	resumeDelay = 50 * time.Millisecond
 )
@@ -32,10 +38,17 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// eventPeriod is the time between the events of a stream, tries the number of requests for one.
+	eventPeriod time.Duration
+	tries       int
 	// breakShare is the share of streams that engines break.
 	breakShare float64
 	// results holds the streams that callers asked for.
 	results []softwareResult
+	// readers holds the log as the entry nodes see it that were started with others.
+	readers map[string]*nodeReader
+	// successors maps the names of entry nodes that were killed to those of the nodes that callers come to instead.
+	successors map[string]string
 }
 
 // softwareResult is what a caller got of one stream.
@@ -74,7 +87,7 @@
 		hijack(wr, func(bw *bufio.ReadWriter) {
 			_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, rq.Header.Get(headerID), headerSeal)
 			for number := last + 1; number <= until; number++ {
-				time.Sleep(20 * time.Millisecond)
+				time.Sleep(sw.eventPeriod)
 				_, _ = bw.WriteString(encodeChunk(fmt.Sprintf("id: %d\ndata: %s\n\n", number, software)))
 				if bw.Flush() != nil {
 					return
@@ -95,8 +108,19 @@
 	whole    bool
 }
 
+// successor returns the name of the entry node that callers of another one come to.
+func (sw *softwareWorld) successor(entry string) string {
+	sw.mu.Lock()
+	defer sw.mu.Unlock()
+	if name, ok := sw.successors[entry]; ok {
+		return name
+	}
+	return entry
+}
+
 // request sends one request for a stream and reads its events.
 func (sw *softwareWorld) request(ctx context.Context, entry, id, begunBy string, last int) streamEvents {
+	entry = sw.successor(entry)
 	cl := sw.ds.newCaller(entry)
 	defer cl.client.CloseIdleConnections()
 	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+":1/stream/x", strings.NewReader("prompt"))
@@ -138,7 +162,7 @@
 // stream gets one stream, and takes it up at the next entry node whenever it breaks.
 func (sw *softwareWorld) stream(ctx context.Context, name string, entries []string, first int) {
 	re, begunBy, last := softwareResult{at: time.Now()}, "", 0
-	for try := range softwareTries {
+	for try := range sw.tries {
 		id := fmt.Sprintf("%s-%d", name, try)
 		start := time.Now()
 		se := sw.request(ctx, entries[(first+try)%len(entries)], id, begunBy, last)
@@ -210,6 +234,46 @@
 	return su
 }
 
+// killAllEntries kills all entry nodes, lets something happen, and starts as many anew.
+func (sw *softwareWorld) killAllEntries(meanwhile func()) {
+	const count = 3
+	for ix := range count {
+		sw.ds.net.kill(entryName(1 + ix))
+	}
+	if meanwhile != nil {
+		meanwhile()
+	}
+	time.Sleep(500 * time.Millisecond)
+	apps := make(chan struct{})
+	sw.mu.Lock()
+	for ix := range count {
+		sw.successors[entryName(1+ix)] = entryName(11 + ix)
+	}
+	sw.mu.Unlock()
+	for ix := range count {
+		go func() {
+			sw.ds.startEntry(entryName(11 + ix))
+			apps <- struct{}{}
+		}()
+	}
+	for range count {
+		<-apps
+	}
+}
+
+// removeEngine takes an engine away with its agent.
+func (sw *softwareWorld) removeEngine(ix int) {
+	sw.ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{RemovedServer: engineName(ix)})
+	sw.ds.net.kill(engineName(ix))
+}
+
+// setVersion makes the next run of an engine run a version of its software.
+func (ba *backend) setVersion(software string) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	ba.software = software
+}
+
 // setSoftware makes an engine run a version of its software, and writes its record.
 func (sw *softwareWorld) setSoftware(id, software string) {
 	ba := sw.ds.backends[id]
@@ -228,6 +292,8 @@
 	act func(sw *softwareWorld)
 	// frozen is how long the node is frozen that some callers come to.
 	frozen time.Duration
+	// long is true for streams that outlast a restart of entry nodes, and callers that wait for it.
+	long bool
 	// goesOn is true if streams must go on at least half as often as new ones begin.
 	goesOn bool
 }
@@ -312,6 +378,78 @@
 			sw.ds.net.freeze("entry-1", 2*time.Second)
 		},
 	},
+	"all entry nodes are killed while two versions serve": {
+		versions: []string{"v1", "v1", "v2", "v2"}, long: true, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true,
+		act: func(sw *softwareWorld) {
+			time.Sleep(2 * time.Second)
+			sw.killAllEntries(nil)
+		},
+	},
+	"all entry nodes are killed while the last servers of a version leave": {
+		versions: []string{"v1", "v1", "v2", "v2"}, long: true, entries: []string{"entry-1", "entry-2", "entry-3"},
+		act: func(sw *softwareWorld) {
+			time.Sleep(2 * time.Second)
+			sw.killAllEntries(func() {
+				for ix := range 2 {
+					sw.removeEngine(ix)
+				}
+			})
+		},
+	},
+	"all entry nodes are killed and another version serves when they are back": {
+		versions: []string{"v1", "v1", "v1", "v1"}, long: true, entries: []string{"entry-1", "entry-2", "entry-3"},
+		act: func(sw *softwareWorld) {
+			time.Sleep(2 * time.Second)
+			sw.killAllEntries(func() {
+				for ix := range 4 {
+					sw.ds.backends[engineName(ix)].setVersion("v2")
+					sw.ds.crashServer(engineName(ix), 10*time.Millisecond)
+				}
+			})
+		},
+	},
+	"all entry nodes are killed while one version serves": {
+		versions: []string{"v1", "v1", "v1", "v1"}, long: true, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true,
+		act: func(sw *softwareWorld) {
+			time.Sleep(2 * time.Second)
+			sw.killAllEntries(nil)
+		},
+	},
+	"all entry nodes are killed while the last servers of a version leave with most agents": {
+		versions: []string{"v1", "v1", "v1", "v1", "v1", "v2", "v2"}, long: true, entries: []string{"entry-1", "entry-2", "entry-3"},
+		act: func(sw *softwareWorld) {
+			time.Sleep(2 * time.Second)
+			sw.killAllEntries(func() {
+				for ix := range 5 {
+					sw.removeEngine(ix)
+				}
+			})
+		},
+	},
+	"a node is cut off while servers of a second version join": {
+		versions: []string{"v1", "v1", "v1", "v1", "v1", "v1", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"},
+		act: func(sw *softwareWorld) {
+			sw.readers["entry-2"].setRefused(true)
+			for _, other := range []string{"entry-1", "entry-3", "engine-2", "engine-3", "engine-4", "engine-5", "engine-6"} {
+				sw.ds.net.partition("entry-2", other)
+			}
+			for ix := 2; ix < 7; ix++ {
+				sw.ds.backends[engineName(ix)].setVersion("v2")
+				sw.ds.crashServer(engineName(ix), 300*time.Millisecond)
+			}
+		},
+	},
+	"a node stands still while all servers change their version": {
+		versions: []string{"v1", "v1", "v1", "v1"}, long: true, entries: []string{"entry-1", "entry-2", "entry-3"}, frozen: 3 * time.Second,
+		act: func(sw *softwareWorld) {
+			time.Sleep(time.Second)
+			sw.ds.net.freeze("entry-2", 3*time.Second)
+			for ix := range 4 {
+				sw.ds.backends[engineName(ix)].setVersion("v2")
+				sw.ds.crashServer(engineName(ix), 300*time.Millisecond)
+			}
+		},
+	},
 	"one version": {versions: []string{"v1", "v1", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true},
 }
 
@@ -320,14 +458,22 @@
 	su := softwareSummary{}
 	runDirectSimulation(t, 0, len(tc.versions), func(t *testing.T, ds *directSimulation, first *directCaller) {
 		first.client.CloseIdleConnections()
-		sw := &softwareWorld{ds: ds, random: rand.New(rand.NewPCG(seed, 1)), breakShare: 0.5}
+		sw := &softwareWorld{ds: ds, random: rand.New(rand.NewPCG(seed, 1)), breakShare: 0.5, eventPeriod: shortPeriod, tries: softwareTries, successors: map[string]string{}, readers: map[string]*nodeReader{}}
+		for ix := 1; ix < 4; ix++ {
+			sw.readers[entryName(ix)] = &nodeReader{testSource: ds.source}
+			ds.readers[entryName(ix)] = sw.readers[entryName(ix)]
+		}
+		if tc.long {
+			sw.breakShare, sw.eventPeriod, sw.tries = 0.1, longPeriod, patientTries
+		}
 		ds.startEntries(3)
 		for ix, version := range tc.versions {
 			id := fmt.Sprintf("engine-%d", ix)
 			ds.backends[id].setScript(sw.answer(ds.backends[id]))
 			sw.setSoftware(id, version)
 		}
-		time.Sleep(time.Second)
+		// Nothing is left of the records from before the versions were set.
+		time.Sleep(origin.RetentionMax + time.Second)
 		sw.load(t.Context(), tc)
 		su = sw.summary(time.Time{})
 	})
