Check and bound the records of servers where they enter

Another writer's odd entries among those of the servers made an entry node refuse requests or send them nowhere. Reported from a system like this one, where nodes ended or stopped following the list; here none ended, but entries without a usable address or with sizes out of range were taken for servers, one with the address of a living server and a service that nobody has hid that server, and one in the place of a server's own left it in use for good.

Cause: what another writer can leave was checked for its form alone, and decoded together with what stands beside it.

A server whose entry is overwritten is used for the time in which a living one writes again. Servers of services that the routes do not have hide none. On the product's own interface, hosts are decoded one by one, so that one odd host does not hide the list. What is logged of an odd entry is bounded.

--- a/core/roster/outage.go
+++ b/core/roster/outage.go
@@ -24,11 +24,31 @@
 	}
 }
 
-// Expire drops the servers whose records are gone, unless the log is unreadable or its last
+// MarkUnreadable records that the record of a server, written at the given position, names no server that can be
+// used: another writer has left it there. A server that is alive writes its own one again within MaxRewriteDelay. It
+// reports whether the server is known and had a record of its own until now.
+func (ro *Roster) MarkUnreadable(id string, at Position, now time.Time) bool {
+	ts := ro.servers[id]
+	if ts == nil || at.Before(ts.position) {
+		return false
+	}
+	ts.position = at
+	first := ts.unreadableSince.IsZero()
+	if first {
+		ts.unreadableSince = now
+	}
+	return first
+}
+
+// Expire drops the servers whose records are gone or cannot be read, unless the log is unreadable or its last
 // outage ended less than MaxRewriteDelay ago.
 func (ro *Roster) Expire(now time.Time) {
+	if !ro.missingMeansGone(now) {
+		return
+	}
 	for id, ts := range ro.servers {
-		if !ts.missingSince.IsZero() && ro.missingMeansGone(now) {
+		overwritten := !ts.unreadableSince.IsZero() && now.Sub(ts.unreadableSince) >= MaxRewriteDelay
+		if !ts.missingSince.IsZero() || overwritten {
 			delete(ro.servers, id)
 		}
 	}
--- a/core/roster/published.go
+++ b/core/roster/published.go
@@ -20,8 +20,13 @@
 		before.Places != se.Places || before.Leaving != se.Leaving || before.Born != se.Born || before.Model != se.Model
 }
 
-// Remove forgets the record of a server, as it was removed.
-func (pu *Published) Remove(id string) { delete(pu.servers, id) }
+// Remove forgets the record of a server, as it was removed or cannot be read any more, and reports whether there was
+// one.
+func (pu *Published) Remove(id string) bool {
+	_, known := pu.servers[id]
+	delete(pu.servers, id)
+	return known
+}
 
 // Clear forgets all records, before a listing of all of them is put in.
 func (pu *Published) Clear() { pu.servers = nil }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -50,6 +50,8 @@
 	position Position
 	// missingSince is when the record was found to be gone, zero while it exists.
 	missingSince time.Time
+	// unreadableSince is when another writer's record was found in its place, zero if none was.
+	unreadableSince time.Time
 }
 
 // Roster is the set of backend servers that one entry node knows. The zero value is empty.
@@ -122,25 +124,27 @@
 	return latest
 }
 
-// Servers returns the servers, sorted by ID, without those whose address belongs to another server
-// that started later: their records only have not expired yet.
-func (ro *Roster) Servers() []Server {
-	newest := ro.newestByAddress()
+// Servers returns the servers of the services that are offered, sorted by ID, without those whose address belongs to
+// another one of them that started later: their records only have not expired yet.
+func (ro *Roster) Servers(offered func(service string) bool) []Server {
+	newest := ro.newestByAddress(offered)
 	list := make([]Server, 0, len(ro.servers))
 	for _, id := range ro.ids() {
 		se := ro.servers[id].Server
-		if se.Born == 0 || se.Born >= newest[se.Address] {
+		if offered(se.Service) && (se.Born == 0 || se.Born >= newest[se.Address]) {
 			list = append(list, se)
 		}
 	}
 	return list
 }
 
-// newestByAddress returns the latest start of a server at each address.
-func (ro *Roster) newestByAddress() map[string]int64 {
+// newestByAddress returns the latest start of a server of the offered services at each address.
+func (ro *Roster) newestByAddress(offered func(service string) bool) map[string]int64 {
 	newest := map[string]int64{}
 	for _, ts := range ro.servers {
-		newest[ts.Address] = max(newest[ts.Address], ts.Born)
+		if offered(ts.Service) {
+			newest[ts.Address] = max(newest[ts.Address], ts.Born)
+		}
 	}
 	return newest
 }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -49,8 +49,8 @@
 	}
 	ro.Put(server("a"), Position{Offset: 5})
 	ro.Expire(back.Add(MaxRewriteDelay))
-	if ro.Len() != 1 || ro.Servers()[0].ID != "a" {
-		t.Errorf("servers after the rewrite delay: %v, want only a", ro.Servers())
+	if ro.Len() != 1 || ro.Servers(allServices)[0].ID != "a" {
+		t.Errorf("servers after the rewrite delay: %v, want only a", ro.Servers(allServices))
 	}
 }
 
@@ -62,12 +62,12 @@
 	ready := server("a")
 	ready.Born = 7
 	ro.Put(ready, Position{Offset: 2})
-	if !ro.Servers()[0].Leaving {
+	if !ro.Servers(allServices)[0].Leaving {
 		t.Error("a later record of the same run ended the drain")
 	}
 	ready.Born = 9
 	ro.Put(ready, Position{Offset: 3})
-	if ro.Servers()[0].Leaving {
+	if ro.Servers(allServices)[0].Leaving {
 		t.Error("a new run of the server is still marked as leaving")
 	}
 }
@@ -77,8 +77,8 @@
 	ro.Put(server("a"), Position{Offset: 1})
 	ro.Put(server("b"), Position{Offset: 2})
 	ro.ApplyListing(map[string]bool{"b": true}, Position{Offset: 9}, testStart)
-	if ro.Len() != 1 || ro.Servers()[0].ID != "b" {
-		t.Errorf("servers after the listing: %v, want only b", ro.Servers())
+	if ro.Len() != 1 || ro.Servers(allServices)[0].ID != "b" {
+		t.Errorf("servers after the listing: %v, want only b", ro.Servers(allServices))
 	}
 }
 
@@ -93,11 +93,11 @@
 		for ix, se := range order {
 			ro.Put(se, Position{Offset: int64(ix)})
 		}
-		if got := ro.Servers(); len(got) != 2 || got[0].ID != "b" || got[1].ID != "c" {
+		if got := ro.Servers(allServices); len(got) != 2 || got[0].ID != "b" || got[1].ID != "c" {
 			t.Errorf("%s: servers %+v, want b and c", name, got)
 		}
 		ro.Remove("b", Position{Offset: 9}, testStart)
-		if got := ro.Servers(); len(got) != 2 || got[0].ID != "a" {
+		if got := ro.Servers(allServices); len(got) != 2 || got[0].ID != "a" {
 			t.Errorf("%s: servers %+v after b was removed, want a and c", name, got)
 		}
 	}
@@ -109,7 +109,7 @@
 	known.Born = 2000
 	ro.Put(server("a"), Position{Offset: 1})
 	ro.Put(known, Position{Offset: 2})
-	if got := ro.Servers(); len(got) != 2 {
+	if got := ro.Servers(allServices); len(got) != 2 {
 		t.Errorf("servers %+v, want both", got)
 	}
 }
@@ -139,3 +139,39 @@
 		t.Error("the newest removal was forgotten")
 	}
 }
+
+// allServices offers every service.
+func allServices(string) bool { return true }
+
+// A record with the address of a living server and a service that nobody offers must not hide that server.
+func TestServerOfAnUnknownServiceHidesNoOther(t *testing.T) {
+	ro := Roster{}
+	ro.Put(Server{ID: "a", Service: "ledger", Address: "10.0.0.1:1", Born: 1}, Position{Offset: 1})
+	ro.Put(Server{ID: "odd", Service: "nobody", Address: "10.0.0.1:1", Born: 2}, Position{Offset: 2})
+	if got := ro.Servers(func(service string) bool { return service == "ledger" }); len(got) != 1 || got[0].ID != "a" {
+		t.Errorf("servers %v, want only a", got)
+	}
+}
+
+// A server whose record another writer has replaced is kept for the time in which it writes its own one again.
+func TestServerWithAnUnreadableRecordIsKeptForMaxRewriteDelay(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, writesAgain := range map[string]bool{"gone": false, "alive": true} {
+		ro := Roster{}
+		ro.Put(Server{ID: "a"}, Position{Offset: 1})
+		if !ro.MarkUnreadable("a", Position{Offset: 2}, start) || ro.MarkUnreadable("a", Position{Offset: 3}, start.Add(time.Second)) || ro.MarkUnreadable("b", Position{Offset: 4}, start) {
+			t.Error("an overwritten record is not reported once, or that of an unknown server is")
+		}
+		if writesAgain {
+			ro.Put(Server{ID: "a"}, Position{Offset: 5})
+		}
+		ro.Expire(start.Add(MaxRewriteDelay - time.Millisecond))
+		if ro.Len() != 1 {
+			t.Errorf("%s: the server was dropped before it could write again", name)
+		}
+		ro.Expire(start.Add(MaxRewriteDelay))
+		if (ro.Len() == 1) != writesAgain {
+			t.Errorf("%s: %d servers after MaxRewriteDelay", name, ro.Len())
+		}
+	}
+}
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -28,6 +28,12 @@
 		}
 	case lr.Server != nil:
 		no.applyServerRecord(lr, at)
+	case lr.UnreadableServer != "":
+		no.view.withRoster(func(ro *roster.Roster) {
+			if ro.MarkUnreadable(lr.UnreadableServer, at, now) {
+				no.logger.Warn().Str("server", lr.UnreadableServer).Int64("offset", lr.Offset).Msg("server_record_overwritten")
+			}
+		})
 	case lr.RemovedServer != "":
 		no.logger.Info().Str("server", lr.RemovedServer).Int64("offset", lr.Offset).Msg("server_record_removed")
 		no.view.withRoster(func(ro *roster.Roster) { ro.Remove(lr.RemovedServer, at, now) })
@@ -52,7 +58,7 @@
 // connections.
 func (no *Node) syncServers(now time.Time) {
 	servers := []roster.Server(nil)
-	no.view.withRoster(func(ro *roster.Roster) { servers = ro.Servers() })
+	no.view.withRoster(func(ro *roster.Roster) { servers = ro.Servers(no.view.offers()) })
 	ids := map[string]bool{}
 	no.mu.Lock()
 	for ix := range servers {
--- a/entry/direct/logread.go
+++ b/entry/direct/logread.go
@@ -109,6 +109,7 @@
 		if lr.Server != nil {
 			present[lr.Server.ID] = true
 		}
+		present[lr.UnreadableServer] = true
 	}
 	fo.no.view.withRoster(func(ro *roster.Roster) {
 		ro.ApplyListing(present, roster.Position{Epoch: fo.epoch, Offset: ba.End}, now)
@@ -162,9 +163,10 @@
 	if lr.Server != nil {
 		return fo.published.Put(*lr.Server)
 	}
-	if lr.RemovedServer != "" {
-		fo.published.Remove(lr.RemovedServer)
+	if lr.UnreadableServer != "" {
+		return fo.published.Remove(lr.UnreadableServer)
 	}
+	fo.published.Remove(lr.RemovedServer)
 	return true
 }
 
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -59,6 +59,19 @@
 	return nil
 }
 
+// offers returns a function that reports whether the routing table has a service. All services count before the
+// first table.
+func (lv *logView) offers() func(service string) bool {
+	ta := lv.table.Load()
+	return func(service string) bool {
+		if ta == nil {
+			return true
+		}
+		_, ok := ta.Services[service]
+		return ok
+	}
+}
+
 // addVersion stores an adapter version and reports whether it is newer than the known one.
 func (lv *logView) addVersion(av *AdapterVersion, initial bool, now time.Time) bool {
 	lv.mu.Lock()
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -133,6 +133,8 @@
 	Server  *roster.Server
 	// RemovedServer is the ID of a server whose record was deleted.
 	RemovedServer string
+	// UnreadableServer is the key of a server's record that names no server that can be used.
+	UnreadableServer string
 }
 
 // LogBatch holds consecutive records of a topic.
--- a/entry/internal/plat/hosts.go
+++ b/entry/internal/plat/hosts.go
@@ -1,16 +1,25 @@
 package plat
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
 
 	"github.com/bambooladder/bambooladder/core/member"
 )
 
+// loggedBytesMax bounds what is logged of a host that cannot be read.
+const loggedBytesMax = 256
+
 // Roles of hosts in the platform's host list.
 const (
 	RoleAgent = "agent"
@@ -21,11 +30,12 @@
 type Hosts struct {
 	http    *http.Client
 	baseURL string
+	lg      zerolog.Logger
 }
 
 // NewHosts returns a client of the host list at a base URL.
-func NewHosts(hc *http.Client, baseURL string) *Hosts {
-	return &Hosts{http: hc, baseURL: baseURL}
+func NewHosts(hc *http.Client, baseURL string, lg zerolog.Logger) *Hosts {
+	return &Hosts{http: hc, baseURL: baseURL, lg: lg}
 }
 
 // hostItem is one host in the response.
@@ -54,15 +64,36 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("plat: host list returned status %d", resp.StatusCode)
 	}
-	hostList := struct {
-		Hosts []hostItem `json:"hosts"`
-	}{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&hostList); err != nil {
-		return nil, errors.Wrap(err, "plat: decode host list")
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "plat: read host list")
 	}
-	list := make([]member.Host, 0, len(hostList.Hosts))
-	for _, hi := range hostList.Hosts {
-		list = append(list, member.Host{Name: hi.Name, Role: hi.Role, Address: hi.Address, Zone: hi.Zone, Region: hi.Region, Leaving: hi.Leaving})
+	items := gjson.GetBytes(data, "hosts")
+	if !items.IsArray() || !strings.HasSuffix(items.Raw, "]") || !bytes.HasSuffix(bytes.TrimSpace(data), []byte("}")) {
+		return nil, errors.New("plat: the host list is not whole or has no hosts")
 	}
+	list := []member.Host{}
+	items.ForEach(func(_, item gjson.Result) bool {
+		ho, err := decodeHost(item.Raw)
+		if err != nil {
+			hs.lg.Warn().Int("bytes", len(item.Raw)).Str("error", err.Error()[:min(len(err.Error()), loggedBytesMax)]).Msg("host_unreadable")
+			return true
+		}
+		list = append(list, ho)
+		return true
+	})
 	return list, nil
 }
+
+// decodeHost decodes one host of the list. One that cannot be read must not hide the others.
+func decodeHost(data string) (member.Host, error) {
+	hi := hostItem{}
+	if err := json.Unmarshal([]byte(data), &hi); err != nil {
+		return member.Host{}, errors.Wrap(err, "plat: decode host")
+	}
+	_, port, err := net.SplitHostPort(hi.Address)
+	if number, portErr := strconv.ParseUint(port, 10, 16); hi.Name == "" || err != nil || portErr != nil || number == 0 {
+		return member.Host{}, errors.Newf("plat: host %q has no valid address: %q", hi.Name, hi.Address)
+	}
+	return member.Host{Name: hi.Name, Role: hi.Role, Address: hi.Address, Zone: hi.Zone, Region: hi.Region, Leaving: hi.Leaving}, nil
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -131,7 +131,7 @@
 func newLinks(op Options, hc *http.Client, lr *lockedRand) *links.Links {
 	return links.NewLinks(links.Options{
 		Place: op.Settings.Place, Boot: uuid.Must(uuid.NewV7()).String(),
-		Hosts: plat.NewHosts(hc, op.Settings.HostsURL), Dialer: op.Network, Random: lr.Float64,
+		Hosts: plat.NewHosts(hc, op.Settings.HostsURL, op.Logger), Dialer: op.Network, Random: lr.Float64,
 		Policy: op.Policy, Logger: op.Logger,
 	})
 }
