Let each version of an adapter end by its own announcement

Cause: a node kept the time of the newest version alone and allowed all older ones until that was over, so that each further version let all older ones in again.

A node keeps the last eight versions with the time at which it learned of each. The oldest one that may be used follows from all of them, and goes to the choice of a server and to the agent, in a field of its own beside that of earlier versions of the programs.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -269,12 +269,21 @@
 func requestFromFrame(se *session, re *wire.Reserve, now time.Time) grant.Request {
 	return grant.Request{
 		Attempt: re.Attempt, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
-		Version: re.Version, VersionRequired: re.VersionRequired, Urgency: re.Urgency, PromptTokens: re.PromptTokens,
+		Version: re.Version, VersionMin: versionMin(re), Urgency: re.Urgency, PromptTokens: re.PromptTokens,
 		OutputTokens: re.OutputTokens, BacklogMax: time.Duration(re.BacklogMax) * time.Millisecond, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
 		Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
 }
 
+// versionMin returns the oldest version of an adapter that a request may use. An entry node of an earlier version
+// tells only whether it must be the newest one.
+func versionMin(re *wire.Reserve) int {
+	if re.VersionRequired {
+		return re.Version
+	}
+	return re.VersionMin
+}
+
 // sameAdapters reports whether two lists hold the same adapters in the same versions and states.
 func sameAdapters(aa, bb []grant.AdapterState) bool {
 	if len(aa) != len(bb) {
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -65,12 +65,11 @@
 	Key   Key
 	// Version is the newest adapter version announced, zero if none was.
 	Version int
-	// VersionRequired is true if versions older than Version may not be used; otherwise an older one may
-	// be, while other granted requests use it.
-	VersionRequired bool
-	Urgency         int
-	PromptTokens    int
-	OutputTokens    int
+	// VersionMin is the oldest version that may still be used, while other granted requests use it, zero for any.
+	VersionMin   int
+	Urgency      int
+	PromptTokens int
+	OutputTokens int
 	// BacklogMax is the backlog beyond which the request is refused at once, because its entry
 	// node has a better choice; zero for no limit.
 	BacklogMax time.Duration
--- a/core/grant/engine_test.go
+++ b/core/grant/engine_test.go
@@ -107,7 +107,7 @@
 // reserve requests a grant.
 func (dr *driver) reserve(attempt, adapter string, version int, settled bool) {
 	dr.record(dr.en.Reserve(Request{
-		Attempt: attempt, Entry: "entry", Key: Key{Model: testModel, Adapter: adapter}, Version: version, VersionRequired: settled,
+		Attempt: attempt, Entry: "entry", Key: Key{Model: testModel, Adapter: adapter}, Version: version, VersionMin: versionMin(version, settled),
 		PromptTokens: 1000, OutputTokens: 20, Deadline: dr.now.Add(5 * time.Second),
 	}, dr.now))
 }
@@ -296,3 +296,11 @@
 		t.Errorf("granted %v: the earlier order's result was taken for the new one's", dr.granted)
 	}
 }
+
+// versionMin returns the oldest version that may be used if older ones than a version may not.
+func versionMin(version int, settled bool) int {
+	if settled {
+		return version
+	}
+	return 0
+}
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -102,7 +102,7 @@
 	if !ok || loading || hasOrder || en.reportedMissing[rq.Key] {
 		return false
 	}
-	return version >= rq.Version || !rq.VersionRequired && en.pinCount(rq.Key) > 0
+	return version >= rq.Version || version >= rq.VersionMin && en.pinCount(rq.Key) > 0
 }
 
 // modelLoaded reports whether the engine has loaded a base model.
--- a/core/spread/adapterwait.go
+++ b/core/spread/adapterwait.go
@@ -67,7 +67,7 @@
 		// On average, half of a load in flight is over.
 		es.wait += adapterLoadSeconds / 2
 		es.reason = AdapterLoading
-	case sl.Version < rq.Version && (rq.VersionRequired || sl.Users == 0):
+	case sl.Version < rq.Version && (sl.Version < rq.VersionMin || sl.Users == 0):
 		es.wait += adapterLoadSeconds
 		es.reason = AdapterLoading
 	}
@@ -85,7 +85,7 @@
 		resident = me.AdapterSlots
 	}
 	known := rq.Adapter == "" || slices.ContainsFunc(resident, func(sl AdapterSlot) bool {
-		return sl.Adapter == rq.Adapter && sl.Ready && (sl.Version >= rq.Version || !rq.VersionRequired)
+		return sl.Adapter == rq.Adapter && sl.Ready && sl.Version >= rq.VersionMin
 	})
 	if known {
 		es.reason = AgentUnavailable
--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -22,8 +22,8 @@
 	Adapter string
 	// Version is the newest announced version of the adapter, zero if none was announced.
 	Version int
-	// VersionRequired is true once versions older than Version may no longer be used.
-	VersionRequired bool
+	// VersionMin is the oldest version that may still be used, zero for any.
+	VersionMin int
 	// Popular is true for an adapter that this node often gets requests for.
 	Popular      bool
 	PromptTokens int
--- a/core/spread/choose_test.go
+++ b/core/spread/choose_test.go
@@ -221,7 +221,7 @@
 		t.Errorf("chose %+v for an adapter that cannot be loaded without an agent", ch)
 	}
 	newer := requestFor("x")
-	newer.Version, newer.VersionRequired = 2, true
+	newer.Version, newer.VersionMin = 2, 2
 	if ch, ok := fl.Choose(newer, start); ok {
 		t.Errorf("chose %+v for a version that the engine does not have", ch)
 	}
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -635,6 +635,10 @@
 	// Version is the newest announced version of the adapter, zero if none was
 	// announced.
 	Version int `json:"version" yaml:"version" cbor:"4,keyasint,omitempty"`
+
+	// VersionMin is the oldest version of the adapter that may still be used, zero
+	// for any. An entry node of an earlier version does not tell it.
+	VersionMin int `json:"version_min" yaml:"version_min" cbor:"13,keyasint,omitempty"`
 }
 
 // SeenVersion is a software version that backend servers of a service ran lately.
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,9 @@
 	"github.com/bambooladder/bambooladder/core/roster"
 )
 
+// announcedMax is the number of versions of an adapter that are kept.
+const announcedMax = 8
+
 // announcedVersion is an adapter version and the time at which the node learned of it.
 type announcedVersion struct {
 	version   int
@@ -26,16 +30,18 @@
 	// routesLogDown is true while the topic that holds the routes cannot be read.
 	routesLogDown atomic.Bool
 
-	mu            sync.Mutex
-	epochs        reader.Epochs
-	versions      map[grant.Key]announcedVersion
+	mu     sync.Mutex
+	epochs reader.Epochs
+	// versions holds the last announcedMax versions of each adapter, the newest at the end. The time for which older
+	// ones may be used belongs to each of them.
+	versions      map[grant.Key][]announcedVersion
 	servers       roster.Roster
 	serversListed bool
 }
 
 // newLogView returns an empty view.
 func newLogView() *logView {
-	return &logView{versions: map[grant.Key]announcedVersion{}}
+	return &logView{versions: map[grant.Key][]announcedVersion{}}
 }
 
 // setTable stores a routing table and reports whether it is newer than the current one.
@@ -77,20 +83,34 @@
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
 	ke := grant.Key{Model: av.Model, Adapter: av.Adapter}
-	if av.Version <= lv.versions[ke].version {
+	list := lv.versions[ke]
+	if len(list) > 0 && av.Version <= list[len(list)-1].version {
 		return false
 	}
-	lv.versions[ke] = announcedVersion{version: av.Version, learnedAt: now, initial: initial}
+	list = append(slices.Clone(list), announcedVersion{version: av.Version, learnedAt: now, initial: initial})
+	if len(list) > announcedMax {
+		// The time of the versions before the third one then ends with that of those before the second one.
+		list[2].learnedAt, list[2].initial = list[1].learnedAt, list[1].initial
+		list = slices.Delete(list, 1, 2)
+	}
+	lv.versions[ke] = list
 	return true
 }
 
-// version returns the newest version of an adapter, and whether older ones must no longer be
-// used: the newest existed when the node started or has been known for settleTime.
-func (lv *logView) version(ke grant.Key, settleTime time.Duration, now time.Time) (int, bool) {
+// version returns the newest version of an adapter, and the oldest one that may still be used, zero for any.
+func (lv *logView) version(ke grant.Key, settleTime time.Duration, now time.Time) (newest, oldest int) {
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
-	an := lv.versions[ke]
-	return an.version, an.version > 0 && (an.initial || now.Sub(an.learnedAt) >= settleTime)
+	list := lv.versions[ke]
+	if len(list) == 0 {
+		return 0, 0
+	}
+	for _, an := range list {
+		if an.initial || now.Sub(an.learnedAt) >= settleTime {
+			oldest = an.version
+		}
+	}
+	return list[len(list)-1].version, oldest
 }
 
 // withRoster calls a function on the list of servers while holding the lock.
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -37,8 +37,8 @@
 	lv.mu.Lock()
 	defer lv.mu.Unlock()
 	ps := peerState{Epoch: lv.epochs.Present(), Table: lv.table.Load(), Servers: lv.servers.Records()}
-	for ke, an := range lv.versions {
-		ps.Versions = append(ps.Versions, AdapterVersion{Model: ke.Model, Adapter: ke.Adapter, Version: an.version})
+	for ke, list := range lv.versions {
+		ps.Versions = append(ps.Versions, AdapterVersion{Model: ke.Model, Adapter: ke.Adapter, Version: list[len(list)-1].version})
 	}
 	return ps
 }
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -62,10 +62,10 @@
 
 // reserve requests a grant for the attempt and reports whether it was given.
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
-	_, settled := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), time.Now())
+	versionMin := rq.versionMin(time.Now())
 	budget := spread.WaitBudget(time.Until(rq.no.drain.waitsUntil(rq.deadline)))
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
-		Attempt: at.id, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: at.version, VersionRequired: settled,
+		Attempt: at.id, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: at.version, VersionRequired: versionMin > 0 && versionMin == at.version, VersionMin: versionMin,
 		Urgency: maxUrgency - rq.route.Rank, PromptTokens: rq.info.PromptTokens, OutputTokens: rq.info.OutputTokens,
 		PauseMax: rq.route.PauseMax.Milliseconds(), Budget: budget.Milliseconds(), BacklogMax: rq.backlogMax(at).Milliseconds(),
 	})
@@ -90,6 +90,12 @@
 	return result{outcome: retry.Unsent, reason: reason}, false
 }
 
+// versionMin returns the oldest version of the request's adapter that may still be used, zero for any.
+func (rq *request) versionMin(now time.Time) int {
+	_, oldest := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), now)
+	return oldest
+}
+
 // backlogMax returns the backlog beyond which the agent refuses the attempt because another engine
 // is a better choice, zero for no limit. A request is redirected once at most.
 func (rq *request) backlogMax(at *attempt) time.Duration {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -219,15 +219,15 @@
 // spreadRequest returns the request in the form that server selection needs.
 func (rq *request) spreadRequest(now time.Time, exclude []string) spread.Request {
 	place := &rq.no.options.Settings.Place
-	version, settled := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), now)
+	version, versionMin := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), now)
 	return spread.Request{
-		Service: rq.service.Name, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: version, VersionRequired: settled,
+		Service: rq.service.Name, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: version, VersionMin: versionMin,
 		Popular: rq.popular, PromptTokens: rq.info.PromptTokens, Zone: place.Zone, Region: place.Region, Exclude: exclude,
 	}
 }
 
 // versionSettleTime returns how long after a version's announcement the node may still use
-// older versions: half of version_ms.
+// older ones: half of version_ms.
 func (no *Node) versionSettleTime() time.Duration {
 	return time.Duration(no.options.Settings.VersionMs) * time.Millisecond / 2
 }
