Look at the version again once a grant has come

Cause: whether an older version may be used was decided when the request asked; it may wait 3.5 s.

The version of a grant is compared with what may be used when it comes. An outdated grant is given back, and the next attempt asks for the newer version.

--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -19,6 +19,8 @@
 	// attempt waited for its grant.
 	reasonServerDeclines = "server_declines"
 	reasonQuarantined    = "quarantined"
+	// reasonVersionOutdated means that the time of the granted version of the adapter was over once the grant came.
+	reasonVersionOutdated = "version_outdated"
 	// reasonNodeStopping means that the attempt ended because this node is stopping.
 	reasonNodeStopping = "node_stopping"
 )
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -83,6 +83,8 @@
 		reason = reasonServerDeclines
 	case rq.no.crashes.verdict(rq) != nil:
 		reason = reasonQuarantined
+	case at.version < rq.versionMin(time.Now()):
+		reason = reasonVersionOutdated
 	default:
 		return result{}, true
 	}
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -221,6 +221,9 @@
 	}
 }
 
+// plentyOfMemory is an engine's memory in which no request waits, in tokens.
+const plentyOfMemory = 100_000
+
 // backend is a backend server whose responses a test can script.
 type backend struct {
 	id string
@@ -232,6 +235,8 @@
 	canceled int
 	loaded   map[string]int
 	seq      int64
+	// memoryTokens is the engine's memory, zero for plentyOfMemory.
+	memoryTokens int
 	// born is the start of the server's present run, zero while it is down.
 	born int64
 	// announcedID, service, model and software are those that the server announces; httpServer is that of its
@@ -290,7 +295,11 @@
 	for name, version := range ba.loaded {
 		mo.Adapters[name] = version
 	}
-	return grant.Observation{Born: ba.born, Models: []grant.Model{mo}, Sequence: ba.seq, MemoryTotal: 100_000, Coming: map[grant.Key]int{}}, nil
+	memory := ba.memoryTokens
+	if memory == 0 {
+		memory = plentyOfMemory
+	}
+	return grant.Observation{Born: ba.born, Models: []grant.Model{mo}, Sequence: ba.seq, MemoryTotal: memory, Coming: map[grant.Key]int{}}, nil
 }
 
 // Order implements the EngineClient interface of the agent: it loads or unloads an adapter.
