--- a/agent/internal/client/forward.go
+++ b/agent/internal/client/forward.go
@@ -76,7 +76,7 @@
 func (uc usedConn) owns(resp *http.Response, id string, rejects bool) bool {
 	answered := resp.Header.Get(requestIDHeader)
 	rejection := rejects && resp.StatusCode >= http.StatusBadRequest
-	return answered == id || answered == "" && !(uc.reused && rejection)
+	return answered == id || answered == "" && (!uc.reused || !rejection)
 }
 
 // engineBody returns the body, a JSON object from which the entry node has removed the keys model and
