Let no reload signal end a program that starts

A SIGHUP in the first milliseconds of a program, before its listeners were open, ended it: the signal had no handler yet.

The handler is registered before the start. TestReloadSignalNeverEndsTheProgram failed before ("signal: hangup").

--- a/core/proc/proc.go
+++ b/core/proc/proc.go
@@ -56,15 +56,16 @@
 	stopSignals := make(chan os.Signal, 1)
 	signal.Notify(stopSignals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(stopSignals)
+	// A signal that nobody has asked for ends the process, so this comes before the start.
+	reloadSignals := make(chan os.Signal, 1)
+	signal.Notify(reloadSignals, syscall.SIGHUP)
+	defer signal.Stop(reloadSignals)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
 		lg.Error().Str("error", err.Error()).Msg("start_failed")
 		return ExitError
 	}
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(reloadSignals)
 	lg.Info().Str("signal", awaitStop(stopSignals, reloadSignals, lg).String()).Msg("stop_requested")
 	go func() {
 		for si := range stopSignals {
