Put reads of the log, the stop, bodies and versions into files of their own

What reads the log by itself, the planned stop, the body of a request and the knowledge of software versions each have a file now; nothing but places and two private names changes.

--- a/entry/direct/dial.go
+++ b/entry/direct/dial.go
@@ -75,7 +75,7 @@
 	}
 	as.mu.Unlock()
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("frames", len(frames)).Msg("dependency_regained")
-	as.no.origins.tellVersions(ac)
+	as.no.origins.sendVersions(ac)
 	if ac.keepsOrigins {
 		as.restoreOrigins(host, as.no.origins.mixedStreams(as.no.view.services(), time.Now()))
 	}
--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -53,31 +53,6 @@
 	}
 }
 
-// knownFrom returns the time from which on the node knows all software versions by itself.
-func (ors *origins) knownFrom() time.Time {
-	if ors.no.options.Settings.FirstStart {
-		return time.Time{}
-	}
-	return ors.startedAt
-}
-
-// learnVersions records the software versions of services that an agent tells.
-func (ors *origins) learnVersions(services []wire.ServiceVersions, now time.Time) {
-	added := map[string]bool{}
-	ors.mu.Lock()
-	for ix := range services {
-		sv := &services[ix]
-		for _, seen := range sv.Seen {
-			if ors.history.Seen(sv.Service, seen.Software, now.Add(-origin.Age(seen.Age)), now) {
-				added[sv.Service] = true
-			}
-		}
-		ors.history.Known(sv.Service, now.Add(-origin.Age(sv.Known)))
-	}
-	ors.mu.Unlock()
-	ors.shareMixed(added, now)
-}
-
 // shareMixed gives agents the records of the streams under way of services that have a second software version
 // now: the streams that began before need records too.
 func (ors *origins) shareMixed(added map[string]bool, now time.Time) {
@@ -91,38 +66,6 @@
 	}
 }
 
-// versionsFrame returns the frame that tells agents the software versions of all services.
-func (ors *origins) versionsFrame(now time.Time) *wire.Frame {
-	fr := &wire.Versions{}
-	services := ors.no.view.services()
-	ors.mu.Lock()
-	defer ors.mu.Unlock()
-	for service := range services {
-		sv := wire.ServiceVersions{Service: service, Known: ors.history.KnownFor(service, now).Milliseconds()}
-		for software, age := range ors.history.LastSeen(service, now) {
-			sv.Seen = append(sv.Seen, wire.SeenVersion{Software: software, Age: age.Milliseconds()})
-		}
-		if len(sv.Seen) > 0 {
-			fr.Services = append(fr.Services, sv)
-		}
-	}
-	return &wire.Frame{Versions: fr}
-}
-
-// candidates returns the software versions of a service that may have begun a stream up to a time ago.
-func (ors *origins) candidates(service string, horizon time.Duration, now time.Time) origin.Candidates {
-	ors.mu.Lock()
-	defer ors.mu.Unlock()
-	return origin.Candidates{Versions: ors.history.Versions(service, now), Complete: ors.history.KnownFor(service, now) >= horizon}
-}
-
-// versions returns the software versions with which a stream of a service may have begun.
-func (ors *origins) versions(service string, now time.Time) []string {
-	ors.mu.Lock()
-	defer ors.mu.Unlock()
-	return ors.history.Versions(service, now)
-}
-
 // streamsOf returns the streams of a service that this node has passed on.
 func (ors *origins) streamsOf(service string, now time.Time) []wire.StreamOrigin {
 	ors.mu.Lock()
@@ -197,13 +140,13 @@
 		return found{origin: re.origin, source: originAgent}
 	}
 	ors.learnVersions(re.versions, time.Now())
-	return found{source: originUnknown, inStep: ors.catchUp(ctx, rq.start, re)}
+	return found{source: originUnknown, inStep: ors.becomeInStep(ctx, rq.start, re)}
 }
 
-// catchUp makes sure that the node knows the servers from which the stream of a request that came at a time can have
+// becomeInStep makes sure that the node knows the servers from which the stream of a request that came at a time can have
 // come: it reads their records. While the log cannot be read, the homes of the stream can tell as well, unless the node
 // has lost most agents.
-func (ors *origins) catchUp(ctx context.Context, until time.Time, re originReply) bool {
+func (ors *origins) becomeInStep(ctx context.Context, until time.Time, re originReply) bool {
 	ctx, cancel := context.WithTimeout(ctx, catchUpTime)
 	defer cancel()
 	return ors.no.feeds.followers[ServersTopic.String()].catchUp(ctx, until) || re.complete && ors.no.agents.mostLinked()
