Wait in a test until nothing is sent any more, in place of 10,000 yields

On a busy machine, TestEachConnectionGetsItsFramesInOrderAndTheLastOneTheEnd failed in 4 of 300 rounds of one run: "the last of 810 connections got no end". The test waited for the last sender by yielding 10,000 times, which other processors do in a few milliseconds while the sender's thread waits for one.

The rounds run in virtual time now, and the end must be there once all goroutines have nothing left to do: a stricter check, without a bound.

--- a/agent/internal/output/output_test.go
+++ b/agent/internal/output/output_test.go
@@ -6,6 +6,7 @@
 	"runtime"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/bambooladder/bambooladder/core/wire"
 )
@@ -68,53 +69,53 @@
 // frames that it lacks in their order, and over the last one the end.
 func TestEachConnectionGetsItsFramesInOrderAndTheLastOneTheEnd(t *testing.T) {
 	for round := range testOutputs {
-		ctx := t.Context()
-		connections := []*connection{{}}
-		ou := New("a-1", 0, true, connections[0])
-		ou.Head(200, "text/plain", "")
-		producer := sync.WaitGroup{}
-		producer.Go(func() {
-			for number := range testChunks {
-				if err := ou.Chunk(ctx, []byte{byte(number)}); err != nil {
-					t.Error(err)
-				}
-			}
-			if err := ou.Finish(ctx, []byte("last")); err != nil {
+		synctest.Test(t, func(t *testing.T) { reconnect(t, round) })
+	}
+}
+
+// reconnect sends one answer over connections that are replaced again and again, and checks what each one got.
+func reconnect(t *testing.T, round int) {
+	t.Helper()
+	ctx := t.Context()
+	connections := []*connection{{}}
+	ou := New("a-1", 0, true, connections[0])
+	ou.Head(200, "text/plain", "")
+	producer := sync.WaitGroup{}
+	producer.Go(func() {
+		for number := range testChunks {
+			if err := ou.Chunk(ctx, []byte{byte(number)}); err != nil {
 				t.Error(err)
 			}
-		})
-		received := uint64(0)
-		for ended := false; !ended; runtime.Gosched() {
-			co := connections[len(connections)-1]
-			last, _, err := co.check()
-			if err != nil {
-				t.Fatalf("round %d, connection %d, %d chunks received before: %v", round, len(connections), co.received, err)
-			}
-			received = max(received, last)
-			ou.Acknowledge(received)
-			ended = received > testChunks
-			next := &connection{received: received}
-			if !ou.Attach(ctx, next, received) {
-				t.Fatalf("round %d: no replay after chunk %d", round, received)
-			}
-			connections = append(connections, next)
 		}
-		producer.Wait()
-		awaitEnd(t, round, connections)
+		if err := ou.Finish(ctx, []byte("last")); err != nil {
+			t.Error(err)
+		}
+	})
+	received := uint64(0)
+	for ended := false; !ended; runtime.Gosched() {
+		co := connections[len(connections)-1]
+		last, _, err := co.check()
+		if err != nil {
+			t.Fatalf("round %d, connection %d, %d chunks received before: %v", round, len(connections), co.received, err)
+		}
+		received = max(received, last)
+		ou.Acknowledge(received)
+		ended = received > testChunks
+		next := &connection{received: received}
+		if !ou.Attach(ctx, next, received) {
+			t.Fatalf("round %d: no replay after chunk %d", round, received)
+		}
+		connections = append(connections, next)
 	}
+	producer.Wait()
+	checkAll(t, round, connections)
 }
 
-// awaitEnd checks all connections once the last one has got the end.
-func awaitEnd(t *testing.T, round int, connections []*connection) {
+// checkAll checks all connections once nothing is sent any more.
+func checkAll(t *testing.T, round int, connections []*connection) {
 	t.Helper()
-	ended := false
-	for range 10_000 {
-		if _, ended, _ = connections[len(connections)-1].check(); ended {
-			break
-		}
-		runtime.Gosched()
-	}
-	if !ended {
+	synctest.Wait()
+	if _, ended, _ := connections[len(connections)-1].check(); !ended {
 		t.Errorf("round %d: the last of %d connections got no end", round, len(connections))
 	}
 	for ix, co := range connections {
