Read the servers' records for callers that name no first request too

Cause: nothing was read for them, as there is no record to ask for.

The servers' records are read for them as well, and one version that has served alone is enough. The case "one version, and callers do not name the first request" failed before (0 of its requests went on).

--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -126,7 +126,7 @@
 // find finds out what began a stream.
 func (ors *origins) find(ctx context.Context, rq *request) found {
 	if rq.info.Resumes == "" {
-		return found{source: originUnknown}
+		return found{source: originUnknown, inStep: ors.becomeInStep(ctx, rq.start, originReply{})}
 	}
 	ors.mu.Lock()
 	or, known := ors.begun.Get(rq.streamKey, time.Now())
--- a/entry/direct/takeup.go
+++ b/entry/direct/takeup.go
@@ -30,10 +30,11 @@
 		return nil
 	}
 	ca := rq.candidates(time.Now())
-	ca.Complete = ca.Complete && fd.inStep
+	complete := ca.Complete
+	ca.Complete = complete && fd.inStep
 	software, verdict := origin.Decide(or, source != originUnknown, ca)
 	rq.no.logger.Info().Str("request", rq.info.ID).Str("resumes", rq.info.Resumes).Str("last_event", rq.info.LastEvent).Str("source", source).
-		Str("software", software).Strs("versions", ca.Versions).Bool("versions_complete", ca.Complete).Bool("in_step", fd.inStep).Bool("goes_on", verdict == origin.GoesOn).Dur("took", time.Since(rq.start)).Msg("stream_taken_up")
+		Str("software", software).Strs("versions", ca.Versions).Bool("versions_complete", complete).Bool("in_step", fd.inStep).Bool("goes_on", verdict == origin.GoesOn).Dur("took", time.Since(rq.start)).Msg("stream_taken_up")
 	if verdict == origin.Undecided {
 		return notResumableError("it is not known which software version began the stream")
 	}
--- a/proofs/direct_software_test.go
+++ b/proofs/direct_software_test.go
@@ -38,6 +38,8 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// unnamed is true for callers that do not name the request that brought the first event.
+	unnamed bool
 	// eventPeriod is the time between the events of a stream, tries the number of requests for one.
 	eventPeriod time.Duration
 	tries       int
@@ -133,7 +135,9 @@
 	rq.Header.Set(headerAdapter, "a1")
 	if last > 0 {
 		rq.Header.Set(headerLastEvent, strconv.Itoa(last))
-		rq.Header.Set(headerResumes, begunBy)
+		if !sw.unnamed {
+			rq.Header.Set(headerResumes, begunBy)
+		}
 	}
 	resp, err := cl.client.Do(rq)
 	if err != nil {
@@ -294,6 +298,8 @@
 	seeds uint64
 	// frozen is how long the node is frozen that some callers come to.
 	frozen time.Duration
+	// unnamed is true for callers that do not name the request that brought the first event.
+	unnamed bool
 	// long is true for streams that outlast a restart of entry nodes, and callers that wait for it.
 	long bool
 	// goesOn is true if streams must go on at least half as often as new ones begin.
@@ -456,6 +462,12 @@
 		versions: []string{"v1", "v1", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true,
 		act: func(sw *softwareWorld) { sw.ds.source.setDown(true) },
 	},
+	"one version, and callers do not name the first request": {
+		versions: []string{"v1", "v1", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true, unnamed: true,
+	},
+	"two versions, and callers do not name the first request": {
+		versions: []string{"v1", "v2", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"}, unnamed: true,
+	},
 	"one version": {versions: []string{"v1", "v1", "v1"}, entries: []string{"entry-1", "entry-2", "entry-3"}, goesOn: true},
 }
 
@@ -469,6 +481,7 @@
 			sw.readers[entryName(ix)] = &nodeReader{testSource: ds.source}
 			ds.readers[entryName(ix)] = sw.readers[entryName(ix)]
 		}
+		sw.unnamed = tc.unnamed
 		if tc.long {
 			sw.breakShare, sw.eventPeriod, sw.tries = 0.1, longPeriod, patientTries
 		}
