Answer requests that are read once a stop closes connections

Cause: http.Server.Shutdown drops a request whose head it reads after it has begun; and the node closed all connections once no request that it had read was in flight, also when one was about to be read.

Evidence: the connection was closed 2.8 s after the SIGTERM, 0.3 s after the node had begun to close connections, with nothing in flight.

The node closes its listener and its idle connections itself, and waits for connections of the last second that have brought no request yet. TestDirectStopAnswersARequestThatItIsAboutToRead failed before.

--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,9 @@
 
 	drain    *drain
 	inFlight atomic.Int64
+	unread   unreadConns
+	// callerListener accepts the connections of callers.
+	callerListener net.Listener
 
 	// mu guards the fields below.
 	mu         sync.Mutex
@@ -128,6 +132,7 @@
 		peers:   newHTTPServer(no.peerHandler()),
 		metrics: newHTTPServer(expvar.Handler()),
 	}
+	sv.callers.ConnState = no.unread.record
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return no.start(sv) },
 		OnStop:  func(ctx context.Context) error { return no.stop(ctx, sv) },
@@ -152,9 +157,13 @@
 		if li.address == "" {
 			continue
 		}
-		if err := no.listen(li.hs, li.address); err != nil {
+		ls, err := no.listen(li.hs, li.address)
+		if err != nil {
 			return err
 		}
+		if li.hs == sv.callers {
+			no.callerListener = ls
+		}
 	}
 	for _, fo := range no.feeds.followers {
 		go fo.run(no.ctx)
@@ -168,17 +177,17 @@
 }
 
 // listen serves HTTP on an address.
-func (no *Node) listen(hs *http.Server, address string) error {
+func (no *Node) listen(hs *http.Server, address string) (net.Listener, error) {
 	ls, err := no.options.Network.Listen(address)
 	if err != nil {
-		return errors.Wrapf(err, "direct: listen on %s", address)
+		return nil, errors.Wrapf(err, "direct: listen on %s", address)
 	}
 	go func() {
-		if err := hs.Serve(ls); !errors.Is(err, http.ErrServerClosed) {
+		if err := hs.Serve(ls); !errors.Is(err, http.ErrServerClosed) && !no.drain.begun() {
 			no.logger.Error().Str("address", address).Str("error", err.Error()).Msg("server_stopped")
 		}
 	}()
-	return nil
+	return ls, nil
 }
 
 // sweepIdleConnections periodically closes connections to backend servers that have been idle
--- a/proofs/direct_stop_test.go
+++ b/proofs/direct_stop_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -129,6 +130,34 @@
 	})
 }
 
+// A request that the node is about to read when it has nothing else left to do must be answered. Its connection was
+// closed with the others.
+func TestDirectStopAnswersARequestThatItIsAboutToRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ds := newDirectSimulation(t, 1, 0)
+		defer ds.close()
+		stopped := ds.stopEntry(len(ds.apps) - 1)
+		time.Sleep(2400 * time.Millisecond) // new connections come until 2.5 s
+		co, err := ds.net.forHost("caller").DialContext(t.Context(), "tcp", "entry-1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = co.Close() }()
+		_, _ = fmt.Fprintf(co, "POST /unsafe/x HTTP/1.1\r\nHost: %s\r\n%s: late\r\n", directHost, headerID)
+		time.Sleep(600 * time.Millisecond)
+		_, _ = fmt.Fprintf(co, "%s: 4000\r\nContent-Length: 0\r\n\r\n", headerTimeout)
+		resp, err := http.ReadResponse(bufio.NewReader(co), nil)
+		if err != nil {
+			t.Fatalf("no answer: %v", err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("status %d, want 200", resp.StatusCode)
+		}
+		<-stopped
+	})
+}
+
 // A request whose body does not arrive before the end of a stop is told that it has not run.
 func TestDirectStopAnswersARequestWithoutItsWholeBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
