Let idle connections end by themselves in a planned stop

Cause: http.Server closes connections that it holds to be idle, also when it has just read a request on one and not recorded that yet.

Idle connections get a read deadline, which ends those that have nothing to read and does not touch a request that has been read; what is idle 0.2 s later is closed as before.

--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -70,7 +70,7 @@
 
 	drain    *drain
 	inFlight atomic.Int64
-	unread   unreadConns
+	waiting  waitingConns
 	// callerListener accepts the connections of callers.
 	callerListener net.Listener
 
@@ -132,7 +132,7 @@
 		peers:   newHTTPServer(no.peerHandler()),
 		metrics: newHTTPServer(expvar.Handler()),
 	}
-	sv.callers.ConnState = no.unread.record
+	sv.callers.ConnState = no.waiting.record
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return no.start(sv) },
 		OnStop:  func(ctx context.Context) error { return no.stop(ctx, sv) },
--- a/entry/direct/stop.go
+++ b/entry/direct/stop.go
@@ -10,34 +10,55 @@
 	"github.com/cockroachdb/errors"
 )
 
-// unreadMax is how long after it was opened the first request of a connection is expected.
-const unreadMax = time.Second
+const (
+	// unreadMax is how long after it was opened the first request of a connection is expected.
+	unreadMax = time.Second
+	// idleEndTime is how long idle connections have to end by themselves.
+	idleEndTime = 200 * time.Millisecond
+)
 
-// unreadConns holds the connections of callers on which no request has been read yet. The zero value is empty.
-type unreadConns struct {
-	mu    sync.Mutex
-	since map[net.Conn]time.Time
+// waitingConns holds the connections of callers that wait for a request: their first one, or the next one. The zero
+// value is empty.
+type waitingConns struct {
+	mu sync.Mutex
+	// unread holds those without a first request by the time at which they were opened.
+	unread map[net.Conn]time.Time
+	idle   map[net.Conn]bool
 }
 
 // record records the state of a connection.
-func (uc *unreadConns) record(nc net.Conn, state http.ConnState) {
-	uc.mu.Lock()
-	defer uc.mu.Unlock()
-	if state != http.StateNew {
-		delete(uc.since, nc)
-		return
+func (wc *waitingConns) record(nc net.Conn, state http.ConnState) {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	if wc.unread == nil {
+		wc.unread, wc.idle = map[net.Conn]time.Time{}, map[net.Conn]bool{}
+	}
+	delete(wc.unread, nc)
+	delete(wc.idle, nc)
+	switch state {
+	case http.StateNew:
+		wc.unread[nc] = time.Now()
+	case http.StateIdle:
+		wc.idle[nc] = true
+	case http.StateActive, http.StateHijacked, http.StateClosed:
 	}
-	if uc.since == nil {
-		uc.since = map[net.Conn]time.Time{}
+}
+
+// endIdle makes idle connections end by themselves. A request that has been read on one by then is still served.
+func (wc *waitingConns) endIdle(now time.Time) {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	for nc := range wc.idle {
+		// A connection that has ended meanwhile needs no deadline.
+		_ = nc.SetReadDeadline(now)
 	}
-	uc.since[nc] = time.Now()
 }
 
 // any reports whether a request may be about to be read on a connection that was opened within unreadMax.
-func (uc *unreadConns) any(now time.Time) bool {
-	uc.mu.Lock()
-	defer uc.mu.Unlock()
-	for _, since := range uc.since {
+func (wc *waitingConns) any(now time.Time) bool {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	for _, since := range wc.unread {
 		if now.Sub(since) < unreadMax {
 			return true
 		}
@@ -58,7 +79,7 @@
 	no.sleep(ctx, balancerNoticeTime)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	no.closeIdleCallers(sv.callers)
+	no.closeIdleCallers(drainCtx, sv.callers)
 	no.awaitIdle(drainCtx)
 	err := sv.callers.Close()
 	no.cancel()
@@ -67,14 +88,17 @@
 	return errors.Wrap(err, "direct: close servers")
 }
 
-// closeIdleCallers takes no new connections of callers, and closes those without a request: a request that arrived on
-// one later would be cut off. http.Server.Shutdown would drop the requests that it reads from now on, too.
-func (no *Node) closeIdleCallers(callers *http.Server) {
+// closeIdleCallers takes no new connections of callers, and ends those without a request: a request that arrived on
+// one later would be cut off. http.Server.Shutdown would drop the requests that it reads from now on, and close idle
+// connections on which it has just read one.
+func (no *Node) closeIdleCallers(ctx context.Context, callers *http.Server) {
 	if no.callerListener != nil {
 		if err := no.callerListener.Close(); err != nil {
 			no.logger.Warn().Str("error", err.Error()).Msg("listener_not_closed")
 		}
 	}
+	no.waiting.endIdle(time.Now())
+	no.sleep(ctx, idleEndTime)
 	callers.SetKeepAlivesEnabled(false)
 }
 
@@ -89,7 +113,7 @@
 func (no *Node) awaitIdle(ctx context.Context) {
 	for idle := time.Duration(0); idle < idleBeforeStop && ctx.Err() == nil; idle += idlePollPeriod {
 		no.sleep(ctx, idlePollPeriod)
-		if no.inFlight.Load() > 0 || no.unread.any(time.Now()) {
+		if no.inFlight.Load() > 0 || no.waiting.any(time.Now()) {
 			idle = 0
 		}
 	}
