Find the homes of a stream without sorting all agents

Cause: since the records of an agent that is gone are passed on, a node finds the homes of all its streams twice for each agent that it loses, and each time sorted all agents with two hashes a comparison.

--- a/core/origin/origin.go
+++ b/core/origin/origin.go
@@ -56,12 +56,32 @@
 // Homes returns the first of the hosts of agents that keep the record of a stream, the best first. Nodes that
 // know the same hosts choose the same ones, and one more or less changes few.
 func Homes(key StreamKey, hosts []string, count int) []string {
-	list := slices.Clone(hosts)
-	slices.SortFunc(list, func(aa, bb string) int {
-		byScore := cmp.Compare(xxh3.HashStringSeed(bb, uint64(key)), xxh3.HashStringSeed(aa, uint64(key)))
-		return cmp.Or(byScore, cmp.Compare(aa, bb))
-	})
-	return list[:min(count, len(list))]
+	best := make([]scoredHost, 0, count+1)
+	for _, host := range hosts {
+		sh := scoredHost{host: host, score: xxh3.HashStringSeed(host, uint64(key))}
+		ix, _ := slices.BinarySearchFunc(best, sh, scoredHost.compare)
+		if ix == count {
+			continue
+		}
+		best = slices.Insert(best, ix, sh)
+		best = best[:min(count, len(best))]
+	}
+	homes := make([]string, 0, len(best))
+	for _, sh := range best {
+		homes = append(homes, sh.host)
+	}
+	return homes
+}
+
+// scoredHost is a host with its score for a stream.
+type scoredHost struct {
+	host  string
+	score uint64
+}
+
+// compare orders hosts by falling score.
+func (sh scoredHost) compare(other scoredHost) int {
+	return cmp.Or(cmp.Compare(other.score, sh.score), cmp.Compare(sh.host, other.host))
 }
 
 // Verdict is at which servers a stream may go on.
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -198,3 +198,29 @@
 		t.Errorf("all versions are known for %v, want 15 s", got)
 	}
 }
+
+// A node computes the homes of all its streams whenever an agent is gone: they must be the best of a full sort.
+func TestHomesAreTheBestOfAFullSort(t *testing.T) {
+	hosts := make([]string, 200)
+	for ix := range hosts {
+		hosts[ix] = fmt.Sprintf("10.0.%d.%d", ix/10, ix%10)
+	}
+	for key := range StreamKey(500) {
+		all := Homes(key, hosts, len(hosts))
+		for count := range 6 {
+			if got := Homes(key, hosts, count); !slices.Equal(got, all[:count]) {
+				t.Fatalf("stream %d: homes %v, want %v", key, got, all[:count])
+			}
+		}
+	}
+}
+
+func BenchmarkHomes(be *testing.B) {
+	hosts := make([]string, 126)
+	for ix := range hosts {
+		hosts[ix] = fmt.Sprintf("10.6.64.%d", ix)
+	}
+	for be.Loop() {
+		Homes(7, hosts, QueryHomes)
+	}
+}
--- a/entry/direct/homes.go
+++ b/entry/direct/homes.go
@@ -59,12 +59,11 @@
 	before := append(slices.Clone(hosts), gone)
 	byHost := map[string][]wire.StreamOrigin{}
 	for _, so := range streams {
-		if !slices.Contains(origin.Homes(origin.StreamKey(so.Stream), before, origin.RecordHomes), gone) {
-			continue
-		}
-		if homes := origin.Homes(origin.StreamKey(so.Stream), hosts, origin.RecordHomes); len(homes) == origin.RecordHomes {
-			last := homes[origin.RecordHomes-1]
-			byHost[last] = append(byHost[last], so)
+		// Without the host that is gone, the next one after the homes is the last of them.
+		homes := origin.Homes(origin.StreamKey(so.Stream), before, origin.RecordHomes+1)
+		if len(homes) > origin.RecordHomes && slices.Contains(homes[:origin.RecordHomes], gone) {
+			next := homes[origin.RecordHomes]
+			byHost[next] = append(byHost[next], so)
 		}
 	}
 	for host, list := range byHost {
