Log which event a server goes on with, and how its answer is framed

The lines could not tell apart whether a stream goes on at another software version, elsewhere than after its last event, or ends with its connection. first_event has the number of the event, the one that it follows, status, type and framing; request_answered and attempt_ended have the last event.

--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -101,7 +101,7 @@
 		step := retry.NextStep(st, re.outcome, func() bool { return no.allowRetry(rq.service.Name) })
 		rq.logAttempt(at, "attempt_ended").Str("outcome", re.outcome.String()).Str("reason", re.reason).Int("ran", st.PossibleRuns).
 			Int("refused", st.NotRunCount).
-			Uint64("connection", at.connection).Bool("reused", at.reused).Str("step", step.String()).Send()
+			Uint64("connection", at.connection).Bool("reused", at.reused).Str("last_event", rq.lastEventID()).Str("step", step.String()).Send()
 		switch step {
 		case retry.Again:
 			// A busy engine has reported its load with the refusal and may still be the best one.
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -77,7 +76,7 @@
 		}
 		if first {
 			first = false
-			rq.recordFirstEvent(at)
+			rq.recordFirstEvent(at, an, ev)
 		}
 		at.recordReceived(time.Now())
 		if !rq.writeEvent(an, ev) {
@@ -98,10 +97,12 @@
 }
 
 // recordFirstEvent records the time to an attempt's first event.
-func (rq *request) recordFirstEvent(at *attempt) {
+func (rq *request) recordFirstEvent(at *attempt, an *pool.Answer, ev []byte) {
 	took := time.Since(at.start)
 	rq.no.crashes.begun(at)
-	rq.logAttempt(at, "first_event").Dur("took", took).Dur("grant", at.grantWait).Dur("expected", at.choice.Wait).Send()
+	id, _ := eventID(ev)
+	rq.logAttempt(at, "first_event").Str("id", id).Str("last_event", rq.lastEventID()).Int("status", an.Status).Str("type", an.Header.Get("Content-Type")).
+		Bool("framed", an.Framed()).Str("software", rq.origin.Software).Dur("took", took).Dur("grant", at.grantWait).Dur("expected", at.choice.Wait).Send()
 	rq.no.recordSuccess(at, took)
 	if at.granted {
 		rq.no.agents.sendStarted(at.id)
@@ -138,7 +139,8 @@
 	if !at.firstEventAt.IsZero() {
 		rq.no.crashes.recordPartsAnswered(rq)
 	}
-	rq.logAttempt(at, "request_answered").Int("status", http.StatusOK).Int("events", rq.stream.count).Dur("longest_pause", rq.stream.longestPause).Dur("took", time.Since(rq.start)).Send()
+	rq.logAttempt(at, "request_answered").Int("status", an.Status).Int("events", rq.stream.count).
+		Str("last_event", rq.lastEventID()).Bool("framed", an.Framed()).Dur("longest_pause", rq.stream.longestPause).Dur("took", time.Since(rq.start)).Send()
 	histogram(histogramWholeAnswer).record(time.Since(rq.start))
 	// The outcome only makes release report the grant as done.
 	return result{outcome: retry.Failed}, true
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -49,8 +49,8 @@
 	// stop ends the watch on the context. It returns false if the context has ended.
 	stop     func() bool
 	complete bool
-	// reusable is true if the answer does not end with the connection.
-	reusable bool
+	// framed is true if the answer's head says where its body ends, reusable if nothing ends with the connection.
+	framed, reusable bool
 }
 
 // SendError is the error of an exchange that failed before the head of the answer was read.
@@ -151,8 +151,8 @@
 // newAnswer returns the Answer for a response.
 func (co *Conn) newAnswer(resp *http.Response, writeDone chan error) *Answer {
 	an := &Answer{Status: resp.StatusCode, Header: resp.Header, co: co, resp: resp, writeDone: writeDone}
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	an.reusable = framed && !resp.Close
+	an.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	an.reusable = an.framed && !resp.Close
 	co.updateIdleTimeout(resp.Header)
 	an.Body = &answerBody{an: an}
 	if resp.ContentLength == 0 {
@@ -179,6 +179,9 @@
 // Length returns the length of the body in bytes as stated by the server, or -1 if it states none.
 func (an *Answer) Length() int64 { return an.resp.ContentLength }
 
+// Framed reports whether the answer's head says where its body ends. Otherwise the body ends with the connection.
+func (an *Answer) Framed() bool { return an.framed }
+
 // Close ends the exchange. It returns the connection to the pool if the request was written, the
 // complete answer was read and no data follows it. Otherwise it closes the connection.
 func (an *Answer) Close() {
