--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -339,6 +339,7 @@
 
 // writeEvents writes the events that follow the request's last event ID, up to the number until.
 func writeEvents(wr http.ResponseWriter, rq *http.Request, until int) {
+	wr.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(rq.Header.Get(headerLastEvent))
 	fl := http.NewResponseController(wr)
 	for number := last + 1; number <= until; number++ {
