Let a broken stream go on only with a stream

Callers saw the text of another answer within their stream, or a stream that ended as whole after its fourth event: after a break, each answer below 300 of the next server was read as events, whatever its status and type. A body that ends with a blank line passed for an event, and one without any for the end.

An answer is a stream if its status is 200 and its type is that of events, or none; once the caller has the beginning, it must have the type of the answer that began it. Anything else is kept from the caller, and another server is tried, or the connection is broken.

Ruled out: errors and redirects, whose bodies were never passed on, and heads that are cut at a quarter, at half or before their last byte. The simulated engines state the type of their streams, as real ones do; their checks are unchanged.

--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -232,7 +232,7 @@
 		return result{outcome: retry.Unknown, reason: kind.String()}, false
 	case Genuine:
 	}
-	if rq.route.Kind == paths.Stream && an.Status < http.StatusMultipleChoices {
+	if rq.route.Kind == paths.Stream && rq.isStream(an) {
 		return rq.deliverStream(ctx, at, an)
 	}
 	return rq.deliverBuffered(ctx, at, an)
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,8 @@
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the initial buffer size, enough for a typical event.
 	eventBufferBytes = 512
+	// streamType is the media type of a stream of events.
+	streamType = "text/event-stream"
 )
 
 // streamState tracks the events written to the caller.
@@ -51,6 +55,19 @@
 	return rq.info.LastEvent
 }
 
+// isStream reports whether an answer is a stream of events, and of the same type as the one that the caller has the
+// beginning of.
+func (rq *request) isStream(an *pool.Answer) bool {
+	if an.Status != http.StatusOK {
+		return false
+	}
+	contentType := an.Header.Get("Content-Type")
+	if rq.answerStarted {
+		return contentType == rq.wr.Header().Get("Content-Type")
+	}
+	return contentType == "" || strings.HasPrefix(contentType, streamType)
+}
+
 // errEventTooLong means that a server sent an event larger than maxEventBytes.
 var errEventTooLong = errors.New("direct: an event exceeds the size limit")
 
--- a/proofs/direct_answers_test.go
+++ b/proofs/direct_answers_test.go
@@ -142,7 +142,10 @@
 // writeUnframed writes an answer to a request that ends with its connection, and breaks it off by a reset
 // if whole is false.
 func (ds *directSimulation) writeUnframed(wr http.ResponseWriter, rq *http.Request, server, body string, whole bool) {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\n\r\n", headerID, rq.Header.Get(headerID), headerSeal)
+	head := answerHead(rq, "200 OK", "")
+	if rq.Header.Get(headerAdapter) != "" {
+		head = answerHead(rq, "200 OK", "Content-Type: text/event-stream\r\n")
+	}
 	if whole {
 		hijack(wr, func(bw *bufio.ReadWriter) { _, _ = bw.WriteString(head + body) })
 		return
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -318,8 +318,12 @@
 	return grant.Accepted
 }
 
-// writeSealHeaders sets the headers that mark a response as written by the backend server itself.
+// writeSealHeaders sets the headers that mark a response as written by the backend server itself, and the type of a
+// stream if the request names an adapter.
 func writeSealHeaders(wr http.ResponseWriter, rq *http.Request) {
+	if rq.Header.Get(headerAdapter) != "" {
+		wr.Header().Set("Content-Type", "text/event-stream")
+	}
 	wr.Header().Set(headerID, rq.Header.Get(headerID))
 	wr.Header().Set(headerSeal, "yes")
 }
@@ -339,7 +343,6 @@
 
 // writeEvents writes the events that follow the request's last event ID, up to the number until.
 func writeEvents(wr http.ResponseWriter, rq *http.Request, until int) {
-	wr.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(rq.Header.Get(headerLastEvent))
 	fl := http.NewResponseController(wr)
 	for number := last + 1; number <= until; number++ {
--- a/proofs/direct_software_test.go
+++ b/proofs/direct_software_test.go
@@ -87,7 +87,7 @@
 			until = min(until-1, last+breakAfterEvents)
 		}
 		hijack(wr, func(bw *bufio.ReadWriter) {
-			_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, rq.Header.Get(headerID), headerSeal)
+			_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\n"+streamLines+"\r\n", headerID, rq.Header.Get(headerID), headerSeal)
 			for number := last + 1; number <= until; number++ {
 				time.Sleep(sw.eventPeriod)
 				_, _ = bw.WriteString(encodeChunk(fmt.Sprintf("id: %d\ndata: %s\n\n", number, software)))
--- a/proofs/direct_test.go
+++ b/proofs/direct_test.go
@@ -170,7 +170,7 @@
 func abortAfter(count int) func(wr http.ResponseWriter, rq *http.Request) {
 	return func(wr http.ResponseWriter, rq *http.Request) {
 		hijack(wr, func(bw *bufio.ReadWriter) {
-			_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\nTransfer-Encoding: chunked\r\n\r\n", headerID, rq.Header.Get(headerID), headerSeal)
+			_, _ = fmt.Fprintf(bw, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: yes\r\n"+streamLines+"\r\n", headerID, rq.Header.Get(headerID), headerSeal)
 			for number := 1; number <= count; number++ {
 				_, _ = bw.WriteString(encodeChunk(fmt.Sprintf("id: %d\ndata: event %d\n\n", number, number)))
 			}
