Let a stream go on only after its last event

Callers got events twice, or too few, in answers that looked whole: a server that was to go on after event 4 began anew, repeated event 4 or began with event 6, and the node passed on whatever came. Nothing looked at the numbers of events; the number of the last one was only sent on.

Numbers must rise; where those of each answer so far rose one by one, the next server must go on with the next one. A number that does not follow ends the attempt as out_of_order before it reaches the caller, counts as a failure of the server, and another one is asked.

Weighed: to leave out events that come twice, which would join two runs whose texts need not agree; and to ask for steps of one always, which would refuse servers that count otherwise. So a gap right after a caller has taken a stream up, when no step is known, is not seen.

--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -90,6 +90,7 @@
 		rq.respondError(err)
 		return
 	}
+	rq.beginOrder()
 	rq.runAttempts(ctx)
 }
 
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -22,6 +22,8 @@
 	eventBufferBytes = 512
 	// streamType is the media type of a stream of events.
 	streamType = "text/event-stream"
+	// reasonOutOfOrder means that a server sent an event that does not follow the last one.
+	reasonOutOfOrder = "out_of_order"
 )
 
 // streamState tracks the events written to the caller.
@@ -29,6 +31,7 @@
 	// lastID is the ID of the last event written.
 	lastID string
 	count  int
+	order  eventOrder
 	// lastWrittenAt is when the last event was written, longestPause the longest time between
 	// two events.
 	lastWrittenAt time.Time
@@ -71,6 +74,13 @@
 // errEventTooLong means that a server sent an event larger than maxEventBytes.
 var errEventTooLong = errors.New("direct: an event exceeds the size limit")
 
+// beginOrder makes the caller's last event the one that the first event must follow, if the route can go on after it.
+func (rq *request) beginOrder() {
+	if rq.route.Resumable {
+		rq.stream.order = rq.stream.order.withLast(rq.info.LastEvent)
+	}
+}
+
 // deliverStream forwards each event as soon as it is complete. If the stream breaks, it can
 // resume on another server after the last event that the caller has received.
 func (rq *request) deliverStream(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
@@ -88,6 +98,10 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
+		order, follows := rq.orderWith(at, ev, first)
+		if !follows {
+			return result{outcome: retry.Unknown, reason: reasonOutOfOrder}, false
+		}
 		if first && !rq.admitFirstEvent(at) {
 			return result{outcome: retry.Unknown, reason: reasonSoftwareChanged}, false
 		}
@@ -99,10 +113,23 @@
 		if !rq.writeEvent(an, ev) {
 			return result{outcome: retry.Unknown, reason: reasonCallerGone}, false
 		}
+		rq.stream.order = order
 		buf = ev
 	}
 }
 
+// orderWith returns the order of the stream with the next event, and whether that event follows. If not, it counts a
+// failure of the server: another one can still send what follows.
+func (rq *request) orderWith(at *attempt, ev []byte, firstOfAnswer bool) (eventOrder, bool) {
+	id, _ := eventID(ev)
+	order, follows := rq.stream.order.withNext(id, firstOfAnswer)
+	if !follows {
+		rq.logAttempt(at, "event_out_of_order").Str("id", id).Str("last_event", rq.lastEventID()).Bool("first", firstOfAnswer).Send()
+		rq.no.recordFailure(at.server)
+	}
+	return order, follows
+}
+
 // recordReceived updates the longest pause when an event arrives.
 func (at *attempt) recordReceived(now time.Time) {
 	if at.firstEventAt.IsZero() {
