Ask another server what follows where a stream ends with its connection

Callers got a short or an empty stream, framed as whole: an answer that states neither a length nor chunks ends with its connection, and the node took that for the end of the stream. On real machines the kernel closes the connections of a server that ends, in an orderly way if it had read all that was sent to it.

If the route can resume, another server is asked what follows the last event; one that has nothing to add confirms the end. An answer without any event is never whole by itself.

Weighed: to break each such answer off, which takes whole answers from callers; to answer without framing as well, which cannot show a break.

--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -49,6 +49,9 @@
 	// because it can go on nowhere.
 	metricTakenUp      = newCounter("streams_taken_up")
 	metricNotResumable = newCounter("streams_not_resumable")
+	// metricUnconfirmedEnds counts the streams that ended with the connection of their server, which no other server
+	// confirmed.
+	metricUnconfirmedEnds = newCounter("unconfirmed_stream_ends")
 
 	histograms = map[string]*latencyHistogram{
 		histogramFirstByte: newLatencyHistogram(histogramFirstByte), histogramWholeAnswer: newLatencyHistogram(histogramWholeAnswer), histogramGrant: newLatencyHistogram(histogramGrant),
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -116,7 +116,7 @@
 	switch {
 	case re.outcome == retry.NotRun && re.reason == Misdirected.String():
 		ending = wire.ReleaseEndingMissing
-	case re.outcome == retry.Unknown:
+	case re.outcome == retry.Unknown && re.reason != reasonEndNotConfirmed:
 		ending = wire.ReleaseEndingLost
 	}
 	rq.no.agents.release(at.id, ending, at.longestPause)
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -201,8 +201,12 @@
 }
 
 // respondError answers the caller with an error, or aborts the connection if an answer has
-// started.
+// started. A stream that has ended, although no other server could confirm that, is completed instead.
 func (rq *request) respondError(err error) {
+	if rq.stream.endSeen && rq.stream.count > 0 {
+		rq.finishUnconfirmed(err)
+		return
+	}
 	fe := &fault.Error{}
 	if !errors.As(err, &fe) {
 		fe = fault.New(fault.Unavailable, err.Error(), "send it again later").WithOutcome(fault.Unknown)
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -24,6 +24,8 @@
 	streamType = "text/event-stream"
 	// reasonOutOfOrder means that a server sent an event that does not follow the last one.
 	reasonOutOfOrder = "out_of_order"
+	// reasonEndNotConfirmed means that the answer ended with its connection, which does not show that it is whole.
+	reasonEndNotConfirmed = "end_not_confirmed"
 )
 
 // streamState tracks the events written to the caller.
@@ -36,6 +38,9 @@
 	// two events.
 	lastWrittenAt time.Time
 	longestPause  time.Duration
+	// endSeen is true if the last server's answer ended with its connection after the last event, which does not show
+	// whether more would have followed.
+	endSeen bool
 }
 
 // recordWritten updates the state after an event was written.
@@ -44,6 +49,7 @@
 		ss.longestPause = max(ss.longestPause, now.Sub(ss.lastWrittenAt))
 	}
 	ss.count++
+	ss.endSeen = false
 	ss.lastWrittenAt = now
 	if id, ok := eventID(ev); ok {
 		ss.lastID = id
@@ -92,7 +98,7 @@
 	for {
 		ev, err := readEvent(rd, buf[:0], eh.allows)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
-			return rq.finishStream(at, an)
+			return rq.endStream(at, an)
 		}
 		if err != nil {
 			return rq.brokenStreamResult(ctx, at, err), false
@@ -176,6 +182,25 @@
 	rq.wr.WriteHeader(an.Status)
 }
 
+// endStream decides whether the end of an answer is that of the stream. An answer without framing ends with its connection,
+// which also closes when its server goes away: another server is asked for what follows, if the route allows it. A
+// second one that has nothing to add confirms the end.
+func (rq *request) endStream(at *attempt, an *pool.Answer) (result, bool) {
+	empty := at.firstEventAt.IsZero()
+	if an.Framed() || rq.stream.endSeen && empty {
+		return rq.finishStream(at, an)
+	}
+	rq.stream.endSeen = !empty
+	return result{outcome: retry.Unknown, reason: reasonEndNotConfirmed}, false
+}
+
+// finishUnconfirmed completes an answer whose end no other server could confirm, for the reason given by an error.
+func (rq *request) finishUnconfirmed(err error) {
+	metricUnconfirmedEnds.Add(1)
+	rq.no.logger.Info().Str("request", rq.info.ID).AnErr("reason", err).Str("last_event", rq.lastEventID()).Int("events", rq.stream.count).Dur("took", time.Since(rq.start)).Msg("stream_end_not_confirmed")
+	histogram(histogramWholeAnswer).record(time.Since(rq.start))
+}
+
 // finishStream completes the answer.
 func (rq *request) finishStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.writeStreamHeader(an)
