Count the software versions of all services that a route leads to

Callers got streams of two software versions, answered 200 and whole, where a route leads to two services: the request that takes a stream up is drawn for one of them, without a record only the versions of that one counted, and records were made only while one service itself had two. A stream whose service the route had left went on at any version.

The versions of all services that the same routes lead to, or led to within two minutes, count together; records are made while these differ, also where routes join services later; and the version that began a stream is kept where the route leads elsewhere.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -96,12 +96,6 @@
 	return versions
 }
 
-// Mixed reports whether streams of a service may have begun with different software versions.
-func (hi *History) Mixed(service string, now time.Time) bool {
-	seen := hi.lastSeen[service]
-	return len(seen) > 1 && len(hi.Versions(service, now)) > 1
-}
-
 // States reports whether a server of a service has stated a software version lately.
 func (hi *History) States(service string, now time.Time) bool {
 	for software, at := range hi.lastSeen[service] {
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -128,7 +128,7 @@
 // A version that is gone counts for as long as a caller may take up a stream that it began.
 func TestHistoryRemembersVersionsThatAreGone(t *testing.T) {
 	hi := History{}
-	if !hi.Listed("advice", "v1", start) || hi.Mixed("advice", start) {
+	if !hi.Listed("advice", "v1", start) || len(hi.Versions("advice", start)) > 1 {
 		t.Error("one version counts as mixed, or is not reported")
 	}
 	if !hi.Listed("advice", "v2", start.Add(time.Second)) || hi.Listed("advice", "v2", start.Add(time.Second)) {
@@ -139,7 +139,7 @@
 		t.Errorf("versions %q", got)
 	}
 	later := start.Add(RetentionMax)
-	if hi.Mixed("advice", later) {
+	if len(hi.Versions("advice", later)) > 1 {
 		t.Error("a version counts for longer than RetentionMax")
 	}
 	hi.Listed("advice", "v2", later)
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/roster"
 	"github.com/bambooladder/bambooladder/core/spread"
 )
@@ -13,7 +14,7 @@
 	at := roster.Position{Epoch: epoch, Offset: lr.Offset}
 	switch {
 	case lr.Table != nil:
-		if no.view.setTable(lr.Table) {
+		if no.setTable(lr.Table, now) {
 			no.logger.Info().Int64("version", lr.Table.Version).Int64("epoch", epoch).Int64("offset", lr.Offset).Int("routes", len(lr.Table.Routes)).
 				Int("services", len(lr.Table.Services)).Msg("routes_in_force")
 			// The table defines which services run engines, so all servers are evaluated
@@ -40,6 +41,15 @@
 	}
 }
 
+// setTable puts a routing table in force and reports whether it is newer than the one before.
+func (no *Node) setTable(ta *paths.Table, now time.Time) bool {
+	earlier, newer := no.view.setTable(ta)
+	if newer {
+		no.origins.routesChanged(earlier, ta, now)
+	}
+	return newer
+}
+
 // applyServerRecord puts the record of a backend server into the roster. The change reaches
 // server selection when syncServers runs next.
 func (no *Node) applyServerRecord(lr *LogRecord, at roster.Position) {
--- a/entry/direct/logview.go
+++ b/entry/direct/logview.go
@@ -44,15 +44,16 @@
 	return &logView{versions: map[grant.Key][]announcedVersion{}}
 }
 
-// setTable stores a routing table and reports whether it is newer than the current one.
-func (lv *logView) setTable(ta *paths.Table) bool {
+// setTable stores a routing table and reports whether it is newer than the current one, which it returns, nil if it is the
+// first.
+func (lv *logView) setTable(ta *paths.Table) (*paths.Table, bool) {
 	for {
 		current := lv.table.Load()
 		if current != nil && ta.Version <= current.Version {
-			return false
+			return current, false
 		}
 		if lv.table.CompareAndSwap(current, ta) {
-			return true
+			return current, true
 		}
 	}
 }
--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// history holds the software versions that the node has seen or been told of.
 	history origin.History
+	// groups holds which services the same routes lead to.
+	groups origin.Groups
 	// begun holds the streams whose first event, or whose first event after they were taken up, this node has
 	// passed on.
 	begun origin.Table
@@ -54,9 +56,9 @@
 }
 
 // shareMixed gives agents the records of the streams under way of services that have a second software version
-// now: the streams that began before need records too.
+// now, or that a route has joined with one: the streams that began before need records too.
 func (ors *origins) shareMixed(added map[string]bool, now time.Time) {
-	for service := range added {
+	for service := range ors.membersOf(added, now) {
 		if len(ors.versions(service, now)) != 2 {
 			continue
 		}
@@ -66,6 +68,19 @@
 	}
 }
 
+// membersOf returns the services of the groups of services.
+func (ors *origins) membersOf(services map[string]bool, now time.Time) map[string]bool {
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
+	members := map[string]bool{}
+	for service := range services {
+		for _, member := range ors.groups.Of(service, now) {
+			members[member] = true
+		}
+	}
+	return members
+}
+
 // streamsOf returns the streams of a service that this node has passed on.
 func (ors *origins) streamsOf(service string, now time.Time) []wire.StreamOrigin {
 	ors.mu.Lock()
@@ -98,7 +113,7 @@
 func (ors *origins) needsRecord(service, software string, now time.Time) bool {
 	ors.mu.Lock()
 	defer ors.mu.Unlock()
-	return ors.history.Mixed(service, now) || software == "" && ors.history.States(service, now)
+	return len(ors.groupVersions(service, now)) > 1 || software == "" && ors.history.States(service, now)
 }
 
 // record records what began the stream of a request, before the caller gets the first event.
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -115,7 +115,7 @@
 func (no *Node) applyPeerState(ps *peerState, address string) {
 	now := time.Now()
 	if ps.Table != nil {
-		no.view.setTable(ps.Table.Build())
+		no.setTable(ps.Table.Build(), now)
 	}
 	for ix := range ps.Versions {
 		no.view.addVersion(&ps.Versions[ix], true, now)
--- a/entry/direct/takeup.go
+++ b/entry/direct/takeup.go
@@ -25,9 +25,8 @@
 	fd := rq.no.origins.find(ctx, rq)
 	or, source := fd.origin, fd.source
 	if source != originUnknown && !rq.moveTo(or.Service) {
-		// The route leads to other services by now, whose versions are not those of the first one.
+		// The route leads to other services by now, at which the stream goes on only with the software that began it.
 		rq.no.logger.Info().Str("request", rq.info.ID).Str("resumes", rq.info.Resumes).Str("service", or.Service).Msg("stream_changes_service")
-		return nil
 	}
 	ca := rq.candidates(time.Now())
 	complete := ca.Complete
--- a/entry/direct/versions.go
+++ b/entry/direct/versions.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/origin"
+	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -89,16 +91,60 @@
 	return &wire.Frame{Versions: fr}
 }
 
-// versions returns the software versions with which a stream of a service may have begun.
+// versions returns the software versions with which a stream may have begun that is taken up at a service: those of the
+// services that the same routes lead to, or led to lately.
 func (ors *origins) versions(service string, now time.Time) []string {
 	ors.mu.Lock()
 	defer ors.mu.Unlock()
-	return ors.history.Versions(service, now)
+	return ors.groupVersions(service, now)
 }
 
-// candidates returns the software versions of a service that may have begun a stream up to a time ago.
+// groupVersions returns the versions of all services of a service's group, sorted. The caller must hold ors.mu.
+func (ors *origins) groupVersions(service string, now time.Time) []string {
+	members := ors.groups.Of(service, now)
+	list := make([]string, 0, len(members))
+	for _, member := range members {
+		list = append(list, ors.history.Versions(member, now)...)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// knownFor returns for how long all versions of a service's group are known. Other services than itself of which no server
+// was ever seen do not count. The caller must hold ors.mu.
+func (ors *origins) knownFor(service string, now time.Time) time.Duration {
+	known := ors.history.KnownFor(service, now)
+	for _, member := range ors.groups.Of(service, now) {
+		if len(ors.history.Versions(member, now)) > 0 {
+			known = min(known, ors.history.KnownFor(member, now))
+		}
+	}
+	return known
+}
+
+// candidates returns the software versions that may have begun a stream that is taken up at a service, up to a time ago.
 func (ors *origins) candidates(service string, horizon time.Duration, now time.Time) origin.Candidates {
 	ors.mu.Lock()
 	defer ors.mu.Unlock()
-	return origin.Candidates{Versions: ors.history.Versions(service, now), Complete: ors.history.KnownFor(service, now) >= horizon}
+	return origin.Candidates{Versions: ors.groupVersions(service, now), Complete: ors.knownFor(service, now) >= horizon}
+}
+
+// routesChanged records which services routes lead to, and gives agents the records of the streams under way that need
+// them now.
+func (ors *origins) routesChanged(earlier, ta *paths.Table, now time.Time) {
+	moved := [][]string(nil)
+	if earlier != nil {
+		moved = ta.MovedServices(earlier)
+	}
+	current := ta.SharedServices()
+	ors.mu.Lock()
+	ors.groups = ors.groups.WithRoutes(current, moved, now)
+	ors.mu.Unlock()
+	joined := map[string]bool{}
+	for _, set := range slices.Concat(current, moved) {
+		for _, service := range set {
+			joined[service] = true
+		}
+	}
+	ors.shareMixed(joined, now)
 }
