Let a server go on with a numbered event alone

Callers got an error that the next server told as an event, or events without numbers, within a stream whose events had numbers: what had no number was not checked. The first event of a later answer must have a number where the events before it had one. Comments before an answer's first event, by which servers keep connections open, are left out; one of them had begun an answer before, and now would have to follow.

--- a/entry/direct/order.go
+++ b/entry/direct/order.go
@@ -23,11 +23,12 @@
 }
 
 // withNext returns the order after the next event, and whether that event follows the last one. Numbers rise; where those of
-// each answer so far rose one by one, the first event of a later answer has the next number.
+// each answer so far rose one by one, the first event of a later answer has the next number. A first event without a
+// number follows only where none had one.
 func (eo eventOrder) withNext(id string, firstOfAnswer bool) (eventOrder, bool) {
 	number, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
-		return eo, true
+		return eo, !firstOfAnswer || !eo.numbered
 	}
 	counted := eo.steps && !eo.gaps
 	if eo.numbered && (number <= eo.last || firstOfAnswer && counted && number > eo.last+1) {
--- a/entry/direct/order_test.go
+++ b/entry/direct/order_test.go
@@ -23,7 +23,11 @@
 		"taken up at the same event":      {last: "12", answers: [][]string{{"12"}}},
 		"taken up, further answer":        {last: "12", answers: [][]string{{"13", "14"}, {"16"}}},
 		"IDs that are no numbers":         {last: "x", answers: [][]string{{"a", "b"}, {"a"}}, follows: true},
-		"events without an ID in between": {answers: [][]string{{"1", "", "2"}, {"", "3"}}, follows: true},
+		"events without an ID in between": {answers: [][]string{{"1", "", "2"}, {"3", ""}}, follows: true},
+		"goes on without a number":        {answers: [][]string{{"1", "2"}, {"", "3"}}},
+		"goes on with another ID":         {answers: [][]string{{"1", "2"}, {"x1", "x2"}}},
+		"taken up without a number":       {last: "12", answers: [][]string{{"", "13"}}},
+		"never a number":                  {answers: [][]string{{"", ""}, {"", ""}}, follows: true},
 		"the largest number":              {answers: [][]string{{"18446744073709551614", "18446744073709551615"}, {"0"}}},
 	} {
 		eo, follows := eventOrder{}.withLast(tc.last), true
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -104,6 +104,10 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
+		buf = ev
+		if first && isComment(ev) {
+			continue
+		}
 		order, follows := rq.orderWith(at, ev, first)
 		if !follows {
 			return result{outcome: retry.Unknown, reason: reasonOutOfOrder}, false
@@ -120,7 +124,6 @@
 			return result{outcome: retry.Unknown, reason: reasonCallerGone}, false
 		}
 		rq.stream.order = order
-		buf = ev
 	}
 }
 
@@ -245,6 +248,16 @@
 	}
 }
 
+// isComment reports whether all lines of an event are comments, by which servers keep connections open.
+func isComment(ev []byte) bool {
+	for line := range bytes.Lines(ev) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, if it has one.
 func eventID(ev []byte) (string, bool) {
 	for len(ev) > 0 {
--- a/proofs/direct_following_test.go
+++ b/proofs/direct_following_test.go
@@ -40,12 +40,13 @@
 
 // streamOf returns a whole, framed stream with the given events.
 func streamOf(numbers ...int) func(wr http.ResponseWriter, rq *http.Request) {
+	return streamText(eventText(numbers...))
+}
+
+// streamText returns a whole, framed stream with the given text.
+func streamText(text string) func(wr http.ResponseWriter, rq *http.Request) {
 	return writeRaw(func(rq *http.Request) string {
-		text := answerHead(rq, "200 OK", streamLines)
-		if len(numbers) > 0 {
-			text += encodeChunk(eventText(numbers...))
-		}
-		return text + lastChunk
+		return answerHead(rq, "200 OK", streamLines) + encodeChunk(text) + lastChunk
 	})
 }
 
@@ -146,6 +147,9 @@
 		"without an event":                {brokenStream, streamOf(6, 7, 8, 9, 10)},
 		"back to an earlier event":        {brokenStream, streamOf(5, 6, 3, 4, 7, 8, 9, 10)},
 		"back within the first answer":    {streamOf(1, 2, 3, 2, 3, 4, 5, 6, 7, 8, 9, 10)},
+		"an error told as an event":       {brokenStream, streamText("event: error\ndata: overloaded\n\n")},
+		"without numbers":                 {brokenStream, streamText("data: event 5\n\ndata: event 6\n\n")},
+		"after a comment, as it should":   {brokenStream, streamText(": wait\n\n" + eventText(5, 6, 7, 8, 9, 10))},
 		"an event twice in the beginning": {streamOf(1, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10)},
 	} {
 		t.Run(name, func(t *testing.T) { checkFollowing(t, runFollowing(t, "/stream/x", answers...)) })
