Reset the connection where a broken answer has no framing

Callers of HTTP/1.0, many proxies among them, took a stream that had broken off for a whole one: they get no chunks, read until the connection ends, and the node closed it in an orderly way like after a whole answer. TestBrokenStreamLooksBrokenToCallersOfHTTP10OnRealSockets failed in 5 of 5 streams before and passes now: the connection is reset.

TestServersThatGoAwayDoNotEndStreamsOnRealSockets shows on real sockets what the ends of servers' connections do; 5 streams of 6 events, from servers that go away after 2 each, are whole.

--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -16,6 +16,7 @@
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/abort"
 )
 
 const (
@@ -47,7 +48,9 @@
 	// at the end of defaultTimeout if it states none, but no later than the end of the route's
 	// timeout.
 	deadline time.Time
-	wr       gin.ResponseWriter
+	// hr is the caller's request as it was read, wr writes the answer.
+	hr *http.Request
+	wr gin.ResponseWriter
 	// popular is true if this node receives frequent requests for the adapter.
 	popular bool
 	// redirected is true once an agent has refused the request because its engine was busier than
@@ -74,7 +77,7 @@
 func (no *Node) serve(gc *gin.Context) {
 	no.inFlight.Add(1)
 	defer no.inFlight.Add(-1)
-	rq := &request{no: no, start: time.Now(), wr: gc.Writer}
+	rq := &request{no: no, start: time.Now(), hr: gc.Request, wr: gc.Writer}
 	if no.drain.begun() {
 		gc.Header("Connection", "close")
 	}
@@ -216,7 +219,7 @@
 		Str("detail", fe.Message).Dur("retry_after", fe.RetryAfter).Dur("took", time.Since(rq.start)).Dur("left", rq.timeLeft()).Int64("routes_version", rq.routesVersion)
 	if rq.answerStarted {
 		ev.Msg("answer_aborted")
-		panic(http.ErrAbortHandler)
+		abort.Answer(rq.hr)
 	}
 	ev.Msg("request_refused")
 	hd := rq.wr.Header()
