Let a stream go on with nothing but a stream, on the product's own interface

An entry node looked at the software version alone of what goes on with a stream. It looks at status and type now; anything but a successful stream ends the attempt as no_stream, and the next engine is asked. If none is left the stream is broken off. The same question decided by what the caller had asked for, not by what was sent, let events follow half a long JSON answer; it is decided by what was sent.

--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -60,7 +60,7 @@
 
 // Part adds a part to the answer. It sends the part at once if the answer is an event stream.
 func (an *answer) Part(data []byte) error {
-	if !an.stream || !strings.HasPrefix(an.contentType, eventStreamType) {
+	if !an.stream || !an.isEventStream() {
 		return an.bufferOrSend(data)
 	}
 	if containsToken(data) {
@@ -117,6 +117,14 @@
 // Begun reports whether the status has been sent to the caller.
 func (an *answer) Begun() bool { return an.statusSent }
 
+// Resumable reports whether a successful event stream, which another attempt can go on with, was begun.
+func (an *answer) Resumable() bool {
+	return an.statusSent && an.stream && an.status == http.StatusOK && an.isEventStream()
+}
+
+// isEventStream reports whether the content type is that of an event stream.
+func (an *answer) isEventStream() bool { return strings.HasPrefix(an.contentType, eventStreamType) }
+
 // TokensSent returns the number of tokens that have been sent to the caller.
 func (an *answer) TokensSent() int { return an.tokens }
 
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +32,10 @@
 	// reasonOtherSoftware means that an engine of another software version than the one that began the stream
 	// has answered.
 	reasonOtherSoftware = "other_software"
+	// reasonNoStream means that an engine has answered with something else than a stream where one goes on.
+	reasonNoStream = "no_stream"
+
+	eventStreamType = "text/event-stream"
 
 	chunksPerAcknowledgement = links.Window / 4
 )
@@ -153,13 +159,16 @@
 	return re.checkEnd(ctx)
 }
 
-// handleHead passes the first head of the answer on. An answer that goes on at an engine of another software
-// version ends before any of it is passed on.
+// handleHead passes the first head of the answer on. A stream that has begun goes on with a stream of an engine of the
+// same software version only; any other answer ends before a part of it is passed on.
 func (re *receiver) handleHead(hd *wire.Head) (result, bool) {
 	if re.head != nil {
 		return result{}, false
 	}
-	if re.begun && hd.Software != re.software {
+	switch {
+	case re.begun && !isStream(hd):
+		return result{ending: interrupted, reason: reasonNoStream}, true
+	case re.begun && hd.Software != re.software:
 		return result{ending: interrupted, reason: reasonOtherSoftware}, true
 	}
 	re.head = hd
@@ -169,6 +178,11 @@
 	return result{}, false
 }
 
+// isStream reports whether a head is that of a stream of events.
+func isStream(hd *wire.Head) bool {
+	return hd.Status == http.StatusOK && strings.HasPrefix(hd.ContentType, eventStreamType)
+}
+
 // answeredBy returns the software version of the engine that has answered, empty if none has or it named none.
 func (re *receiver) answeredBy() string {
 	if re.head == nil {
--- a/entry/internal/relay/receive_test.go
+++ b/entry/internal/relay/receive_test.go
@@ -14,6 +14,7 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/core/wire"
@@ -24,11 +25,14 @@
 type answerRecorder struct {
 	heads int
 	text  strings.Builder
+	// notResumable makes the answer one that is no stream.
+	notResumable bool
 }
 
 func (rc *answerRecorder) Head(int, string) error { rc.heads++; return nil }
 func (rc *answerRecorder) Part(data []byte) error { rc.text.Write(data); return nil }
 func (rc *answerRecorder) Begun() bool            { return rc.text.Len() > 0 }
+func (rc *answerRecorder) Resumable() bool        { return rc.Begun() && !rc.notResumable }
 func (rc *answerRecorder) TokensSent() int        { return 0 }
 func (rc *answerRecorder) Reset()                 { rc.text.Reset() }
 func (rc *answerRecorder) Finish() error          { return nil }
@@ -188,3 +192,17 @@
 		t.Errorf("after an attempt that timed out: %+v, want a timeout with the outcome %q", fe, fault.Unknown)
 	}
 }
+
+// A long answer that is no stream has broken off although its caller asked for one. The request must not run again: the
+// caller would get the next answer after half of this one.
+func TestBrokenAnswerThatIsNoStreamIsNotGoneOnWith(t *testing.T) {
+	for resumable, want := range map[bool]bool{true: false, false: true} {
+		rc := &answerRecorder{notResumable: !resumable}
+		_ = rc.Part([]byte("half"))
+		ex := &execution{rl: NewRelay(links.NewLinks(links.Options{Random: func() float64 { return 0 }}), nil, nil, zerolog.Nop()),
+			rq: &Request{Stream: true, Deadline: time.Now().Add(time.Minute)}, an: rc, attemptCount: 1}
+		if final, err := ex.awaitRetry(t.Context(), "runner-1", result{ending: interrupted}); final != want {
+			t.Errorf("resumable %t: final %t, error %v, want %t", resumable, final, err, want)
+		}
+	}
+}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -232,7 +232,7 @@
 		return true, ex.timeoutError()
 	case interrupted:
 		ex.mayHaveRun = true
-		if ex.an.Begun() && !ex.rq.Stream {
+		if ex.an.Begun() && !ex.an.Resumable() {
 			return true, ex.finalError(rs)
 		}
 		ex.an.Reset()
--- a/proofs/simulation_test.go
+++ b/proofs/simulation_test.go
@@ -61,6 +61,18 @@
 	weights             conf.Weights
 	// software holds the software versions of the engines, none if it is empty.
 	software []string
+	// front returns what answers in front of a backend server, none if it is nil.
+	front func(name string, inner http.Handler) http.Handler
+	// retryPercent is the number of retries that 100 requests allow.
+	retryPercent int
+}
+
+// behindFront returns the handler of a backend server with what answers in front of it.
+func (op *simulationOptions) behindFront(name string, inner http.Handler) http.Handler {
+	if op.front == nil {
+		return inner
+	}
+	return op.front(name, inner)
 }
 
 // softwareOf returns the software version of an engine.
@@ -105,6 +117,9 @@
 	if op.storeLoadsPerSecond == 0 {
 		op.storeLoadsPerSecond = 20
 	}
+	if op.retryPercent == 0 {
+		op.retryPercent = 10
+	}
 	if op.weights == (conf.Weights{}) {
 		op.weights = conf.Weights{LoadStall: 1, BatchEfficiency: 1, Queueing: 1, RegionCrossing: 1}
 	}
@@ -121,7 +136,7 @@
 	sm.serve("hosts", "hosts:1", sm.hosts.Handler())
 	sm.serve("store", "store:1", sm.store.Handler())
 	sm.ledger = faulty.New(sm.plain.Handler(), faulty.Sound)
-	sm.serve("ledger-backend", "ledger-backend:1", sm.ledger)
+	sm.serve("ledger-backend", "ledger-backend:1", op.behindFront("ledger-backend", sm.ledger))
 	for ix := range op.engines {
 		sm.startEngine(ix)
 		sm.startAgent(runnerName(ix))
@@ -169,7 +184,7 @@
 	}, engine.HTTPStore{Client: client, URL: "http://store:1"})
 	sm.engines = append(sm.engines, en)
 	go en.Run(sm.ctx)
-	sm.serve(name, name+":1", en.Handler())
+	sm.serve(name, name+":1", sm.op.behindFront(name, en.Handler()))
 }
 
 // startAgent starts a new run of the agent of a runner or of the ledger service.
@@ -304,7 +319,7 @@
 	adapters["models/base"] = conf.Model{}
 	adapters["services/ledger"] = conf.Service{Calls: []conf.Call{}}
 	adapters["deployment"] = conf.Deployment{
-		StoreLoadsPerSecond: 20, StoreLoadsInFlight: 8, RequestTimeoutMs: 20000, BodyBytes: 1 << 20, RetryPercent: 10,
+		StoreLoadsPerSecond: 20, StoreLoadsInFlight: 8, RequestTimeoutMs: 20000, BodyBytes: 1 << 20, RetryPercent: sm.op.retryPercent,
 	}
 	adapters["teams/recipe"] = conf.Team{
 		Adapters: names, Services: []string{"ledger"}, Urgency: conf.TeamUrgencyUrgent,
