Pass on nothing but whole events and whole answers of engines

The scanner of lines hands out what is left at an error or at the end as a line, and the search for the model's name does not mind JSON that stops after it. Half an event was passed on and even counted if its text had begun. Each event and each answer must be whole JSON now, before its model is looked for. No part of a JSON object is one, so this does not rest on the framing; what broke off is asked of the next engine.

Heads that are cut at any byte, and calls of services whose answers have framing, held before as well; tests show it.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -40,7 +40,10 @@
 	reasonEngineCrashed = "engine_crashed"
 )
 
-var errWrongAdapter = errors.New("broker: the engine answered with another adapter")
+var (
+	errWrongAdapter = errors.New("broker: the engine answered with another adapter")
+	errNotWhole     = errors.New("broker: an answer or an event is no whole JSON; the engine may have ended within it")
+)
 
 // forwarding is a request that is being forwarded to the backend server.
 type forwarding struct {
@@ -240,9 +243,13 @@
 	return append(ev, '\n', '\n')
 }
 
-// replaceModel checks that the model in an answer is the requested handle and replaces it by the
-// adapter's name and version.
+// replaceModel checks that an answer or an event is whole and that its model is the requested handle, and replaces it by
+// the adapter's name and version. Neither the end of a connection nor that of a line shows that a text is whole, but no
+// part of a JSON object is one.
 func (fw *forwarding) replaceModel(data []byte) ([]byte, error) {
+	if !gjson.ValidBytes(data) {
+		return nil, errNotWhole
+	}
 	model := gjson.GetBytes(data, "model")
 	if model.String() != fw.handle {
 		return nil, errors.Wrapf(errWrongAdapter, "asked for %s, got %q", fw.handle, model.String())
--- a/agent/internal/client/once_test.go
+++ b/agent/internal/client/once_test.go
@@ -97,3 +97,51 @@
 		})
 	}
 }
+
+// serveAndClose answers the first request of each connection with the given bytes, closes it in an orderly way and
+// returns the URL.
+func serveAndClose(t *testing.T, answer func() string) string {
+	t.Helper()
+	ls, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ls.Close() })
+	go func() {
+		for nc, err := ls.Accept(); err == nil; nc, err = ls.Accept() {
+			if rq, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+				_, _ = io.Copy(io.Discard, rq.Body)
+				_, _ = io.WriteString(nc, answer())
+			}
+			_ = nc.Close()
+		}
+	}()
+	return "http://" + ls.Addr().String()
+}
+
+// A backend server goes away at any byte of its answer's head. The agent must not take the part for an answer without a
+// body.
+func TestForwardTakesNoCutHeadForAnAnswer(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nServer: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+	} {
+		cut := 0
+		cl := NewClient(&http.Client{Transport: &http.Transport{}}, serveAndClose(t, func() string { return head[:cut] }))
+		for ; cut <= len(head); cut++ {
+			di := &wire.Dispatch{Attempt: "a", Method: http.MethodPost, Path: "/", Body: []byte("{}")}
+			resp, err := cl.Forward(t.Context(), di, "")
+			if (err == nil) != (cut == len(head)) {
+				t.Errorf("the first %d bytes of %q: error %v", cut, head, err)
+			}
+			if err == nil {
+				discardBody(resp)
+			}
+		}
+	}
+}
--- a/proofs/own_following_test.go
+++ b/proofs/own_following_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,8 +24,11 @@
 // ownAnswer answers a request in place of the engine behind it.
 type ownAnswer func(wr http.ResponseWriter, rq *http.Request, inner http.Handler)
 
-// ownScript answers requests for completions in turn, at whichever engine, and further ones like the engine.
+// ownScript answers requests for completions, or those with the path, in turn at whichever backend server, and further
+// ones like the server.
 type ownScript struct {
+	path string
+
 	mu      sync.Mutex
 	answers []ownAnswer
 }
@@ -40,11 +44,11 @@
 	})
 }
 
-// next returns the answer that is due to a request, nil for that of the engine.
+// next returns the answer that is due to a request, nil for that of the server.
 func (sc *ownScript) next(rq *http.Request) ownAnswer {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if rq.URL.Path != "/v1/chat/completions" || len(sc.answers) == 0 {
+	if rq.URL.Path != cmp.Or(sc.path, "/v1/chat/completions") || len(sc.answers) == 0 {
 		return nil
 	}
 	an := sc.answers[0]
@@ -115,14 +119,25 @@
 	if !strings.HasPrefix(want, text) {
 		t.Errorf("the caller got %q, which is no part of %q from its start", text, want)
 	}
+	if re.status == http.StatusOK && !ownEventsAreWhole(re) {
+		t.Errorf("the caller got something else than events within the stream: %q", re.end())
+	}
+}
+
+// ownEventsAreWhole reports whether a stream holds nothing but whole events, or the one answer is whole.
+func ownEventsAreWhole(re reply) bool {
+	if !strings.HasPrefix(re.header.Get("Content-Type"), "text/event-stream") {
+		return json.Valid([]byte(re.body))
+	}
 	for block := range strings.SplitSeq(strings.TrimSuffix(re.body, "\n\n"), "\n\n") {
 		data, found := strings.CutPrefix(block, "data: ")
 		event := struct{ Model, Error any }{}
 		isEvent := found && json.Unmarshal([]byte(data), &event) == nil && (event.Model != nil || event.Error != nil)
-		if re.status == http.StatusOK && data != "[DONE]" && !isEvent {
-			t.Errorf("the caller got %.200q within the stream", block)
+		if data != "[DONE]" && !isEvent {
+			return false
 		}
 	}
+	return true
 }
 
 // ownNext are answers that cannot go on with a stream that has begun.
