Ask another engine where a stream ends before its first event

Callers waited until their time was over: 504 after 9.0 s of 9, or a stream that had begun and broke off at its deadline, although other engines could answer. An engine had answered with the mark of the end alone.

The head of a stream goes with its first event. The end without one reached the entry node without a head, for which it waited. Such a stream answers nothing, so it is an error now, as one that ends without the mark is, and the next engine is asked.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -43,6 +43,7 @@
 var (
 	errWrongAdapter = errors.New("broker: the engine answered with another adapter")
 	errNotWhole     = errors.New("broker: an answer or an event is no whole JSON; the engine may have ended within it")
+	errNoEvent      = errors.New("broker: the stream ended before its first event; look at what the engine sends")
 )
 
 // forwarding is a request that is being forwarded to the backend server.
@@ -204,7 +205,7 @@
 }
 
 // sendEvents sends the events of a stream, each with the adapter's name and version instead of its
-// handle.
+// handle. A stream without an event answers nothing, neither from the start nor where one goes on.
 func (fw *forwarding) sendEvents(ctx context.Context, resp *http.Response) error {
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, lineBufferBytes), lineBytesMax)
@@ -215,6 +216,9 @@
 			continue
 		}
 		if string(data) == doneEvent {
+			if first {
+				return errNoEvent
+			}
 			return fw.out.Finish(ctx, []byte(dataPrefix+doneEvent+"\n\n"))
 		}
 		replaced, err := fw.replaceModel(data)
--- a/proofs/own_following_test.go
+++ b/proofs/own_following_test.go
@@ -157,6 +157,7 @@
 	"no content":                 ownRaw("204 No Content", "", ""),
 	"accepted":                   ownSized("202 Accepted", jsonLines, `{"queued":true}`),
 	"accepted without a body":    ownSized("202 Accepted", "Content-Type: text/event-stream\r\n", ""),
+	"a stream without an event":  ownRaw("200 OK", streamLines, "data: [DONE]\n\n"),
 	"a stream with an error":     ownRaw("200 OK", streamLines, "data: {\"error\":\"lost\"}\n\ndata: [DONE]\n\n"),
 	"a stream of another handle": ownRaw("200 OK", streamLines, "data: {\"model\":\"x\"}\n\ndata: [DONE]\n\n"),
 }
@@ -199,3 +200,13 @@
 		})
 	}
 }
+
+// An engine ends a stream before its first event. Callers would wait until their time is over, though another engine
+// could answer.
+func TestOwnStreamWithoutAnEventIsAskedOfAnotherEngine(t *testing.T) {
+	re := runOwnFollowing(t, ownRaw("200 OK", streamLines, "data: [DONE]\n\n"))
+	checkOwnStream(t, re)
+	if _, complete := re.text(); !complete || re.took > 5*time.Second {
+		t.Errorf("status %d after %s, error %v, %q", re.status, re.took, re.err, re.end())
+	}
+}
