Believe answers without an ID on the first use of a connection alone

Callers of services that do not repeat X-Request-Id got the answer to an earlier call, or were told 503 for a call that had run (REFUSED), where the service had written an earlier answer once more on a kept connection. The answer was stored, so the same key got it again each time.

An agent believed an answer that names no request by its place on the connection, but for the rejections of engines. Such an answer is believed as the first one of its connection only, and connections carry further requests only if the server has repeated an ID and never left one out: the library may give a connection to the next request before an answer without an ID could close it, and refusing such answers alone would take most answers from services that do not repeat IDs.

Two tests rested on kept connections of servers without IDs.

--- a/agent/internal/client/forward.go
+++ b/agent/internal/client/forward.go
@@ -49,34 +49,49 @@
 	if di.Key != "" {
 		rq.Header.Set(idempotencyKeyHeader, di.Key)
 	}
-	return cl.do(rq, di.Attempt, handle != "")
+	return cl.do(rq, di.Attempt)
 }
 
-// do sends a request with an ID and returns its answer, which must be that of the request. The argument rejects
-// is true if a status of an error means that the engine has not run the request.
-func (cl *Client) do(rq *http.Request, id string, rejects bool) (*http.Response, error) {
+// do sends a request with an ID and returns its answer, which must be that of the request.
+func (cl *Client) do(rq *http.Request, id string) (*http.Response, error) {
 	rq.Header.Set(requestIDHeader, id)
+	rq.Close = !cl.keepsConns()
 	uc := usedConn{}
 	trace := &httptrace.ClientTrace{GotConn: func(gi httptrace.GotConnInfo) { uc = usedConn{nc: gi.Conn, reused: gi.Reused} }}
 	resp, err := cl.http.Do(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
 	if err != nil {
 		return nil, errors.Wrap(err, "client: send request")
 	}
-	if !uc.owns(resp, id, rejects) {
+	answered := resp.Header.Get(requestIDHeader)
+	cl.noteID(id, answered)
+	if !uc.owns(id, answered) {
 		_ = resp.Body.Close()
 		_ = uc.nc.Close()
-		return nil, errors.Wrapf(ErrOtherAnswer, "status %d, %s %q", resp.StatusCode, requestIDHeader, resp.Header.Get(requestIDHeader))
+		return nil, errors.Wrapf(ErrOtherAnswer, "status %d, %s %q", resp.StatusCode, requestIDHeader, answered)
 	}
 	return resp, nil
 }
 
-// owns reports whether an answer is that of the request with an ID. A server may send an answer once more where
-// the next one of the connection is due. An answer that names no request is believed, but for a rejection on a
-// reused connection.
-func (uc usedConn) owns(resp *http.Response, id string, rejects bool) bool {
-	answered := resp.Header.Get(requestIDHeader)
-	rejection := rejects && resp.StatusCode >= http.StatusBadRequest
-	return answered == id || answered == "" && (!uc.reused || !rejection)
+// owns reports whether an answer that names a request, or none, is that of the request with an ID. A server may send an
+// answer once more where the next one of the connection is due, so an answer that names no request is believed only as
+// the first one of its connection.
+func (uc usedConn) owns(id, answered string) bool {
+	return answered == id || answered == "" && !uc.reused
+}
+
+// keepsConns reports whether a connection may carry further requests: the server has repeated the ID of a request, and
+// never sent an answer without one, which nothing tells from the answer to another request.
+func (cl *Client) keepsConns() bool { return cl.repeatsIDs.Load() && !cl.leavesOutIDs.Load() }
+
+// noteID records whether an answer names the request with an ID, or none.
+func (cl *Client) noteID(id, answered string) {
+	switch answered {
+	case id:
+		cl.repeatsIDs.Store(true)
+	case "":
+		cl.leavesOutIDs.Store(true)
+		cl.http.CloseIdleConnections()
+	}
 }
 
 // engineBody returns the body, a JSON object from which the entry node has removed the keys model and
--- a/agent/internal/client/once_test.go
+++ b/agent/internal/client/once_test.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -23,20 +27,28 @@
 		{Attempt: "a", Method: http.MethodGet, Path: "/closes", Body: []byte("{}")},
 	} {
 		runs := atomic.Int64{}
-		sv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
+		kept := atomic.Value{}
+		sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+			wr.Header().Set(requestIDHeader, rq.Header.Get(requestIDHeader))
 			if rq.URL.Path != "/closes" {
+				kept.Store(rq.RemoteAddr)
 				return
 			}
 			runs.Add(1)
+			if rq.RemoteAddr != kept.Load() {
+				t.Error("the connection was not kept")
+			}
 			panic(http.ErrAbortHandler)
 		}))
 		cl := NewClient(&http.Client{Transport: &http.Transport{}}, sv.URL)
-		resp, err := cl.Forward(context.Background(), &wire.Dispatch{Attempt: "first", Method: http.MethodGet, Path: "/sound"}, "")
-		if err != nil {
-			t.Fatal(err)
+		for range 2 {
+			resp, err := cl.Forward(context.Background(), &wire.Dispatch{Attempt: "first", Method: http.MethodGet, Path: "/sound"}, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			discardBody(resp)
 		}
-		discardBody(resp)
-		if resp, err = cl.Forward(context.Background(), di, ""); err == nil {
+		if resp, err := cl.Forward(context.Background(), di, ""); err == nil {
 			t.Errorf("a request without an answer got the status %d", resp.StatusCode)
 			discardBody(resp)
 		}
@@ -47,7 +59,8 @@
 	}
 }
 
-// serveOnce answers the requests of one connection with the given bytes, in order, and returns the URL.
+// serveOnce answers the first request of all with an empty answer that repeats its ID, the requests of the next
+// connection with the given bytes, in order, and returns the URL.
 func serveOnce(t *testing.T, answers ...string) string {
 	t.Helper()
 	ls, err := net.Listen("tcp", "127.0.0.1:0")
@@ -60,6 +73,10 @@
 		if err != nil {
 			return
 		}
+		answerNamed(nc)
+		if nc, err = ls.Accept(); err != nil {
+			return
+		}
 		defer func() { _ = nc.Close() }()
 		rd := bufio.NewReader(nc)
 		for _, answer := range answers {
@@ -75,16 +92,35 @@
 	return "http://" + ls.Addr().String()
 }
 
+// answerNamed answers one request with an empty answer that repeats its ID and closes the connection.
+func answerNamed(nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	rq, err := http.ReadRequest(bufio.NewReader(nc))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, rq.Body)
+	_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", requestIDHeader, rq.Header.Get(requestIDHeader))
+}
+
 // An engine rejects a request and sends the rejection once more where the next answer is due. The agent must not
 // take it for the answer to the next request, which the engine runs.
 func TestForwardDoesNotTakeALateAnswerForTheNextOne(t *testing.T) {
 	const handle = "cure@1#boot-1"
 	for name, id := range map[string]string{"with the ID of its request": requestIDHeader + ": first\r\n", "without an ID": ""} {
 		t.Run(name, func(t *testing.T) {
-			rejection := "HTTP/1.1 503 Service Unavailable\r\n" + id + "Content-Length: 0\r\n\r\n"
+			rejection := func(id string) string {
+				return "HTTP/1.1 503 Service Unavailable\r\n" + id + "Content-Length: 0\r\n\r\n"
+			}
+			first := rejection(requestIDHeader + ": first\r\n")
 			own := "HTTP/1.1 200 OK\r\n" + requestIDHeader + ": second\r\nContent-Length: 0\r\n\r\n"
-			cl := NewClient(&http.Client{Transport: &http.Transport{}}, serveOnce(t, rejection, rejection+own))
-			resp, err := cl.Forward(t.Context(), &wire.Dispatch{Attempt: "first", Method: http.MethodPost, Path: "/", Body: []byte("{}")}, handle)
+			cl := NewClient(&http.Client{Transport: &http.Transport{}}, serveOnce(t, first, rejection(id)+own))
+			resp, err := cl.Forward(t.Context(), &wire.Dispatch{Attempt: "named", Method: http.MethodPost, Path: "/", Body: []byte("{}")}, handle)
+			if err != nil {
+				t.Fatal(err)
+			}
+			discardBody(resp)
+			resp, err = cl.Forward(t.Context(), &wire.Dispatch{Attempt: "first", Method: http.MethodPost, Path: "/", Body: []byte("{}")}, handle)
 			if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 				t.Fatalf("answer %+v, error %v", resp, err)
 			}
@@ -145,3 +181,105 @@
 		}
 	}
 }
+
+// lateServer sends the answer before once more in front of each further answer of a connection. The body of an answer is
+// the ID of its request.
+type lateServer struct {
+	named  bool
+	status string
+	conns  atomic.Int64
+}
+
+// serve answers all connections and returns the URL.
+func (ls *lateServer) serve(t *testing.T) string {
+	t.Helper()
+	li, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = li.Close() })
+	go func() {
+		for nc, err := li.Accept(); err == nil; nc, err = li.Accept() {
+			ls.conns.Add(1)
+			go ls.serveConn(nc)
+		}
+	}()
+	return "http://" + li.Addr().String()
+}
+
+// serveConn answers the requests of a connection.
+func (ls *lateServer) serveConn(nc net.Conn) {
+	defer func() { _ = nc.Close() }()
+	rd, before := bufio.NewReader(nc), ""
+	for rq, err := http.ReadRequest(rd); err == nil; rq, err = http.ReadRequest(rd) {
+		_, _ = io.Copy(io.Discard, rq.Body)
+		own := ls.answer(rq.Header.Get(requestIDHeader))
+		if _, err := io.WriteString(nc, before+own); err != nil || rq.Close {
+			return
+		}
+		before = own
+	}
+}
+
+// answer returns the answer to the request with an ID.
+func (ls *lateServer) answer(id string) string {
+	line := ""
+	if ls.named {
+		line = requestIDHeader + ": " + id + "\r\n"
+	}
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", ls.status, line, len(id), id)
+}
+
+// A backend server sends each answer once more where the next one of its connection is due. No request must get the
+// answer to another one, and a server that does not repeat IDs must not lose its answers for that.
+func TestForwardGivesNoRequestTheAnswerOfAnEarlierOne(t *testing.T) {
+	for name, handle := range map[string]string{"service": "", "engine": "cure@1#boot-1"} {
+		for _, ls := range []*lateServer{{true, "200 OK", atomic.Int64{}}, {true, "503 Full", atomic.Int64{}}, {false, "200 OK", atomic.Int64{}}, {false, "503 Full", atomic.Int64{}}} {
+			t.Run(fmt.Sprintf("%s, %s, named %t", name, ls.status, ls.named), func(t *testing.T) {
+				cl := NewClient(&http.Client{Transport: &http.Transport{}}, ls.serve(t))
+				for number := range 6 {
+					di := &wire.Dispatch{Attempt: fmt.Sprint("attempt-", number), Method: http.MethodPost, Path: "/", Body: []byte("{}")}
+					resp, err := cl.Forward(t.Context(), di, handle)
+					if errors.Is(err, ErrOtherAnswer) && ls.named {
+						continue
+					}
+					if err != nil {
+						t.Fatal(err)
+					}
+					data, err := io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+					if err != nil || string(data) != di.Attempt {
+						t.Errorf("%s got the answer to %q, error %v", di.Attempt, data, err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Only the connections of a server that repeats IDs can be kept, and they must be.
+func TestForwardKeepsTheConnectionsOfAServerThatRepeatsIDs(t *testing.T) {
+	for named, want := range map[bool]int{true: 2, false: 20} {
+		conns := sync.Map{}
+		sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+			conns.Store(rq.RemoteAddr, true)
+			if named {
+				wr.Header().Set(requestIDHeader, rq.Header.Get(requestIDHeader))
+			}
+		}))
+		cl := NewClient(&http.Client{Transport: &http.Transport{}}, sv.URL)
+		for number := range 20 {
+			resp, err := cl.Forward(t.Context(), &wire.Dispatch{Attempt: fmt.Sprint("attempt-", number), Method: http.MethodGet, Path: "/"}, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			discardBody(resp)
+		}
+		sv.Close()
+		count := 0
+		conns.Range(func(any, any) bool { count++; return true })
+		if count != want {
+			t.Errorf("IDs repeated %t: 20 requests took %d connections, want %d", named, count, want)
+		}
+	}
+}
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -64,6 +64,8 @@
 	baseURL string
 	// orders counts orders, inspections and cancellations, each of which has an ID of its own.
 	orders atomic.Int64
+	// repeatsIDs is true once an answer has repeated the ID of its request, leavesOutIDs once one has not.
+	repeatsIDs, leavesOutIDs atomic.Bool
 }
 
 // NewClient returns a client for a backend server's URL.
@@ -127,7 +129,7 @@
 	if err != nil {
 		return 0, "", errors.Wrap(err, "client: build order")
 	}
-	resp, err := cl.do(rq, cl.orderID(), false)
+	resp, err := cl.do(rq, cl.orderID())
 	if err != nil {
 		return 0, "", errors.Wrap(err, "client: send order")
 	}
@@ -145,7 +147,7 @@
 	if err != nil {
 		return iv, errors.Wrap(err, "client: build inspection")
 	}
-	resp, err := cl.do(rq, cl.orderID(), false)
+	resp, err := cl.do(rq, cl.orderID())
 	if err != nil {
 		return iv, errors.Wrap(err, "client: inspect")
 	}
@@ -166,7 +168,7 @@
 	if err != nil {
 		return "", errors.Wrap(err, "client: build cancel")
 	}
-	resp, err := cl.do(rq, cl.orderID(), false)
+	resp, err := cl.do(rq, cl.orderID())
 	if err != nil {
 		return "", errors.Wrap(err, "client: cancel")
 	}
--- a/proofs/once_test.go
+++ b/proofs/once_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bambooladder/bambooladder/stand/engine"
 	"github.com/bambooladder/bambooladder/stand/faulty"
 )
 
@@ -22,10 +23,31 @@
 // A call that must not run twice runs once also if its service closes a kept connection after the call has
 // run, before the answer begins. The caller learns that it may have run.
 func TestCallRunsOnceThoughItsServiceClosesTheConnectionWithoutAnAnswer(t *testing.T) {
-	runSimulation(t, smallSimulation(), func(t *testing.T, sm *simulation) {
+	for name, front := range map[string]func(string, http.Handler) http.Handler{"connection kept": repeatIDs, "connection of its own": nil} {
+		t.Run(name, func(t *testing.T) { testCallRunsOnceWithoutAnAnswer(t, front) })
+	}
+}
+
+// repeatIDs makes a backend server repeat the IDs of requests, as agents keep the connections of such servers only.
+func repeatIDs(_ string, inner http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		wr.Header().Set(engine.RequestHeader, rq.Header.Get(engine.RequestHeader))
+		inner.ServeHTTP(wr, rq)
+	})
+}
+
+// testCallRunsOnceWithoutAnAnswer sends calls whose service closes the connection once they have run.
+func testCallRunsOnceWithoutAnAnswer(t *testing.T, front func(string, http.Handler) http.Handler) {
+	t.Helper()
+	op := smallSimulation()
+	op.front = front
+	runSimulation(t, op, func(t *testing.T, sm *simulation) {
 		for number, body := range []string{`{"batch":"lost"}`, ""} {
-			if re := sm.postRelease("caller", entryName(0), newIdempotencyKey(), `{"batch":"first"}`, 5*time.Second); re.status != http.StatusCreated {
-				t.Fatalf("the first call got %+v", re)
+			// The connection of the second call is kept.
+			for range 2 {
+				if re := sm.postRelease("caller", entryName(0), newIdempotencyKey(), `{"batch":"first"}`, 5*time.Second); re.status != http.StatusCreated {
+					t.Fatalf("the first call got %+v", re)
+				}
 			}
 			before := sm.recordedRuns(body)
 			sm.ledger.SetMode(faulty.NoAnswer)
