Read the lines of an engine's stream by their format

Callers got a short stream that ended as if it were whole: the engine had written an error into it, at times with its whole head, and then the mark of the end. Where an engine left out the space after a field's colon, which the format allows, callers got a stream without that event.

An agent skipped each line that did not begin with 'data: '. A line is read as what the format of event streams has now: a field with or without the space, a comment, an empty line. Any other line is no part of a stream, so it breaks the stream off, and the next engine goes on.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -43,6 +43,7 @@
 var (
 	errWrongAdapter = errors.New("broker: the engine answered with another adapter")
 	errNotWhole     = errors.New("broker: an answer or an event is no whole JSON; the engine may have ended within it")
+	errNoStreamLine = errors.New("broker: a line of the stream is no part of one; look at what the engine sends")
 	errNoEvent      = errors.New("broker: the stream ended before its first event; look at what the engine sends")
 )
 
@@ -211,8 +212,11 @@
 	lines.Buffer(make([]byte, 0, lineBufferBytes), lineBytesMax)
 	first := true
 	for lines.Scan() {
-		data, found := bytes.CutPrefix(lines.Bytes(), []byte(dataPrefix))
-		if !found {
+		data, err := eventData(lines.Bytes())
+		if err != nil {
+			return err
+		}
+		if data == nil {
 			continue
 		}
 		if string(data) == doneEvent {
@@ -239,6 +243,19 @@
 	return errors.New("broker: the stream ended before its last event")
 }
 
+// eventData returns the data of a line of an event stream, nil if it has none: an empty line, a comment or another field.
+// Any other line is no part of a stream, so what follows it is none either.
+func eventData(line []byte) ([]byte, error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data":
+		return bytes.TrimPrefix(value, []byte(" ")), nil
+	case "", "event", "id", "retry":
+		return nil, nil
+	}
+	return nil, errNoStreamLine
+}
+
 // formatEvent formats data as a server-sent event.
 func formatEvent(data []byte) []byte {
 	ev := make([]byte, 0, len(dataPrefix)+len(data)+2)
