Let a stream go on only where its tokens say what its caller has

A stream that broke off between its last event and the mark of its end had that event twice.

An entry node counts the events with text of the first choice, and the next engine goes on after that number. Events that have generated anything else made it go on too early. A stream goes on now only if each of its events has generated one token of the one choice, or nothing; any other is broken off. The event with the reason for the end generates nothing, so that the next engine sends it again; the caller gets it once.

--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tidwall/gjson"
 )
 
 const (
@@ -39,6 +38,11 @@
 	// tokens is the number of events with generated text that were sent in an event stream. Each
 	// counts as one token.
 	tokens int
+	// finished is true once an event with the reason for the end was sent, uncounted once one that tokens do not count.
+	finished  bool
+	uncounted bool
+	// resumed is true once a later attempt goes on with the answer.
+	resumed bool
 }
 
 // newAnswer returns the answer to a request. stream is true if the caller asked for an event
@@ -51,6 +55,7 @@
 // attempt then continues the same answer.
 func (an *answer) Head(status int, contentType string) error {
 	if an.statusSent {
+		an.resumed = true
 		return nil
 	}
 	an.status = status
@@ -58,17 +63,29 @@
 	return nil
 }
 
-// Part adds a part to the answer. It sends the part at once if the answer is an event stream.
+// Part adds a part to the answer. It sends the part at once if the answer is an event stream. An attempt that goes on
+// with a stream gives the reason for its end again, which the caller may have.
 func (an *answer) Part(data []byte) error {
 	if !an.stream || !an.isEventStream() {
 		return an.bufferOrSend(data)
 	}
-	if containsToken(data) {
-		an.tokens++
+	ev := parseEvent(data)
+	if an.resumed && an.finished && ev.finishes {
+		return nil
 	}
+	an.note(ev)
 	return an.send(data)
 }
 
+// note records an event that is sent to the caller.
+func (an *answer) note(ev event) {
+	if ev.token {
+		an.tokens++
+	}
+	an.finished = an.finished || ev.finishes
+	an.uncounted = an.uncounted || !ev.counted
+}
+
 // bufferOrSend buffers a part. If the answer gets longer than maxBufferedBytes, it sends the buffer
 // and the part instead.
 func (an *answer) bufferOrSend(data []byte) error {
@@ -117,9 +134,10 @@
 // Begun reports whether the status has been sent to the caller.
 func (an *answer) Begun() bool { return an.statusSent }
 
-// Resumable reports whether a successful event stream, which another attempt can go on with, was begun.
+// Resumable reports whether a successful event stream was begun that another attempt can go on with after a number of
+// tokens.
 func (an *answer) Resumable() bool {
-	return an.statusSent && an.stream && an.status == http.StatusOK && an.isEventStream()
+	return an.statusSent && an.stream && an.status == http.StatusOK && an.isEventStream() && !an.uncounted
 }
 
 // isEventStream reports whether the content type is that of an event stream.
@@ -162,15 +180,3 @@
 	_ = an.send([]byte(dataPrefix + string(data) + "\n\n"))
 	panic(http.ErrAbortHandler)
 }
-
-// containsToken reports whether an event of a completion stream contains generated text.
-func containsToken(event []byte) bool {
-	data, found := bytes.CutPrefix(event, []byte(dataPrefix))
-	if !found || bytes.HasPrefix(data, []byte(doneData)) {
-		return false
-	}
-	if content := gjson.GetBytes(data, "choices.0.delta.content"); content.Exists() {
-		return content.String() != ""
-	}
-	return gjson.GetBytes(data, "choices.0.text").String() != ""
-}
--- a/entry/internal/relay/request.go
+++ b/entry/internal/relay/request.go
@@ -64,7 +64,8 @@
 	Part(data []byte) error
 	// Begun reports whether anything was sent to the caller.
 	Begun() bool
-	// Resumable reports whether what was sent to the caller is a stream of events, with which another attempt can go on.
+	// Resumable reports whether what was sent to the caller is a stream of events that another attempt can go on with
+	// after TokensSent tokens.
 	Resumable() bool
 	// TokensSent returns the number of tokens that were sent to the caller.
 	TokensSent() int
