Let the grants of a replaced connection end

Callers of an engine were refused (503) for all adapters but those that it held, until its agent restarted.

Cause: a connection between an entry node and an agent that falls silent is given up by the entry node up to 1 s before the agent, and its new one opens 0.1 s later. The agent keeps connections by entry node; the end of the replaced one marked none of its grants, and those whose releases were lost in the silence pinned their adapters for good.

A new connection marks the grants of the earlier one, like its end. The entry node restores those in use, as before. What comes late on the replaced one reserves nothing: nobody would give it back.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -157,10 +157,7 @@
 	now := time.Now()
 	switch {
 	case ev.sessionOpened != nil:
-		br.sessions[ev.sessionOpened.name] = ev.sessionOpened
-		br.sessionsChanged()
-		br.markHoldingsStale()
-		br.sendReports(ctx, ev.sessionOpened, now)
+		br.openSession(ctx, ev.sessionOpened, now)
 	case ev.sessionClosed != nil:
 		if br.sessions[ev.sessionClosed.name] == ev.sessionClosed {
 			delete(br.sessions, ev.sessionClosed.name)
@@ -180,6 +177,20 @@
 	}
 }
 
+// openSession handles a new connection of an entry node. An earlier one that has fallen silent may not have been given up
+// yet; its end changes nothing any more, so that its grants are marked now.
+func (br *Broker) openSession(ctx context.Context, se *session, now time.Time) {
+	_, replaces := br.sessions[se.name]
+	br.sessions[se.name] = se
+	br.sessionsChanged()
+	br.markHoldingsStale()
+	if replaces {
+		br.lg.Info().Str("dependency", "entry").Str("entry", se.name).Msg("dependency_replaced")
+		br.en.EntryDisconnected(se.name, now)
+	}
+	br.sendReports(ctx, se, now)
+}
+
 // inspectionDone handles the answer to an inspection.
 func (br *Broker) inspectionDone(ctx context.Context, ir *inspectionResult, now time.Time) {
 	if ir.err != nil {
@@ -220,6 +231,10 @@
 // frameReceived handles a frame that an entry node sent.
 func (br *Broker) frameReceived(ctx context.Context, se *session, fr *wire.Frame, now time.Time) {
 	switch {
+	case fr.Reserve != nil && br.sessions[se.name] != se:
+		// The entry node has given up this connection, and with it what it reserved there.
+		br.lg.Info().Str("attempt", fr.Reserve.Attempt).Str("entry", se.name).Msg("late_reserve_ignored")
+		return
 	case fr.Reserve != nil && fr.Reserve.Held:
 		br.executeActions(ctx, br.en.RestoreGrant(requestFromFrame(se, fr.Reserve, now), now))
 	case fr.Reserve != nil:
--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -82,7 +82,7 @@
 			return nil, os.ErrDeadlineExceeded
 		}
 	}
-	near, far := hn.ne.connect(hn.host, ls.host)
+	near, far := hn.ne.connect(hn.host, ls)
 	hn.ne.mu.Unlock()
 	select {
 	case ls.accept <- far:
@@ -102,11 +102,11 @@
 }
 
 // connect creates the two ends of a connection and starts delivery between them.
-func (ne *network) connect(from, to string) (*conn, *conn) {
+func (ne *network) connect(from string, ls *listener) (*conn, *conn) {
 	nearRead, nearFeed := net.Pipe()
 	farRead, farFeed := net.Pipe()
-	near := &conn{Conn: nearRead, ne: ne, hosts: hostPair(from, to), queue: make(chan packet, queuedWritesMax), endClosed: make(chan struct{}), closed: make(chan struct{}), closeOnce: &sync.Once{}, dropsData: &atomic.Bool{}}
-	far := &conn{Conn: farRead, ne: ne, hosts: near.hosts, queue: make(chan packet, queuedWritesMax), endClosed: make(chan struct{}), closed: near.closed, closeOnce: near.closeOnce, dropsData: near.dropsData}
+	near := &conn{Conn: nearRead, ne: ne, hosts: hostPair(from, ls.host), address: ls.address, queue: make(chan packet, queuedWritesMax), endClosed: make(chan struct{}), closed: make(chan struct{}), closeOnce: &sync.Once{}, dropsData: &atomic.Bool{}, dropsClose: &atomic.Bool{}}
+	far := &conn{Conn: farRead, ne: ne, hosts: near.hosts, address: near.address, queue: make(chan packet, queuedWritesMax), endClosed: make(chan struct{}), closed: near.closed, closeOnce: near.closeOnce, dropsData: near.dropsData, dropsClose: near.dropsClose}
 	near.pipes = []net.Conn{nearRead, nearFeed, farRead, farFeed}
 	far.pipes = near.pipes
 	ne.conns[near] = true
@@ -127,6 +127,16 @@
 	}
 }
 
+// silenceOpenConnections drops all data on the open connections of a host to an address, and neither end learns that
+// the other one closes them; new connections work.
+func (ne *network) silenceOpenConnections(host, address string) {
+	dialed := func(co *conn) bool { return co.address == address && (co.hosts[0] == host || co.hosts[1] == host) }
+	for _, co := range ne.connsWhere(dialed) {
+		co.dropsClose.Store(true)
+		co.dropsData.Store(true)
+	}
+}
+
 // partition drops all data between two hosts and lets dials time out until healPartition.
 func (ne *network) partition(aa, bb string) {
 	ne.dropOpenConnectionData(aa, bb)
@@ -208,8 +218,10 @@
 // the other end after the latency.
 type conn struct {
 	net.Conn
-	ne        *network
-	hosts     [2]string
+	ne    *network
+	hosts [2]string
+	// address is the one that was dialed.
+	address   string
 	queue     chan packet
 	pipes     []net.Conn
 	closed    chan struct{}
@@ -217,8 +229,8 @@
 	// endClosed is closed, once, when Close is called on this end.
 	endClosed chan struct{}
 	endOnce   sync.Once
-	// dropsData is shared by both ends.
-	dropsData *atomic.Bool
+	// dropsData and dropsClose are shared by both ends.
+	dropsData, dropsClose *atomic.Bool
 }
 
 // packet is one write that has not been delivered yet.
@@ -296,7 +308,9 @@
 			}
 		case <-co.endClosed:
 			time.Sleep(co.ne.latency)
-			co.closeAll(feed)
+			if !co.dropsClose.Load() {
+				co.closeAll(feed)
+			}
 			return
 		}
 	}
