Find the server beside an agent by the start that it reports

Another writer's record with the host of a living engine, another port and a later ID took that engine's agent away: all calls for its service were refused (503) through all nodes until the record was gone.

Cause: a node kept one server for each agent's host and overwrote it with the next record by ID. Calls to the living engine found no agent, and the agent granted those to the other one, where nothing listens.

Evidence: attempt_ended agent_not_connected for engine-0 while its agent is connected; with an ID that sorts before the engine's no harm.

Of several servers on a host, the one beside the agent is the one that started when the agent's engine did, as the agent reports, else the last one that started.

--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -49,8 +50,11 @@
 	// maxEntries is the highest number of connected entry nodes that any agent has reported.
 	maxEntries int
 	links      map[string]*agentConn
-	// servers maps each agent's host to the ID of the server on it.
+	// servers maps each agent's host to the ID of the server beside the agent, records to all servers with addresses
+	// on it, and starts to the start of its engine, as the agent last reported.
 	servers map[string]string
+	records map[string][]engineRecord
+	starts  map[string]int64
 	// zones maps each agent's host to its availability zone.
 	zones map[string]string
 	// waiting holds the attempts that wait for a grant, granted those that have one; both are
@@ -59,6 +63,12 @@
 	granted map[string]*heldGrant
 }
 
+// engineRecord is a server with an address on an agent's host, and the start of its run.
+type engineRecord struct {
+	id   string
+	born int64
+}
+
 // grantWaiter receives the replies of agents for an attempt that waits for a grant or another answer.
 type grantWaiter struct {
 	// server is the server that the attempt is meant for, empty if it is for none yet.
@@ -85,7 +95,7 @@
 // newAgents returns a set without connections.
 func newAgents(no *Node) *agents {
 	return &agents{
-		no: no, links: map[string]*agentConn{}, servers: map[string]string{},
+		no: no, links: map[string]*agentConn{}, servers: map[string]string{}, starts: map[string]int64{},
 		waiting: map[string]*grantWaiter{}, granted: map[string]*heldGrant{},
 	}
 }
@@ -106,14 +116,15 @@
 		return
 	}
 	hosts := make([]member.Host, 0, len(servers))
-	byHost, zones := map[string]string{}, map[string]string{}
+	records, zones := map[string][]engineRecord{}, map[string]string{}
 	for ix := range servers {
 		se := &servers[ix]
 		host := hostOf(se.Address)
 		if !ta.Services[se.Service].Engine || host == "" {
 			continue
 		}
-		byHost[host], zones[host] = se.ID, se.Zone
+		records[host] = append(records[host], engineRecord{id: se.ID, born: se.Born})
+		zones[host] = se.Zone
 		hosts = append(hosts, member.Host{
 			Name: host, Address: net.JoinHostPort(host, strconv.Itoa(as.no.options.Settings.AgentPort)), Zone: se.Zone,
 		})
@@ -122,18 +133,55 @@
 	defer as.mu.Unlock()
 	as.members.ApplyList(hosts, now)
 	previous := as.servers
-	as.servers, as.zones = byHost, zones
-	for host, ac := range as.links {
-		if previous[host] == byHost[host] {
-			continue
-		}
-		if fr := as.prepareFrame(host); fr != nil {
-			ac.co.TrySend(fr)
+	as.records, as.zones, as.servers = records, zones, map[string]string{}
+	for host := range records {
+		as.servers[host] = as.serverBeside(host)
+	}
+	maps.DeleteFunc(as.starts, func(host string, _ int64) bool { return records[host] == nil })
+	for host := range as.links {
+		if previous[host] != as.servers[host] {
+			as.prepare(host)
 		}
 	}
 	as.refuseWaiting(servers)
 }
 
+// serverBeside returns the ID of the server beside the agent of a host. Of several with addresses there, of which another
+// writer may have left some, it is the one that started when the agent's engine did, else the last one that started. The
+// caller must hold as.mu.
+func (as *agents) serverBeside(host string) string {
+	last := engineRecord{}
+	for _, er := range as.records[host] {
+		if er.born != 0 && er.born == as.starts[host] {
+			return er.id
+		}
+		if er.born >= last.born {
+			last = er
+		}
+	}
+	return last.id
+}
+
+// engineStarted records when the engine of a host started, as its agent reports. The caller must hold as.mu.
+func (as *agents) engineStarted(host string, born int64) {
+	if as.starts[host] == born {
+		return
+	}
+	as.starts[host] = born
+	if id := as.serverBeside(host); id != as.servers[host] {
+		as.servers[host] = id
+		as.prepare(host)
+	}
+}
+
+// prepare sends an agent the base model and slots that its engine must provide. The caller must hold as.mu.
+func (as *agents) prepare(host string) {
+	ac := as.links[host]
+	if fr := as.prepareFrame(host); ac != nil && fr != nil {
+		ac.co.TrySend(fr)
+	}
+}
+
 // refuseWaiting refuses the attempts that wait for grants at servers that are leaving or gone.
 func (as *agents) refuseWaiting(servers []roster.Server) {
 	staying := map[string]bool{}
@@ -151,10 +199,8 @@
 func (as *agents) prepareEngines() {
 	as.mu.Lock()
 	defer as.mu.Unlock()
-	for host, ac := range as.links {
-		if fr := as.prepareFrame(host); fr != nil {
-			ac.co.TrySend(fr)
-		}
+	for host := range as.links {
+		as.prepare(host)
 	}
 }
 
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -34,13 +34,14 @@
 func (rc *frameReceiver) HandleFrame(fr *wire.Frame) {
 	as := rc.as
 	as.mu.Lock()
-	id := as.servers[rc.host]
 	rc.ac.silent = false
 	attempt, lo := attemptAndLoad(fr)
 	gw := as.waiting[attempt]
 	if lo != nil {
 		as.maxEntries = max(as.maxEntries, lo.Entries)
+		as.engineStarted(rc.host, lo.Born)
 	}
+	id := as.servers[rc.host]
 	as.mu.Unlock()
 	if fr.Peers != nil {
 		as.no.feeds.applyPeers(rc.host, fr.Peers)
--- /dev/null
+++ b/proofs/direct_zone_test.go
@@ -0,0 +1,118 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/entry/direct"
+)
+
+const (
+	zoneNodes = 3
+	// zoneCalls is the number of calls through each node after a change of the records.
+	zoneCalls = 20
+)
+
+// runZone runs a test at three entry nodes of one zone, of which one reads the log for the others. Servers answer 421 to
+// requests for other servers.
+func runZone(t *testing.T, plain, engines int, fn func(t *testing.T, ds *directSimulation, zo *zone)) {
+	t.Helper()
+	runDirectSimulation(t, plain, engines, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+		zo := &zone{ds: ds, readers: map[string]*nodeReader{}}
+		for number := 2; number <= zoneNodes+1; number++ {
+			name := fmt.Sprintf("entry-%d", number)
+			zo.readers[name] = &nodeReader{testSource: ds.source}
+			ds.readers[name] = zo.readers[name]
+			ds.startEntry(name)
+		}
+		// The first node reads a log whose reads are not counted.
+		_ = ds.apps[engines].Stop(context.Background())
+		time.Sleep(feedSettleTime)
+		for id, ba := range ds.backends {
+			ba.setScript(answerOwn(id))
+		}
+		fn(t, ds, zo)
+	})
+}
+
+// answerOwn returns a script that answers requests for the server itself, and says that it did not run others.
+func answerOwn(id string) func(wr http.ResponseWriter, rq *http.Request) {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.Header.Get(headerServer) == id {
+			defaultAnswer(wr, rq)
+			return
+		}
+		wr.Header().Set(headerServer, id)
+		wr.Header().Set(headerID, rq.Header.Get(headerID))
+		wr.WriteHeader(http.StatusMisdirectedRequest)
+	}
+}
+
+// zone is the entry nodes of a zone.
+type zone struct {
+	ds      *directSimulation
+	readers map[string]*nodeReader
+}
+
+// call sends calls through each node and returns how many were not answered with 200, by node.
+func (zo *zone) call(t *testing.T, target, adapter string) map[string]int {
+	t.Helper()
+	failed := map[string]int{}
+	for name := range zo.readers {
+		cl := zo.ds.newCaller(name)
+		for number := range zoneCalls {
+			re := cl.sendAs(t.Context(), fmt.Sprintf("%s-%d-%d", name, time.Now().UnixNano(), number), http.MethodPost, target, adapter, "x")
+			if re.status != http.StatusOK || re.err != nil {
+				failed[name]++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		cl.client.CloseIdleConnections()
+	}
+	return failed
+}
+
+// oddRecord returns another writer's record with an address of a living server.
+func oddRecord(id, service, address string, born int64) direct.LogRecord {
+	model := ""
+	if service == "advice" {
+		model = testModel
+	}
+	return direct.LogRecord{Server: &roster.Server{
+		ID: id, Service: service, Address: address, Zone: directZone, Places: 4, Born: born, Model: model,
+	}}
+}
+
+// checkCalls fails the test unless each node has calls answered, each round those for another adapter.
+func (zo *zone) checkCalls(t *testing.T, target string, round int) {
+	t.Helper()
+	adapter := ""
+	if target == "/once/x" {
+		adapter = fmt.Sprintf("a%d", round)
+	}
+	if failed := zo.call(t, target, adapter); len(failed) > 0 {
+		t.Errorf("round %d: of %d calls through each node, %v were not answered with 200", round, zoneCalls, failed)
+	}
+}
+
+// Another writer leaves a record of an engine with the host of a living one and another port, where nothing listens. The
+// agent of that host must stay that of the living engine: all calls for its service were refused.
+func TestDirectZoneRecordOnAnEnginesHostTakesNoAgent(t *testing.T) {
+	for _, id := range []string{"aa-odd", "zz-odd"} {
+		for _, born := range []int64{0, 9} {
+			t.Run(fmt.Sprintf("%s, born %d", id, born), func(t *testing.T) {
+				runZone(t, 1, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+					ds.source.appendRecord(direct.ServersTopic, oddRecord(id, "advice", "engine-0:2", born))
+					time.Sleep(2500 * time.Millisecond)
+					for round := range 4 {
+						zo.checkCalls(t, "/once/x", round)
+					}
+				})
+			})
+		}
+	}
+}
