Let a server's record hide servers of its own service only

Another writer's record with the address of a living server, a later start and another service of the routes hid that server: all calls for its service were refused (503) through all nodes until the record was gone.

Cause: of two servers at an address the one that started later counted, whatever it serves, as records of earlier runs stay in the log after a loss of power. New runs are of the same service.

A server hides another one only if both are of one service. An address that passes on to another service costs an answer 421, after which the call is sent again.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -124,27 +124,30 @@
 	return latest
 }
 
+// place is where a service runs.
+type place struct{ service, address string }
+
 // Servers returns the servers of the services that are offered, sorted by ID, without those whose address belongs to
-// another one of them that started later: their records only have not expired yet.
+// another one of their service that started later: their records only have not expired yet. One of another service does
+// not show that: another writer may have left it.
 func (ro *Roster) Servers(offered func(service string) bool) []Server {
-	newest := ro.newestByAddress(offered)
+	newest := ro.newestByPlace()
 	list := make([]Server, 0, len(ro.servers))
 	for _, id := range ro.ids() {
 		se := ro.servers[id].Server
-		if offered(se.Service) && (se.Born == 0 || se.Born >= newest[se.Address]) {
+		if offered(se.Service) && (se.Born == 0 || se.Born >= newest[place{se.Service, se.Address}]) {
 			list = append(list, se)
 		}
 	}
 	return list
 }
 
-// newestByAddress returns the latest start of a server of the offered services at each address.
-func (ro *Roster) newestByAddress(offered func(service string) bool) map[string]int64 {
-	newest := map[string]int64{}
+// newestByPlace returns the latest start of a server of each service at each address.
+func (ro *Roster) newestByPlace() map[place]int64 {
+	newest := map[place]int64{}
 	for _, ts := range ro.servers {
-		if offered(ts.Service) {
-			newest[ts.Address] = max(newest[ts.Address], ts.Born)
-		}
+		pl := place{ts.Service, ts.Address}
+		newest[pl] = max(newest[pl], ts.Born)
 	}
 	return newest
 }
--- a/proofs/direct_zone_test.go
+++ b/proofs/direct_zone_test.go
@@ -116,3 +116,24 @@
 		}
 	}
 }
+
+// Another writer leaves a record with the address of a living server and a later start, for another service that the
+// routes have, or for one that nobody has. The living server was hidden, and all calls for its service refused.
+func TestDirectZoneRecordOfAnotherServiceHidesNoServer(t *testing.T) {
+	for name, tc := range map[string]struct{ service, address, target string }{
+		"nobody's, of a plain server":    {service: "nobody", address: "plain-0:1", target: "/unsafe/x"},
+		"nobody's, of an engine":         {service: "nobody", address: "engine-0:1", target: "/once/x"},
+		"an engine's, of a plain server": {service: "advice", address: "plain-0:1", target: "/unsafe/x"},
+		"a plain server's, of an engine": {service: "ledger", address: "engine-0:1", target: "/once/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runZone(t, 1, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+				ds.source.appendRecord(direct.ServersTopic, oddRecord("zz-odd", tc.service, tc.address, 9))
+				time.Sleep(2500 * time.Millisecond)
+				for round := range 4 {
+					zo.checkCalls(t, tc.target, round)
+				}
+			})
+		})
+	}
+}
