Use a hidden server as soon as an answer shows that it lives

Another writer's record with a living server's address, its service and a later start is taken for that server's next run. The first call through each node is answered 421; it and those that followed were refused (503) until the node had read the log again.

Cause: the answer removed the other record's server and left the living one out until the next list was made. An engine then counted as unknown until its agent's next report.

After such an answer the list is made anew at once. A node keeps the last report of each agent and applies it to the server that turns out to be beside it, if that started when the agent's engine did. Lists are passed on one at a time.

--- a/core/roster/remove.go
+++ b/core/roster/remove.go
@@ -66,6 +66,10 @@
 	}
 }
 
-// RemoveReplaced drops a server at once, because the caller found another one at its address.
-// Unlike Remove, it remembers no removal, so an older record can add the server again.
-func (ro *Roster) RemoveReplaced(id string) { delete(ro.servers, id) }
+// RemoveReplaced drops a server at once, because the caller found another one at its address, and reports whether it was
+// known. Unlike Remove, it remembers no removal, so an older record can add the server again.
+func (ro *Roster) RemoveReplaced(id string) bool {
+	_, known := ro.servers[id]
+	delete(ro.servers, id)
+	return known
+}
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -10,6 +10,7 @@
 	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/member"
 	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -51,10 +52,10 @@
 	maxEntries int
 	links      map[string]*agentConn
 	// servers maps each agent's host to the ID of the server beside the agent, records to all servers with addresses
-	// on it, and starts to the start of its engine, as the agent last reported.
+	// on it, and reports to what the agent last reported of its engine.
 	servers map[string]string
 	records map[string][]engineRecord
-	starts  map[string]int64
+	reports map[string]engineReport
 	// zones maps each agent's host to its availability zone.
 	zones map[string]string
 	// waiting holds the attempts that wait for a grant, granted those that have one; both are
@@ -69,6 +70,12 @@
 	born int64
 }
 
+// engineReport is what an agent last reported of its engine; holds are its adapters.
+type engineReport struct {
+	load  spread.Load
+	holds []spread.AdapterSlot
+}
+
 // grantWaiter receives the replies of agents for an attempt that waits for a grant or another answer.
 type grantWaiter struct {
 	// server is the server that the attempt is meant for, empty if it is for none yet.
@@ -95,7 +102,7 @@
 // newAgents returns a set without connections.
 func newAgents(no *Node) *agents {
 	return &agents{
-		no: no, links: map[string]*agentConn{}, servers: map[string]string{}, starts: map[string]int64{},
+		no: no, links: map[string]*agentConn{}, servers: map[string]string{}, reports: map[string]engineReport{},
 		waiting: map[string]*grantWaiter{}, granted: map[string]*heldGrant{},
 	}
 }
@@ -109,11 +116,12 @@
 	return host
 }
 
-// setServers replaces the list of servers; those that are engines have an agent on their host.
-func (as *agents) setServers(servers []roster.Server, now time.Time) {
+// setServers replaces the list of servers; those that are engines have an agent on their host. It returns, by server, the
+// last reports of agents that have now turned out to stand beside another server.
+func (as *agents) setServers(servers []roster.Server, now time.Time) map[string]engineReport {
 	ta := as.no.view.table.Load()
 	if ta == nil {
-		return
+		return nil
 	}
 	hosts := make([]member.Host, 0, len(servers))
 	records, zones := map[string][]engineRecord{}, map[string]string{}
@@ -137,13 +145,37 @@
 	for host := range records {
 		as.servers[host] = as.serverBeside(host)
 	}
-	maps.DeleteFunc(as.starts, func(host string, _ int64) bool { return records[host] == nil })
+	maps.DeleteFunc(as.reports, func(host string, _ engineReport) bool { return records[host] == nil })
 	for host := range as.links {
 		if previous[host] != as.servers[host] {
 			as.prepare(host)
 		}
 	}
 	as.refuseWaiting(servers)
+	return as.reportsOfNew(previous)
+}
+
+// reportsOfNew returns, by server, the last reports of agents that stand beside another server than before, if that
+// server started when the agent's engine did. The caller must hold as.mu.
+func (as *agents) reportsOfNew(previous map[string]string) map[string]engineReport {
+	reports := map[string]engineReport{}
+	for host, id := range as.servers {
+		er, known := as.reports[host]
+		if known && previous[host] != id && as.startOf(host, id) == er.load.Born && as.working(host) != nil {
+			reports[id] = er
+		}
+	}
+	return reports
+}
+
+// startOf returns the start of a server with an address on a host. The caller must hold as.mu.
+func (as *agents) startOf(host, id string) int64 {
+	for _, er := range as.records[host] {
+		if er.id == id {
+			return er.born
+		}
+	}
+	return 0
 }
 
 // serverBeside returns the ID of the server beside the agent of a host. Of several with addresses there, of which another
@@ -152,7 +184,7 @@
 func (as *agents) serverBeside(host string) string {
 	last := engineRecord{}
 	for _, er := range as.records[host] {
-		if er.born != 0 && er.born == as.starts[host] {
+		if er.born != 0 && er.born == as.reports[host].load.Born {
 			return er.id
 		}
 		if er.born >= last.born {
@@ -162,12 +194,17 @@
 	return last.id
 }
 
-// engineStarted records when the engine of a host started, as its agent reports. The caller must hold as.mu.
-func (as *agents) engineStarted(host string, born int64) {
-	if as.starts[host] == born {
+// keepReport keeps what the agent of a host reports of its engine; holds is nil if it only reports the load. The caller
+// must hold as.mu.
+func (as *agents) keepReport(host string, load spread.Load, holds []spread.AdapterSlot) {
+	previous := as.reports[host]
+	if holds == nil && load.Born == previous.load.Born {
+		holds = previous.holds
+	}
+	as.reports[host] = engineReport{load: load, holds: holds}
+	if load.Born == previous.load.Born {
 		return
 	}
-	as.starts[host] = born
 	if id := as.serverBeside(host); id != as.servers[host] {
 		as.servers[host] = id
 		as.prepare(host)
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -57,6 +57,8 @@
 // syncServers passes the current list of servers to server selection and to the agent
 // connections.
 func (no *Node) syncServers(now time.Time) {
+	no.syncing.Lock()
+	defer no.syncing.Unlock()
 	servers := []roster.Server(nil)
 	no.view.withRoster(func(ro *roster.Roster) { servers = ro.Servers(no.view.offers()) })
 	ids := map[string]bool{}
@@ -74,7 +76,9 @@
 		}
 	}
 	no.mu.Unlock()
-	no.agents.setServers(servers, now)
+	for id, er := range no.agents.setServers(servers, now) {
+		no.recordEngineReport(id, er.load, er.holds)
+	}
 	no.crashes.recordServers(servers)
 	no.origins.recordServers(servers, now)
 }
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -37,9 +37,14 @@
 	rc.ac.silent = false
 	attempt, lo := attemptAndLoad(fr)
 	gw := as.waiting[attempt]
+	load, holds := spread.Load{}, []spread.AdapterSlot(nil)
 	if lo != nil {
+		load = loadOf(lo, time.Now())
+		if fr.Holdings != nil {
+			holds = holdsOf(fr.Holdings)
+		}
 		as.maxEntries = max(as.maxEntries, lo.Entries)
-		as.engineStarted(rc.host, lo.Born)
+		as.keepReport(rc.host, load, holds)
 	}
 	id := as.servers[rc.host]
 	as.mu.Unlock()
@@ -56,11 +61,7 @@
 		as.no.crashes.applyPartReport(fr.PartReport)
 	}
 	if lo != nil {
-		holds := []spread.AdapterSlot(nil)
-		if fr.Holdings != nil {
-			holds = holdsOf(fr.Holdings)
-		}
-		as.no.recordEngineReport(id, loadOf(lo, time.Now()), holds)
+		as.no.recordEngineReport(id, load, holds)
 	}
 	if gw != nil && !gw.tryDeliver(fr) {
 		as.no.logger.Warn().Str("attempt", attempt).Msg("frame_dropped")
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -74,6 +74,9 @@
 	// callerListener accepts the connections of callers.
 	callerListener net.Listener
 
+	// syncing is held while the list of servers is passed on, so that an older one never follows a newer one.
+	syncing sync.Mutex
+
 	// mu guards the fields below.
 	mu         sync.Mutex
 	fleet      spread.Fleet
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -73,19 +73,26 @@
 // correctServerState updates the server's state after an answer which shows that the node's
 // view of the server is wrong.
 func (no *Node) correctServerState(at *attempt, kind AnswerKind, adapter string) {
-	if kind == Replaced {
-		no.view.withRoster(func(ro *roster.Roster) { ro.RemoveReplaced(at.server) })
-		no.feeds.followers[ServersTopic.String()].readSoon(time.Now())
-		no.crashes.recordEnded(at.run(), evidenceReplaced)
-	}
-	no.mu.Lock()
-	defer no.mu.Unlock()
 	switch kind {
 	case Replaced:
-		no.logger.Info().Str("server", at.server).Str("address", at.address).Msg("server_replaced")
-		no.fleet.Remove(at.server)
+		no.removeReplaced(at)
 	case Misdirected:
+		no.mu.Lock()
+		defer no.mu.Unlock()
 		no.fleet.AdapterMissing(at.server, adapter)
 	case Genuine, NotRun, Foreign:
 	}
 }
+
+// removeReplaced drops a server at whose address another one answers. One that the record of the first hid can be chosen
+// at once.
+func (no *Node) removeReplaced(at *attempt) {
+	no.logger.Info().Str("server", at.server).Str("address", at.address).Msg("server_replaced")
+	known := false
+	no.view.withRoster(func(ro *roster.Roster) { known = ro.RemoveReplaced(at.server) })
+	no.feeds.followers[ServersTopic.String()].readSoon(time.Now())
+	no.crashes.recordEnded(at.run(), evidenceReplaced)
+	if known {
+		no.syncServers(time.Now())
+	}
+}
--- a/proofs/direct_zone_test.go
+++ b/proofs/direct_zone_test.go
@@ -137,3 +137,37 @@
 		})
 	}
 }
+
+// Another writer leaves a record with the address of a living server, its service and a later start, which is taken for the
+// server's next run. The answer to the first call there shows that it is none: that call and all that follow must be served
+// by the living server. All calls until the next read of the log were refused.
+func TestDirectZoneServerIsUsedAtOnceAfterItsRecordHidIt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		service, address, target string
+		servers                  int
+		// again is the start that the record states as it is written again in a round, zero if it is not.
+		again func(round int) int64
+	}{
+		"plain server":                      {service: "ledger", address: "plain-0:1", target: "/unsafe/x", servers: 1},
+		"one of two plain servers":          {service: "ledger", address: "plain-0:1", target: "/unsafe/x", servers: 2},
+		"engine":                            {service: "advice", address: "engine-0:1", target: "/once/x", servers: 1},
+		"plain server, written again":       {service: "ledger", address: "plain-0:1", target: "/unsafe/x", servers: 1, again: func(int) int64 { return 9 }},
+		"plain server, a new run each time": {service: "ledger", address: "plain-0:1", target: "/unsafe/x", servers: 1, again: func(round int) int64 { return int64(10 + round) }},
+		"engine, written again":             {service: "advice", address: "engine-0:1", target: "/once/x", servers: 1, again: func(int) int64 { return 9 }},
+		"engine, a new run each time":       {service: "advice", address: "engine-0:1", target: "/once/x", servers: 1, again: func(round int) int64 { return int64(10 + round) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runZone(t, tc.servers, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+				ds.source.appendRecord(direct.ServersTopic, oddRecord("zz-odd", tc.service, tc.address, 9))
+				time.Sleep(2500 * time.Millisecond)
+				for round := range 4 {
+					zo.checkCalls(t, tc.target, round)
+					if tc.again != nil {
+						ds.source.appendRecord(direct.ServersTopic, oddRecord("zz-odd", tc.service, tc.address, tc.again(round)))
+						time.Sleep(1200 * time.Millisecond)
+					}
+				}
+			})
+		})
+	}
+}
