--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"net"
 	"strconv"
 	"sync"
@@ -9,6 +10,7 @@
 	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/member"
 	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -49,8 +51,11 @@
 	// maxEntries is the highest number of connected entry nodes that any agent has reported.
 	maxEntries int
 	links      map[string]*agentConn
-	// servers maps each agent's host to the ID of the server on it.
+	// servers maps each agent's host to the ID of the server beside the agent, records to all servers with addresses
+	// on it, and reports to what the agent last reported of its engine.
 	servers map[string]string
+	records map[string][]engineRecord
+	reports map[string]engineReport
 	// zones maps each agent's host to its availability zone.
 	zones map[string]string
 	// waiting holds the attempts that wait for a grant, granted those that have one; both are
@@ -59,6 +64,18 @@
 	granted map[string]*heldGrant
 }
 
+// engineRecord is a server with an address on an agent's host, and the start of its run.
+type engineRecord struct {
+	id   string
+	born int64
+}
+
+// engineReport is what an agent last reported of its engine; holds are its adapters.
+type engineReport struct {
+	load  spread.Load
+	holds []spread.AdapterSlot
+}
+
 // grantWaiter receives the replies of agents for an attempt that waits for a grant or another answer.
 type grantWaiter struct {
 	// server is the server that the attempt is meant for, empty if it is for none yet.
@@ -85,7 +102,7 @@
 // newAgents returns a set without connections.
 func newAgents(no *Node) *agents {
 	return &agents{
-		no: no, links: map[string]*agentConn{}, servers: map[string]string{},
+		no: no, links: map[string]*agentConn{}, servers: map[string]string{}, reports: map[string]engineReport{},
 		waiting: map[string]*grantWaiter{}, granted: map[string]*heldGrant{},
 	}
 }
@@ -99,21 +116,23 @@
 	return host
 }
 
-// setServers replaces the list of servers; those that are engines have an agent on their host.
-func (as *agents) setServers(servers []roster.Server, now time.Time) {
+// setServers replaces the list of servers; those that are engines have an agent on their host. It returns, by server, the
+// last reports of agents that have now turned out to stand beside another server.
+func (as *agents) setServers(servers []roster.Server, now time.Time) map[string]engineReport {
 	ta := as.no.view.table.Load()
 	if ta == nil {
-		return
+		return nil
 	}
 	hosts := make([]member.Host, 0, len(servers))
-	byHost, zones := map[string]string{}, map[string]string{}
+	records, zones := map[string][]engineRecord{}, map[string]string{}
 	for ix := range servers {
 		se := &servers[ix]
 		host := hostOf(se.Address)
 		if !ta.Services[se.Service].Engine || host == "" {
 			continue
 		}
-		byHost[host], zones[host] = se.ID, se.Zone
+		records[host] = append(records[host], engineRecord{id: se.ID, born: se.Born})
+		zones[host] = se.Zone
 		hosts = append(hosts, member.Host{
 			Name: host, Address: net.JoinHostPort(host, strconv.Itoa(as.no.options.Settings.AgentPort)), Zone: se.Zone,
 		})
@@ -122,16 +141,85 @@
 	defer as.mu.Unlock()
 	as.members.ApplyList(hosts, now)
 	previous := as.servers
-	as.servers, as.zones = byHost, zones
-	for host, ac := range as.links {
-		if previous[host] == byHost[host] {
-			continue
-		}
-		if fr := as.prepareFrame(host); fr != nil {
-			ac.co.TrySend(fr)
+	as.records, as.zones, as.servers = records, zones, map[string]string{}
+	for host := range records {
+		as.servers[host] = as.serverBeside(host, previous[host])
+	}
+	maps.DeleteFunc(as.reports, func(host string, _ engineReport) bool { return records[host] == nil })
+	for host := range as.links {
+		if previous[host] != as.servers[host] {
+			as.prepare(host)
 		}
 	}
 	as.refuseWaiting(servers)
+	return as.reportsOfNew(previous)
+}
+
+// reportsOfNew returns, by server, the last reports of agents that stand beside another server than before, if that
+// server started when the agent's engine did. The caller must hold as.mu.
+func (as *agents) reportsOfNew(previous map[string]string) map[string]engineReport {
+	reports := map[string]engineReport{}
+	for host, id := range as.servers {
+		er, known := as.reports[host]
+		if known && previous[host] != id && as.startOf(host, id) == er.load.Born && as.working(host) != nil {
+			reports[id] = er
+		}
+	}
+	return reports
+}
+
+// startOf returns the start of a server with an address on a host. The caller must hold as.mu.
+func (as *agents) startOf(host, id string) int64 {
+	for _, er := range as.records[host] {
+		if er.id == id {
+			return er.born
+		}
+	}
+	return 0
+}
+
+// serverBeside returns the ID of the server beside the agent of a host; earlier is the one until now. Of several
+// with addresses there, of which another writer may have left some, it is the one that started when the agent's engine
+// did, the earlier one if it is among those, else the last one that started. The caller must hold as.mu.
+func (as *agents) serverBeside(host, earlier string) string {
+	running, last := "", engineRecord{}
+	for _, er := range as.records[host] {
+		if er.born != 0 && er.born == as.reports[host].load.Born && (running == "" || er.id == earlier) {
+			running = er.id
+		}
+		if er.born >= last.born {
+			last = er
+		}
+	}
+	if running != "" {
+		return running
+	}
+	return last.id
+}
+
+// keepReport keeps what the agent of a host reports of its engine; holds is nil if it only reports the load. The caller
+// must hold as.mu.
+func (as *agents) keepReport(host string, load spread.Load, holds []spread.AdapterSlot) {
+	previous := as.reports[host]
+	if holds == nil && load.Born == previous.load.Born {
+		holds = previous.holds
+	}
+	as.reports[host] = engineReport{load: load, holds: holds}
+	if load.Born == previous.load.Born {
+		return
+	}
+	if id := as.serverBeside(host, as.servers[host]); id != as.servers[host] {
+		as.servers[host] = id
+		as.prepare(host)
+	}
+}
+
+// prepare sends an agent the base model and slots that its engine must provide. The caller must hold as.mu.
+func (as *agents) prepare(host string) {
+	ac := as.links[host]
+	if fr := as.prepareFrame(host); ac != nil && fr != nil {
+		ac.co.TrySend(fr)
+	}
 }
 
 // refuseWaiting refuses the attempts that wait for grants at servers that are leaving or gone.
@@ -151,10 +239,8 @@
 func (as *agents) prepareEngines() {
 	as.mu.Lock()
 	defer as.mu.Unlock()
-	for host, ac := range as.links {
-		if fr := as.prepareFrame(host); fr != nil {
-			ac.co.TrySend(fr)
-		}
+	for host := range as.links {
+		as.prepare(host)
 	}
 }
 
