Reset the connection of broken answers without framing on the own interface too

Callers of HTTP/1.0 took a long answer that had broken off for a whole one, as on the platform's way.

--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/entry/internal/abort"
 )
 
 const (
@@ -168,15 +170,15 @@
 	return an.status, an.contentType, bytes.Clone(an.buffer.Bytes()), true
 }
 
-// abort closes the connection of an answer that was partly sent and cannot be completed, so that
+// abort breaks off the answer to a request that was partly sent and cannot be completed, so that
 // the caller does not take it for complete. If the caller asked for an event stream, it sends the
 // error as an event first.
-func (an *answer) abort(err error) {
+func (an *answer) abort(rq *http.Request, err error) {
 	if !an.stream {
-		panic(http.ErrAbortHandler)
+		abort.Answer(rq)
 	}
 	_, body := errorResponse(err)
 	data, _ := json.Marshal(body)
 	_ = an.send([]byte(dataPrefix + string(data) + "\n\n"))
-	panic(http.ErrAbortHandler)
+	abort.Answer(rq)
 }
--- a/entry/internal/caller/answer_test.go
+++ b/entry/internal/caller/answer_test.go
@@ -2,8 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/entry/internal/abort"
 )
 
 // Another attempt must go on with nothing but a successful stream: it would add its events to half an answer.
@@ -35,3 +43,26 @@
 		}
 	}
 }
+
+// A caller of HTTP/1.0 reads until its connection ends. A long answer that is broken off must not look whole to it.
+func TestBrokenAnswerLooksBrokenToCallersOfHTTP10(t *testing.T) {
+	sv := httptest.NewUnstartedServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		an := newAnswer(wr, false)
+		if err := errors.CombineErrors(an.Head(http.StatusOK, "text/plain"), an.Part(bytes.Repeat([]byte("x"), maxBufferedBytes+1))); err != nil {
+			t.Error(err)
+		}
+		an.abort(rq, errors.New("the service has gone away"))
+	}))
+	sv.Config.ConnContext = abort.ConnContext
+	sv.Start()
+	defer sv.Close()
+	nc, err := net.Dial("tcp", sv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = nc.Close() }()
+	_, _ = fmt.Fprintf(nc, "GET / HTTP/1.0\r\n\r\n")
+	if data, err := io.ReadAll(nc); err == nil {
+		t.Errorf("%d bytes and an orderly end", len(data))
+	}
+}
--- a/entry/internal/caller/completion.go
+++ b/entry/internal/caller/completion.go
@@ -56,7 +56,7 @@
 	switch {
 	case err == nil:
 	case an.Begun():
-		an.abort(err)
+		an.abort(gc.Request, err)
 	default:
 		ca.abortWithError(gc, err)
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/route"
+	"github.com/bambooladder/bambooladder/entry/internal/abort"
 	"github.com/bambooladder/bambooladder/entry/internal/admin"
 	"github.com/bambooladder/bambooladder/entry/internal/caller"
 	"github.com/bambooladder/bambooladder/entry/internal/claims"
@@ -197,6 +198,7 @@
 // registerHooks registers the functions that start and stop the node.
 func registerHooks(lc fx.Lifecycle, co components) {
 	callerServer := newServer(co.Caller.Handler())
+	callerServer.ConnContext = abort.ConnContext
 	callerServer.BaseContext = func(net.Listener) context.Context { return co.Lifetime.requests }
 	adminServer := newServer(co.Admin.Handler())
 	lc.Append(fx.Hook{
