--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 HISTORY_FROM ?= 0
 SOAK_SEEDS ?= 50
 SOAK_FROM ?= 1
+DRAWN_SEEDS ?= 1000
+DRAWN_FROM ?= 1
 
-.PHONY: build run test proofs soak fault-soak bench measure slopes lint format generate clean
+.PHONY: build run test proofs soak fault-soak drawn-hunt bench measure slopes lint format generate clean
 
 build:
 	@mkdir -p bin
@@ -33,6 +35,10 @@
 fault-soak: build
 	@cd proofs && SOAK_SEEDS=$(SOAK_SEEDS) SOAK_FROM=$(SOAK_FROM) go test -count=1 -timeout 0 -run TestSoak .
 
+# DRAWN_WITHOUT=CLASS,... leaves out classes of faults, DRAWN_SHRINK=1 shrinks finds to their fewest faults.
+drawn-hunt:
+	@cd proofs && DRAWN_SEEDS=$(DRAWN_SEEDS) DRAWN_FROM=$(DRAWN_FROM) go test -count=1 -timeout 0 -run TestDrawnHistoriesBreakNoRule .
+
 bench:
 	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
 	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
