--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,12 @@
 	maxEventBytes = 1 << 20
 	// eventBufferBytes is the initial buffer size, enough for a typical event.
 	eventBufferBytes = 512
+	// streamType is the media type of a stream of events.
+	streamType = "text/event-stream"
+	// reasonOutOfOrder means that a server sent an event that does not follow the last one.
+	reasonOutOfOrder = "out_of_order"
+	// reasonEndNotConfirmed means that the answer ended with its connection, which does not show that it is whole.
+	reasonEndNotConfirmed = "end_not_confirmed"
 )
 
 // streamState tracks the events written to the caller.
@@ -25,10 +33,14 @@
 	// lastID is the ID of the last event written.
 	lastID string
 	count  int
+	order  eventOrder
 	// lastWrittenAt is when the last event was written, longestPause the longest time between
 	// two events.
 	lastWrittenAt time.Time
 	longestPause  time.Duration
+	// endSeen is true if the last server's answer ended with its connection after the last event, which does not show
+	// whether more would have followed.
+	endSeen bool
 }
 
 // recordWritten updates the state after an event was written.
@@ -37,6 +49,7 @@
 		ss.longestPause = max(ss.longestPause, now.Sub(ss.lastWrittenAt))
 	}
 	ss.count++
+	ss.endSeen = false
 	ss.lastWrittenAt = now
 	if id, ok := eventID(ev); ok {
 		ss.lastID = id
@@ -51,9 +64,29 @@
 	return rq.info.LastEvent
 }
 
+// isStream reports whether an answer is a stream of events, and of the same type as the one that the caller has the
+// beginning of.
+func (rq *request) isStream(an *pool.Answer) bool {
+	if an.Status != http.StatusOK {
+		return false
+	}
+	contentType := an.Header.Get("Content-Type")
+	if rq.answerStarted {
+		return contentType == rq.wr.Header().Get("Content-Type")
+	}
+	return contentType == "" || strings.HasPrefix(contentType, streamType)
+}
+
 // errEventTooLong means that a server sent an event larger than maxEventBytes.
 var errEventTooLong = errors.New("direct: an event exceeds the size limit")
 
+// beginOrder makes the caller's last event the one that the first event must follow, if the route can go on after it.
+func (rq *request) beginOrder() {
+	if rq.route.Resumable {
+		rq.stream.order = rq.stream.order.withLast(rq.info.LastEvent)
+	}
+}
+
 // deliverStream forwards each event as soon as it is complete. If the stream breaks, it can
 // resume on another server after the last event that the caller has received.
 func (rq *request) deliverStream(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
@@ -65,12 +98,20 @@
 	for {
 		ev, err := readEvent(rd, buf[:0], eh.allows)
 		if errors.Is(err, io.EOF) && len(ev) == 0 {
-			return rq.finishStream(at, an)
+			return rq.endStream(at, an)
 		}
 		if err != nil {
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
+		buf = ev
+		if first && isComment(ev) {
+			continue
+		}
+		order, follows := rq.orderWith(at, ev, first)
+		if !follows {
+			return result{outcome: retry.Unknown, reason: reasonOutOfOrder}, false
+		}
 		if first && !rq.admitFirstEvent(at) {
 			return result{outcome: retry.Unknown, reason: reasonSoftwareChanged}, false
 		}
@@ -82,8 +123,20 @@
 		if !rq.writeEvent(an, ev) {
 			return result{outcome: retry.Unknown, reason: reasonCallerGone}, false
 		}
-		buf = ev
+		rq.stream.order = order
+	}
+}
+
+// orderWith returns the order of the stream with the next event, and whether that event follows. If not, it counts a
+// failure of the server: another one can still send what follows.
+func (rq *request) orderWith(at *attempt, ev []byte, firstOfAnswer bool) (eventOrder, bool) {
+	id, _ := eventID(ev)
+	order, follows := rq.stream.order.withNext(id, firstOfAnswer)
+	if !follows {
+		rq.logAttempt(at, "event_out_of_order").Str("id", id).Str("last_event", rq.lastEventID()).Bool("first", firstOfAnswer).Send()
+		rq.no.recordFailure(at.server)
 	}
+	return order, follows
 }
 
 // recordReceived updates the longest pause when an event arrives.
@@ -132,6 +185,25 @@
 	rq.wr.WriteHeader(an.Status)
 }
 
+// endStream decides whether the end of an answer is that of the stream. An answer without framing ends with its connection,
+// which also closes when its server goes away: another server is asked for what follows, if the route allows it. A
+// second one that has nothing to add confirms the end.
+func (rq *request) endStream(at *attempt, an *pool.Answer) (result, bool) {
+	empty := at.firstEventAt.IsZero()
+	if an.Framed() || rq.stream.endSeen && empty {
+		return rq.finishStream(at, an)
+	}
+	rq.stream.endSeen = !empty
+	return result{outcome: retry.Unknown, reason: reasonEndNotConfirmed}, false
+}
+
+// finishUnconfirmed completes an answer whose end no other server could confirm, for the reason given by an error.
+func (rq *request) finishUnconfirmed(err error) {
+	metricUnconfirmedEnds.Add(1)
+	rq.no.logger.Info().Str("request", rq.info.ID).AnErr("reason", err).Str("last_event", rq.lastEventID()).Int("events", rq.stream.count).Dur("took", time.Since(rq.start)).Msg("stream_end_not_confirmed")
+	histogram(histogramWholeAnswer).record(time.Since(rq.start))
+}
+
 // finishStream completes the answer.
 func (rq *request) finishStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.writeStreamHeader(an)
@@ -176,6 +248,16 @@
 	}
 }
 
+// isComment reports whether all lines of an event are comments, by which servers keep connections open.
+func isComment(ev []byte) bool {
+	for line := range bytes.Lines(ev) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event, if it has one.
 func eventID(ev []byte) (string, bool) {
 	for len(ev) > 0 {
