--- a/proofs/direct_drawn_caller_test.go
+++ b/proofs/direct_drawn_caller_test.go
@@ -119,6 +119,7 @@
 	if rq.adapter != "" {
 		hr.Header.Set(headerAdapter, rq.adapter)
 	}
+	hr.Header.Set(headerAsked, strconv.Itoa(last))
 	if last > 0 {
 		hr.Header.Set(headerLastEvent, strconv.Itoa(last))
 		if rq.named {
--- a/proofs/direct_drawn_server_test.go
+++ b/proofs/direct_drawn_server_test.go
@@ -16,6 +16,9 @@
 // streamType is the type of answers that are streams.
 const streamType = "text/event-stream"
 
+// headerAsked names the event after which a caller asks for the rest, which entry nodes pass on as it is.
+const headerAsked = "T-Asked"
+
 // resetDelay is how long a server waits before it resets a connection, so that what it wrote arrives.
 const resetDelay = 3 * time.Millisecond
 
@@ -77,10 +80,12 @@
 type streamRequest struct {
 	id, name     string
 	length, last int
-	period       time.Duration
-	streams      bool
-	adapter      string
-	server       string
+	// asked is the number of the event after which the caller asked for the rest.
+	asked   int
+	period  time.Duration
+	streams bool
+	adapter string
+	server  string
 }
 
 // parseStreamRequest reads a request.
@@ -94,6 +99,7 @@
 	millis, _ := strconv.Atoi(query.Get("period"))
 	sr.period = time.Duration(millis) * time.Millisecond
 	sr.last, _ = strconv.Atoi(rq.Header.Get(headerLastEvent))
+	sr.asked, _ = strconv.Atoi(rq.Header.Get(headerAsked))
 	sr.streams = sr.adapter != ""
 	return sr
 }
