Let a stream that a caller takes up end with nothing but a stream

Callers that took a broken stream up got a success that is no stream as its end, though other servers could go on: the node looked only at whether it had begun to answer this request, not at whether the caller has the beginning from an earlier one. TestDirectStreamThatIsTakenUpGoesOnOnlyWithAStream failed in 3 of 6 cases before and passes now: such an answer is kept from the caller in both cases, its outcome is unknown, and another server is tried.

--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -18,8 +18,6 @@
 	maxDiscardBytes = 64 << 10
 	// passOnBytes is the size of the buffer by which an answer is passed on as it arrives.
 	passOnBytes = 8 << 10
-	// reasonNoStream means that a server answered with a success that does not continue the stream that has begun.
-	reasonNoStream = "no_stream"
 )
 
 // bufferedAnswer is an answer that has been read completely.
@@ -57,7 +55,7 @@
 	}
 	if rq.answerStarted || an.Status >= http.StatusInternalServerError {
 		no.recordFailure(at.server)
-		return result{outcome: retry.Failed, reason: rq.failureReason(an.Status), serverFailure: ans}, false
+		return result{outcome: retry.Failed, reason: "status_" + strconv.Itoa(an.Status), serverFailure: ans}, false
 	}
 	no.recordSuccess(at, took)
 	if an.Status < http.StatusMultipleChoices {
@@ -68,14 +66,6 @@
 	return result{outcome: retry.Failed}, true
 }
 
-// failureReason returns why an answer with a status is no use.
-func (rq *request) failureReason(status int) string {
-	if rq.answerStarted && status < http.StatusMultipleChoices {
-		return reasonNoStream
-	}
-	return "status_" + strconv.Itoa(status)
-}
-
 // passOnAnswer writes the held part of an answer to the caller and then the rest as it arrives. If the
 // rest breaks off, the connection is aborted, so that the answer does not look complete. The argument
 // took is the time until the held part had arrived.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -235,5 +235,10 @@
 	if rq.route.Kind == paths.Stream && rq.isStream(an) {
 		return rq.deliverStream(ctx, at, an)
 	}
+	if rq.goesOn() && an.Status < http.StatusMultipleChoices {
+		discardBody(an)
+		no.recordFailure(at.server)
+		return result{outcome: retry.Unknown, reason: reasonNoStream}, false
+	}
 	return rq.deliverBuffered(ctx, at, an)
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
@@ -22,6 +23,8 @@
 	eventBufferBytes = 512
 	// streamType is the media type of a stream of events.
 	streamType = "text/event-stream"
+	// reasonNoStream means that a server answered with a success that does not continue the stream that has begun.
+	reasonNoStream = "no_stream"
 	// reasonOutOfOrder means that a server sent an event that does not follow the last one.
 	reasonOutOfOrder = "out_of_order"
 	// reasonEndNotConfirmed means that the answer ended with its connection, which does not show that it is whole.
@@ -64,6 +67,11 @@
 	return rq.info.LastEvent
 }
 
+// goesOn reports whether the caller has the beginning of a stream, from this request or from the one that it takes up.
+func (rq *request) goesOn() bool {
+	return rq.answerStarted || rq.route.Kind == paths.Stream && rq.route.Resumable && rq.info.LastEvent != ""
+}
+
 // isStream reports whether an answer is a stream of events, and of the same type as the one that the caller has the
 // beginning of.
 func (rq *request) isStream(an *pool.Answer) bool {
