Read the context of a connection's writes under its lock

Found by a review with the race detector: Send, called as a connection is added, reads the context that Run sets at the same time. No caller saw it; a write could have missed the end of the connection's context.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -59,11 +59,10 @@
 	wake chan struct{}
 	// done is closed when Run stops reading.
 	done chan struct{}
+	// mu guards ctx, queued and writing.
+	mu sync.Mutex
 	// ctx is the context of Run, and the background context before Run.
-	ctx context.Context
-
-	// mu guards queued and writing.
-	mu     sync.Mutex
+	ctx    context.Context
 	queued [][]*wire.Frame
 	// writing is true while a goroutine writes the queued batches.
 	writing bool
@@ -143,12 +142,26 @@
 	return errors.Wrap(co.ws.Write(ctx, websocket.MessageBinary, buf.Bytes()), "link: write")
 }
 
+// setContext sets the context of writes.
+func (co *Conn) setContext(ctx context.Context) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.ctx = ctx
+}
+
+// context returns the context of writes.
+func (co *Conn) context() context.Context {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.ctx
+}
+
 // Run reads and writes frames until the connection fails, nothing arrives for MaxSilence or the
 // context is canceled. It returns the cause.
 func (co *Conn) Run(ctx context.Context, ha Handler) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	co.ctx = ctx
+	co.setContext(ctx)
 	co.recordReceipt()
 	writesDone := make(chan struct{})
 	go func() {
--- a/core/link/write.go
+++ b/core/link/write.go
@@ -68,7 +68,7 @@
 		if !ok {
 			return
 		}
-		if err := co.writeBatches(co.ctx, batches); err != nil {
+		if err := co.writeBatches(co.context(), batches); err != nil {
 			_ = co.ws.CloseNow()
 			return
 		}
