Ask about the end of a stream only where streams are usually framed

The share of unframed streams is kept for each service now, and from a quarter on their ends count. An end does not count once half an event, a later number or an event of another software version has shown that more follows. A caller that takes a stream up for its end alone gets it. Settings, types with parameters and IDs that are no numbers at times are passed on as before.

--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -86,6 +86,8 @@
 	addresses map[string]string
 	// retryWindows counts the retries of each service.
 	retryWindows map[string]*retry.Window
+	// framing tells which services usually send streams without framing.
+	framing framing
 }
 
 // releaseModeOnce disables gin's debug output once per process.
--- a/entry/direct/order.go
+++ b/entry/direct/order.go
@@ -2,8 +2,9 @@
 
 import "strconv"
 
-// eventOrder tells whether the events of a stream follow one another, also where they come from several servers. Events
-// whose IDs are no numbers are not checked.
+// eventOrder tells whether the events of a stream follow one another, also where they come from several servers. An example:
+// after 1, 2 from one server, the next one must go on with 3; after 10, 20, with any number above 20. Streams with IDs that
+// are no numbers are not checked.
 type eventOrder struct {
 	// last is the number of the last event, if numbered is true.
 	last     uint64
@@ -22,22 +23,28 @@
 	return eo
 }
 
-// withNext returns the order after the next event, and whether that event follows the last one. Numbers rise; where those of
-// each answer so far rose one by one, the first event of a later answer has the next number. A first event without a
-// number follows only where none had one.
+// isBefore reports whether an event with an ID comes after all events so far.
+func (eo eventOrder) isBefore(id string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	return err == nil && number > eo.last
+}
+
+// withNext returns the order after the next event, and whether that event follows the last one. Numbers rise. The first event
+// of an answer that goes on has a number too if the last one had, and the next one if each step within answers was one.
 func (eo eventOrder) withNext(id string, firstOfAnswer bool) (eventOrder, bool) {
 	number, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
-		return eo, !firstOfAnswer || !eo.numbered
-	}
-	counted := eo.steps && !eo.gaps
-	if eo.numbered && (number <= eo.last || firstOfAnswer && counted && number > eo.last+1) {
+	switch {
+	case err != nil && firstOfAnswer:
+		return eo, !eo.numbered
+	case err != nil && id != "":
+		return eventOrder{}, true
+	case err != nil || !eo.numbered:
+		return eo.withLast(id), true
+	case number <= eo.last, firstOfAnswer && eo.steps && !eo.gaps && number > eo.last+1:
 		return eo, false
-	}
-	if eo.numbered && !firstOfAnswer {
+	case !firstOfAnswer:
 		eo.steps = eo.steps || number == eo.last+1
 		eo.gaps = eo.gaps || number > eo.last+1
 	}
-	eo.last, eo.numbered = number, true
-	return eo, true
+	return eo.withLast(id), true
 }
--- a/entry/direct/order_test.go
+++ b/entry/direct/order_test.go
@@ -27,6 +27,7 @@
 		"goes on without a number":        {answers: [][]string{{"1", "2"}, {"", "3"}}},
 		"goes on with another ID":         {answers: [][]string{{"1", "2"}, {"x1", "x2"}}},
 		"taken up without a number":       {last: "12", answers: [][]string{{"", "13"}}},
+		"numbers by chance":               {answers: [][]string{{"8", "9", "a", "b"}, {"c"}}, follows: true},
 		"never a number":                  {answers: [][]string{{"", ""}, {"", ""}}, follows: true},
 		"the largest number":              {answers: [][]string{{"18446744073709551614", "18446744073709551615"}, {"0"}}},
 	} {
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -64,6 +64,9 @@
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
 	versionMin := rq.versionMin(time.Now())
 	budget := spread.WaitBudget(time.Until(rq.no.drain.waitsUntil(rq.deadline)))
+	if rq.stream.endCounts {
+		budget = min(budget, confirmWaitMax)
+	}
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
 		Attempt: at.id, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: at.version, VersionRequired: versionMin > 0 && versionMin == at.version, VersionMin: versionMin,
 		Urgency: maxUrgency - rq.route.Rank, PromptTokens: rq.info.PromptTokens, OutputTokens: rq.info.OutputTokens,
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -206,7 +206,7 @@
 // respondError answers the caller with an error, or aborts the connection if an answer has
 // started. A stream that has ended, although no other server could confirm that, is completed instead.
 func (rq *request) respondError(err error) {
-	if rq.stream.endSeen && rq.stream.count > 0 {
+	if rq.stream.endCounts && rq.hr.Context().Err() == nil {
 		rq.finishUnconfirmed(err)
 		return
 	}
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -27,8 +27,6 @@
 	reasonNoStream = "no_stream"
 	// reasonOutOfOrder means that a server sent an event that does not follow the last one.
 	reasonOutOfOrder = "out_of_order"
-	// reasonEndNotConfirmed means that the answer ended with its connection, which does not show that it is whole.
-	reasonEndNotConfirmed = "end_not_confirmed"
 )
 
 // streamState tracks the events written to the caller.
@@ -41,9 +39,10 @@
 	// two events.
 	lastWrittenAt time.Time
 	longestPause  time.Duration
-	// endSeen is true if the last server's answer ended with its connection after the last event, which does not show
-	// whether more would have followed.
-	endSeen bool
+	// end is the last answer if it ended with its connection and nothing shows that more follows, nil otherwise. If
+	// endCounts is true, the stream is whole if no other server can be asked.
+	end       *pool.Answer
+	endCounts bool
 }
 
 // recordWritten updates the state after an event was written.
@@ -52,7 +51,7 @@
 		ss.longestPause = max(ss.longestPause, now.Sub(ss.lastWrittenAt))
 	}
 	ss.count++
-	ss.endSeen = false
+	ss.moreFollows()
 	ss.lastWrittenAt = now
 	if id, ok := eventID(ev); ok {
 		ss.lastID = id
@@ -78,11 +77,17 @@
 	if an.Status != http.StatusOK {
 		return false
 	}
-	contentType := an.Header.Get("Content-Type")
+	mediaType := mediaTypeOf(an.Header)
 	if rq.answerStarted {
-		return contentType == rq.wr.Header().Get("Content-Type")
+		return mediaType == mediaTypeOf(rq.wr.Header())
 	}
-	return contentType == "" || strings.HasPrefix(contentType, streamType)
+	return mediaType == "" || mediaType == streamType
+}
+
+// mediaTypeOf returns the media type in headers without its parameters, in lower case, empty if there is none.
+func mediaTypeOf(hd http.Header) string {
+	mediaType, _, _ := strings.Cut(hd.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(mediaType))
 }
 
 // errEventTooLong means that a server sent an event larger than maxEventBytes.
@@ -109,11 +114,12 @@
 			return rq.endStream(at, an)
 		}
 		if err != nil {
+			rq.recordPartOfEvent(ev)
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
 		buf = ev
-		if first && isComment(ev) {
+		if first && rq.goesOn() && !hasData(ev) {
 			continue
 		}
 		order, follows := rq.orderWith(at, ev, first)
@@ -121,6 +127,7 @@
 			return result{outcome: retry.Unknown, reason: reasonOutOfOrder}, false
 		}
 		if first && !rq.admitFirstEvent(at) {
+			rq.stream.moreFollows()
 			return result{outcome: retry.Unknown, reason: reasonSoftwareChanged}, false
 		}
 		if first {
@@ -139,8 +146,11 @@
 // failure of the server: another one can still send what follows.
 func (rq *request) orderWith(at *attempt, ev []byte, firstOfAnswer bool) (eventOrder, bool) {
 	id, _ := eventID(ev)
-	order, follows := rq.stream.order.withNext(id, firstOfAnswer)
+	order, follows := rq.stream.order.withNext(id, firstOfAnswer && !isLastEvent(ev))
 	if !follows {
+		if order.isBefore(id) {
+			rq.stream.moreFollows()
+		}
 		rq.logAttempt(at, "event_out_of_order").Str("id", id).Str("last_event", rq.lastEventID()).Bool("first", firstOfAnswer).Send()
 		rq.no.recordFailure(at.server)
 	}
@@ -193,25 +203,6 @@
 	rq.wr.WriteHeader(an.Status)
 }
 
-// endStream decides whether the end of an answer is that of the stream. An answer without framing ends with its connection,
-// which also closes when its server goes away: another server is asked for what follows, if the route allows it. A
-// second one that has nothing to add confirms the end.
-func (rq *request) endStream(at *attempt, an *pool.Answer) (result, bool) {
-	empty := at.firstEventAt.IsZero()
-	if an.Framed() || rq.stream.endSeen && empty {
-		return rq.finishStream(at, an)
-	}
-	rq.stream.endSeen = !empty
-	return result{outcome: retry.Unknown, reason: reasonEndNotConfirmed}, false
-}
-
-// finishUnconfirmed completes an answer whose end no other server could confirm, for the reason given by an error.
-func (rq *request) finishUnconfirmed(err error) {
-	metricUnconfirmedEnds.Add(1)
-	rq.no.logger.Info().Str("request", rq.info.ID).AnErr("reason", err).Str("last_event", rq.lastEventID()).Int("events", rq.stream.count).Dur("took", time.Since(rq.start)).Msg("stream_end_not_confirmed")
-	histogram(histogramWholeAnswer).record(time.Since(rq.start))
-}
-
 // finishStream completes the answer.
 func (rq *request) finishStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.writeStreamHeader(an)
@@ -256,16 +247,19 @@
 	}
 }
 
-// isComment reports whether all lines of an event are comments, by which servers keep connections open.
-func isComment(ev []byte) bool {
+// hasData reports whether an event has data. Others are comments or settings, by which servers keep connections open.
+func hasData(ev []byte) bool {
 	for line := range bytes.Lines(ev) {
-		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
-			return false
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
+// isLastEvent reports whether an event says that the stream is over, as some servers do without a number.
+func isLastEvent(ev []byte) bool { return bytes.Equal(bytes.TrimSpace(ev), []byte("data: [DONE]")) }
+
 // eventID returns the ID of an event, if it has one.
 func eventID(ev []byte) (string, bool) {
 	for len(ev) > 0 {
--- a/proofs/direct_takeup_answers_test.go
+++ b/proofs/direct_takeup_answers_test.go
@@ -57,3 +57,14 @@
 		})
 	}
 }
+
+// A caller has all events of a stream and takes it up for its end alone, which servers send without framing. It would be
+// told that the answer was lost, though no event was.
+func TestDirectEndOfAStreamThatIsTakenUpNeedsNoEvent(t *testing.T) {
+	runDirectSimulation(t, 0, 3, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.setAllScripts(unframed("Content-Type: text/event-stream\r\n", ""))
+		if re := cl.sendTakeUp(t); re.err != nil || re.status != http.StatusOK || re.body != "" {
+			t.Errorf("status %d, error %v, %q", re.status, re.err, re.body)
+		}
+	})
+}
