End every process that the soak starts

Cause: two series of faults could restart one program at once. The process that was started first was lost: it ran on after the test, the other one ended because the address was taken, and later faults signalled the ended one. Files of logs stayed open. Change: a program is restarted by one series at a time, a process that outlasts a signal by 5 s is killed, signals go to a process and not to an ID that may be used again, a program that ended by itself is a problem, and at the end no process with the folder of the deployment in its environment may be left.

--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,11 @@
 	soakRecoveryMax = 12 * time.Second
 	// soakAnswerBytesMax is how much of an answer a caller reads before it leaves.
 	soakAnswerBytesMax = 1 << 20
+	// soakStopMax is how long a process may take to end after a signal, soakEndMax all of them after the test,
+	// soakPollPeriod how often this is checked.
+	soakStopMax    = 5 * time.Second
+	soakEndMax     = 10 * time.Second
+	soakPollPeriod = 50 * time.Millisecond
 	// proxyPortOffset is the difference between the port of a proxy and that of its agent.
 	proxyPortOffset = 10
 )
@@ -148,9 +154,10 @@
 	de      *deployment
 	rd      *rand.Rand
 	proxies map[string]*proxy
+	// programs has an entry for each agent and entry node.
+	programs map[string]*program
 
 	mu       sync.Mutex
-	started  map[string]*exec.Cmd
 	problems []string
 	answered int
 	// outcomes maps the body of each ledger call to its outcome over all its sendings: answered, not_run if
@@ -165,45 +172,104 @@
 	so.problems = append(so.problems, fmt.Sprintf(format, args...))
 }
 
-// pid returns the process ID of the latest run of a program.
-func (so *soak) pid(name string) int {
-	so.mu.Lock()
-	defer so.mu.Unlock()
-	if cmd := so.started[name]; cmd != nil {
-		return cmd.Process.Pid
+// program is one of the programs whose process the soak test signals and replaces.
+type program struct {
+	name, binary string
+	// restarts makes restarts happen one after the other.
+	restarts sync.Mutex
+
+	mu sync.Mutex
+	// process refers to one process for good, even if its ID is used again.
+	process *os.Process
+}
+
+// findPrograms returns the programs that scripts/run.sh has started, by their names.
+func findPrograms(tb testing.TB, de *deployment) map[string]*program {
+	tb.Helper()
+	programs := map[string]*program{}
+	for name, binary := range soakPrograms {
+		ps, err := os.FindProcess(de.processID(tb, name))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		programs[name] = &program{name: name, binary: binary, process: ps}
 	}
-	return so.de.processID(so.t, name)
+	return programs
+}
+
+// current returns the latest process of the program.
+func (pr *program) current() *os.Process {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return pr.process
 }
 
-// restartProgram ends a program with SIGKILL or SIGTERM, waits up to 5 s and starts it again.
-func (so *soak) restartProgram(name, program string, sig syscall.Signal, pause time.Duration) {
-	pid := so.pid(name)
-	_ = syscall.Kill(pid, sig)
+// pause stops the latest process for a while, even if it is replaced meanwhile.
+func (pr *program) pause(length time.Duration) {
+	ps := pr.current()
+	_ = ps.Signal(syscall.SIGSTOP)
+	time.Sleep(length)
+	_ = ps.Signal(syscall.SIGCONT)
+}
+
+// end ends the latest process with SIGKILL or SIGTERM, sent twice, and with SIGKILL if it takes too long. It
+// reports whether the process has ended.
+func (pr *program) end(sig syscall.Signal) bool {
+	ps := pr.current()
+	_ = ps.Signal(sig)
 	if sig == syscall.SIGTERM {
-		_ = syscall.Kill(pid, syscall.SIGTERM)
+		_ = ps.Signal(sig)
 	}
-	for range 100 {
-		if hasExited(pid) {
-			break
+	if awaitEnd(ps) {
+		return true
+	}
+	_ = ps.Kill()
+	return awaitEnd(ps)
+}
+
+// awaitEnd waits up to 5 s for the end of a process and reports whether it has ended.
+func awaitEnd(ps *os.Process) bool {
+	for range soakStopMax / soakPollPeriod {
+		if hasEnded(ps) {
+			return true
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(soakPollPeriod)
+	}
+	return hasEnded(ps)
+}
+
+// hasEnded reports whether a process has ended, also if its parent has not asked for it yet.
+func hasEnded(ps *os.Process) bool {
+	return ps.Signal(syscall.Signal(0)) != nil || hasExited(ps.Pid)
+}
+
+// restart ends a program and starts it again. Other restarts of the program wait meanwhile.
+func (so *soak) restart(name string, sig syscall.Signal, pause time.Duration) {
+	pr := so.programs[name]
+	pr.restarts.Lock()
+	defer pr.restarts.Unlock()
+	if !pr.end(sig) {
+		so.problem("%s does not end after SIGKILL", name)
+		return
 	}
 	time.Sleep(pause)
-	cmd := exec.Command("../bin/"+program, "--settings", so.de.dir+"/"+name+".yaml")
 	log, err := os.OpenFile(so.de.dir+"/"+name+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		so.t.Error(err)
 		return
 	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command("../bin/"+pr.binary, "--settings", so.de.dir+"/"+name+".yaml")
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), "RUN_DIR="+so.de.dir)
 	if err := cmd.Start(); err != nil {
 		so.t.Error(err)
 		return
 	}
 	go func() { _ = cmd.Wait() }()
-	so.mu.Lock()
-	so.started[name] = cmd
-	so.mu.Unlock()
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.process = cmd.Process
 }
 
 // hasExited reports whether a process has ended. A zombie process counts as ended.
@@ -218,6 +284,11 @@
 
 var soakRunners = []string{"runner-1", "runner-2", "runner-3", "ledger-1"}
 
+// soakPrograms maps the names of the programs that faults hit to what they run.
+var soakPrograms = map[string]string{
+	"runner-1": "agent", "runner-2": "agent", "runner-3": "agent", "ledger-1": "agent", "entry-1": "entry", "entry-2": "entry",
+}
+
 // injectFault causes one random fault and heals it.
 func (so *soak) injectFault(rd *rand.Rand) {
 	name := soakRunners[rd.IntN(len(soakRunners))]
@@ -238,21 +309,15 @@
 		time.Sleep(length)
 		px.setFaults(0, false, false)
 	case 4:
-		pid := so.pid(name)
-		_ = syscall.Kill(pid, syscall.SIGSTOP)
-		time.Sleep(length)
-		_ = syscall.Kill(pid, syscall.SIGCONT)
+		so.programs[name].pause(length)
 	case 5:
-		so.restartProgram(name, "agent", syscall.SIGKILL, length/2)
+		so.restart(name, syscall.SIGKILL, length/2)
 	case 6:
-		so.restartProgram(name, "agent", syscall.SIGTERM, 0)
+		so.restart(name, syscall.SIGTERM, 0)
 	case 7:
-		so.restartProgram("entry-2", "entry", syscall.SIGKILL, length/2)
+		so.restart("entry-2", syscall.SIGKILL, length/2)
 	case 8:
-		pid := so.pid("entry-1")
-		_ = syscall.Kill(pid, syscall.SIGSTOP)
-		time.Sleep(length / 2)
-		_ = syscall.Kill(pid, syscall.SIGCONT)
+		so.programs["entry-1"].pause(length / 2)
 	}
 }
 
@@ -427,9 +492,12 @@
 		agent := basePort + 21 + ix
 		proxies[name] = startProxy(t, fmt.Sprintf("127.0.0.1:%d", agent+proxyPortOffset), fmt.Sprintf("127.0.0.1:%d", agent))
 	}
+	runDir := ""
+	t.Cleanup(func() { checkProcessesEnded(t, runDir) })
 	de := startDeploymentAt(t, basePort, fmt.Sprintf("RUN_AGENT_SHIFT=%d", proxyPortOffset))
+	runDir = de.dir
 	so := &soak{
-		t: t, de: de, rd: rand.New(rand.NewPCG(seed, seed)), proxies: proxies, started: map[string]*exec.Cmd{}, outcomes: map[string]string{},
+		t: t, de: de, rd: rand.New(rand.NewPCG(seed, seed)), proxies: proxies, programs: findPrograms(t, de), outcomes: map[string]string{},
 	}
 	t.Cleanup(so.stop)
 	ctx, cancel := context.WithTimeout(context.Background(), soakDuration)
@@ -462,6 +530,7 @@
 			break
 		}
 	}
+	so.checkProgramsRun()
 	so.check()
 	t.Logf("seed %d: %d answers, %d calls", seed, so.answered, len(so.outcomes))
 	for _, problem := range so.problems {
@@ -472,13 +541,65 @@
 	}
 }
 
-// stop kills the programs that the soak test has started.
+// checkProgramsRun records a problem for each program whose latest process has ended by itself.
+func (so *soak) checkProgramsRun() {
+	for name, pr := range so.programs {
+		if hasEnded(pr.current()) {
+			so.problem("%s has ended by itself", name)
+		}
+	}
+}
+
+// stop kills the latest process of each program.
 func (so *soak) stop() {
-	so.mu.Lock()
-	defer so.mu.Unlock()
-	for _, cmd := range so.started {
-		_ = cmd.Process.Kill()
+	for _, pr := range so.programs {
+		_ = pr.current().Kill()
+	}
+}
+
+// checkProcessesEnded fails the test for each process that still runs with the folder of a deployment in
+// its environment, and kills it. It trusts no list of what was started.
+func checkProcessesEnded(tb testing.TB, dir string) {
+	tb.Helper()
+	if dir == "" {
+		// The deployment has not come up.
+		return
+	}
+	var left []int
+	for end := time.Now().Add(soakEndMax); ; time.Sleep(soakPollPeriod) {
+		left = processesOf(tb, dir)
+		if len(left) == 0 || time.Now().After(end) {
+			break
+		}
+	}
+	for _, pid := range left {
+		command, _ := os.ReadFile(fmt.Sprintf("/proc/%d/cmdline", pid))
+		tb.Errorf("process %d still runs %s after the test: %q", pid, soakEndMax, bytes.ReplaceAll(command, []byte{0}, []byte(" ")))
+		_ = syscall.Kill(pid, syscall.SIGKILL)
+	}
+}
+
+// processesOf returns the IDs of the running processes whose environment names the folder of a deployment.
+func processesOf(tb testing.TB, dir string) []int {
+	tb.Helper()
+	entries, err := os.ReadDir("/proc")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	found := []int{}
+	for _, en := range entries {
+		pid, err := strconv.Atoi(en.Name())
+		if err != nil {
+			continue
+		}
+		// What cannot be read belongs to someone else or has ended.
+		environment, err := os.ReadFile(fmt.Sprintf("/proc/%d/environ", pid))
+		if err != nil || !slices.Contains(strings.Split(string(environment), "\x00"), "RUN_DIR="+dir) || hasExited(pid) {
+			continue
+		}
+		found = append(found, pid)
 	}
+	return found
 }
 
 // copyLogs copies the files of a deployment that failed, logs included, to the run folder.
