Let the soak end the script's processes by the script, and keep its ports free

The test killed the script's own processes right before it sent the script SIGTERM; a shell that reaps killed children at that moment can miss the signal (two of two scripts waited for two minutes, until another signal came). The base ports reached into the range that the system gives to outgoing connections (32768 to 60999). Change: the test kills only what it has started itself; base ports lie between 10000 and 32600.

--- a/proofs/path_test.go
+++ b/proofs/path_test.go
@@ -36,11 +36,19 @@
 	basePort      int
 }
 
+// Base ports are below those that the system gives to outgoing connections, which would take the port of a program
+// while that is restarted.
+const (
+	basePortMin  = 10000
+	basePortMax  = 32600
+	basePortStep = 137
+)
+
 var (
 	basePortMu sync.Mutex
 	// nextBasePort is the first base port that was not tried yet, so that deployments of parallel tests get
 	// ports of their own. Test processes that run at the same time search from different ports.
-	nextBasePort = 20000 + os.Getpid()%100*137
+	nextBasePort = basePortMin + os.Getpid()%100*basePortStep
 )
 
 // freeBasePort returns a base port at whose offsets all ports of a deployment are free.
@@ -48,9 +56,12 @@
 	tb.Helper()
 	basePortMu.Lock()
 	defer basePortMu.Unlock()
-	for nextBasePort < 60000 {
+	for range (basePortMax - basePortMin) / basePortStep {
 		basePort := nextBasePort
-		nextBasePort += 137
+		nextBasePort += basePortStep
+		if nextBasePort > basePortMax {
+			nextBasePort = basePortMin
+		}
 		free := true
 		for _, off := range []int{1, 2, 3, 11, 12, 13, 14, 21, 22, 23, 24, 31, 32, 33, 34, 80, 81, 90, 91} {
 			ls, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", basePort+off))
--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -181,6 +181,8 @@
 	mu sync.Mutex
 	// process refers to one process for good, even if its ID is used again.
 	process *os.Process
+	// replaced is true once the process is not the one that scripts/run.sh has started and ends.
+	replaced bool
 }
 
 // findPrograms returns the programs that scripts/run.sh has started, by their names.
@@ -269,7 +271,7 @@
 	go func() { _ = cmd.Wait() }()
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
-	pr.process = cmd.Process
+	pr.process, pr.replaced = cmd.Process, true
 }
 
 // hasExited reports whether a process has ended. A zombie process counts as ended.
@@ -537,7 +539,7 @@
 		t.Errorf("seed %d: %s", seed, problem)
 	}
 	if len(so.problems) > 0 {
-		so.copyLogs(seed)
+		copyLogs(t, so.de.dir, fmt.Sprintf("../run/soak-%d", seed))
 	}
 }
 
@@ -550,10 +552,15 @@
 	}
 }
 
-// stop kills the latest process of each program.
+// stop kills the processes that the soak test has started itself. scripts/run.sh ends its own: a shell whose
+// children are killed while it gets SIGTERM may miss the signal.
 func (so *soak) stop() {
 	for _, pr := range so.programs {
-		_ = pr.current().Kill()
+		pr.mu.Lock()
+		if pr.replaced {
+			_ = pr.process.Kill()
+		}
+		pr.mu.Unlock()
 	}
 }
 
@@ -602,17 +609,17 @@
 	return found
 }
 
-// copyLogs copies the files of a deployment that failed, logs included, to the run folder.
-func (so *soak) copyLogs(seed uint64) {
-	dir := fmt.Sprintf("../run/soak-%d", seed)
-	if err := os.MkdirAll(dir, 0o750); err != nil {
-		so.t.Log(err)
+// copyLogs copies the files of a deployment that failed, logs included, to a folder.
+func copyLogs(tb testing.TB, from, to string) {
+	tb.Helper()
+	if err := os.MkdirAll(to, 0o750); err != nil {
+		tb.Log(err)
 		return
 	}
-	if err := os.CopyFS(dir, os.DirFS(so.de.dir)); err != nil {
-		so.t.Log(err)
+	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
+		tb.Log(err)
 	}
-	so.t.Logf("logs were copied to %s", dir)
+	tb.Logf("logs were copied to %s", to)
 }
 
 // TestSoak runs the programs under random faults: no ledger call may run twice, outcomes must be
