Wait for all threads of a process before its port is used again

The test took a zombie process for ended. Change: a zombie counts as ended once it has no other thread.

--- a/proofs/soak_test.go
+++ b/proofs/soak_test.go
@@ -274,14 +274,19 @@
 	pr.process, pr.replaced = cmd.Process, true
 }
 
-// hasExited reports whether a process has ended. A zombie process counts as ended.
+// hasExited reports whether a process has ended. A zombie process counts as ended once all its threads have ended,
+// which may hold its ports until then.
 func hasExited(pid int) bool {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return true
 	}
 	_, state, _ := bytes.Cut(data, []byte(") "))
-	return len(state) > 0 && state[0] == 'Z'
+	if len(state) == 0 || state[0] != 'Z' {
+		return false
+	}
+	threads, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	return err != nil || len(threads) <= 1
 }
 
 var soakRunners = []string{"runner-1", "runner-2", "runner-3", "ledger-1"}
