--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOAK_SEEDS ?= 50
 SOAK_FROM ?= 1
 
-.PHONY: build run test proofs soak fault-soak bench measure slopes lint format generate clean
+.PHONY: build run test proofs soak fault-soak platform-soak bench measure slopes lint format generate clean
 
 build:
 	@mkdir -p bin
@@ -33,6 +33,9 @@
 fault-soak: build
 	@cd proofs && SOAK_SEEDS=$(SOAK_SEEDS) SOAK_FROM=$(SOAK_FROM) go test -count=1 -timeout 0 -run TestSoak .
 
+platform-soak:
+	@cd proofs && PLATFORM_SOAK_SEEDS=$(SOAK_SEEDS) PLATFORM_SOAK_FROM=$(SOAK_FROM) go test -count=1 -timeout 0 -run TestPlatformSoak .
+
 bench:
 	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
 	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
