--- a/proofs/direct_drawn_plan_test.go
+++ b/proofs/direct_drawn_plan_test.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// faultsMax is the most faults of a history, faultTimeMax the latest time at which one begins.
-	faultsMax    = 6
+	// drawnFaults is the most faults of a history without a hunt, faultTimeMax the latest time at which one begins.
+	drawnFaults  = 6
 	faultTimeMax = 8 * time.Second
 	// faultLengthMax is the longest time that a fault lasts, freezeMax the longest time that a host stands still.
 	faultLengthMax = 6 * time.Second
@@ -78,8 +78,8 @@
 	without []string
 }
 
-// drawPlan draws the plan of a seed, without some classes of faults.
-func drawPlan(seed uint64, without []string) drawnPlan {
+// drawPlan draws the plan of a seed with up to faultsMax faults, without some classes of them.
+func drawPlan(seed uint64, faultsMax int, without []string) drawnPlan {
 	pd := &planDrawer{Rand: rand.New(rand.NewPCG(seed, 0)), without: without, plan: drawnPlan{Seed: seed}}
 	pd.plan.Entries, pd.plan.Plain, pd.plan.Callers = 1+pd.IntN(3), 1+pd.IntN(3), 4+pd.IntN(callersMax-3)
 	pd.plan.Breaks = breaksMax * pd.Float64()
--- a/proofs/direct_drawn_test.go
+++ b/proofs/direct_drawn_test.go
@@ -10,11 +10,12 @@
 	"testing/synctest"
 )
 
-// Environment variables of a hunt: the number of seeds, the first one, the classes of faults that are left out, and
+// Environment variables of a hunt: the number of seeds, the first one, the most faults of a history, the classes of faults that are left out, and
 // whether a find is shrunk.
 const (
 	envDrawnSeeds   = "DRAWN_SEEDS"
 	envDrawnFrom    = "DRAWN_FROM"
+	envDrawnFaults  = "DRAWN_FAULTS"
 	envDrawnWithout = "DRAWN_WITHOUT"
 	envDrawnShrink  = "DRAWN_SHRINK"
 )
@@ -34,19 +35,23 @@
 // drawnSettings is which histories are played.
 type drawnSettings struct {
 	from, count uint64
+	faultsMax   int
 	without     []string
 	shrinks     bool
 }
 
 // readDrawnSettings reads the settings from the environment.
 func readDrawnSettings() drawnSettings {
-	ds := drawnSettings{from: 1, count: drawnSeeds, without: drawnWithout, shrinks: os.Getenv(envDrawnShrink) != ""}
+	ds := drawnSettings{from: 1, count: drawnSeeds, faultsMax: drawnFaults, without: drawnWithout, shrinks: os.Getenv(envDrawnShrink) != ""}
 	if count, err := strconv.ParseUint(os.Getenv(envDrawnSeeds), 10, 64); err == nil {
 		ds.count = count
 	}
 	if from, err := strconv.ParseUint(os.Getenv(envDrawnFrom), 10, 64); err == nil {
 		ds.from = from
 	}
+	if count, err := strconv.Atoi(os.Getenv(envDrawnFaults)); err == nil && count > 0 {
+		ds.faultsMax = count
+	}
 	if text, ok := os.LookupEnv(envDrawnWithout); ok {
 		ds.without = strings.Split(text, ",")
 	}
@@ -120,8 +125,8 @@
 			continue
 		}
 		reported[df.rule] = true
-		t.Errorf("%s: %s\n%s\n%s\nagain: make drawn-hunt %s=%d %s=1 %s=%s", df.rule, df.text, dh.describe(df.ask), plan,
-			envDrawnFrom, plan.Seed, envDrawnSeeds, envDrawnWithout, strings.Join(ds.without, ","))
+		t.Errorf("%s: %s\n%s\n%s\nagain: make drawn-hunt %s=%d %s=1 %s=%d %s=%s", df.rule, df.text, dh.describe(df.ask), plan,
+			envDrawnFrom, plan.Seed, envDrawnSeeds, envDrawnFaults, ds.faultsMax, envDrawnWithout, strings.Join(ds.without, ","))
 		if ds.shrinks {
 			t.Logf("the fewest faults:\n%s", plan.shrink(t, df.rule))
 		}
@@ -133,7 +138,7 @@
 	ds, dc := readDrawnSettings(), drawnCount{}
 	for seed := ds.from; seed < ds.from+ds.count; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			plan := drawPlan(seed, ds.without)
+			plan := drawPlan(seed, ds.faultsMax, ds.without)
 			dh := playPlan(t, plan)
 			dc.add(dh)
 			ds.report(t, plan, dh)
