--- a/proofs/direct_drawn_outages_test.go
+++ b/proofs/direct_drawn_outages_test.go
@@ -250,7 +250,8 @@
 	dw.openSpan(drawnSpan{entry: fe.Entry, from: time.Now(), to: time.Now().Add(fe.Lasts), frozen: true})
 }
 
-// cutOff lets an entry node lose the agent of a server, and the server as well unless AgentAlone is set.
+// cutOff lets an entry node lose the agent of a server, or of all engines if none is named, and the servers as well unless
+// AgentAlone is set.
 type cutOff struct {
 	noClass
 	Entry, Server string
@@ -260,10 +261,7 @@
 
 func (co cutOff) happen(dw *drawnWorld) {
 	_, host := dw.entry(co.Entry)
-	hosts := []string{agentHost(co.Server), co.Server}
-	if co.AgentAlone {
-		hosts = hosts[:1]
-	}
+	hosts := co.hosts(dw)
 	for _, other := range hosts {
 		dw.ds.net.partition(host, other)
 	}
@@ -273,20 +271,22 @@
 	}
 }
 
-// loseLog makes the log fail for one entry node, or for all if none is named.
-type loseLog struct {
-	noClass
-	Entry string
-	Lasts time.Duration
+// hosts returns the hosts that the entry node loses.
+func (co cutOff) hosts(dw *drawnWorld) []string {
+	if co.Server != "" {
+		return co.hostsOf(co.Server)
+	}
+	hosts := []string(nil)
+	for ix := range dw.plan.Engines {
+		hosts = append(hosts, co.hostsOf(engineName(ix))...)
+	}
+	return hosts
 }
 
-func (ll loseLog) happen(dw *drawnWorld) {
-	set := dw.ds.source.setDown
-	if ll.Entry != "" {
-		de, _ := dw.entry(ll.Entry)
-		set = de.reader.setRefused
+// hostsOf returns the hosts of a server that the entry node loses.
+func (co cutOff) hostsOf(id string) []string {
+	if co.AgentAlone {
+		return []string{agentHost(id)}
 	}
-	set(true)
-	time.Sleep(ll.Lasts)
-	set(false)
+	return []string{agentHost(id), id}
 }
--- a/proofs/direct_drawn_plan_test.go
+++ b/proofs/direct_drawn_plan_test.go
@@ -179,7 +179,11 @@
 }
 
 func (pd *planDrawer) cut() drawnFault {
-	return cutOff{Entry: pd.entry(), Server: pd.server(), AgentAlone: pd.yes(), Lasts: pd.lasts()}
+	co := cutOff{Entry: pd.entry(), Server: pd.server(), AgentAlone: pd.yes(), Lasts: pd.lasts()}
+	if pd.yes() {
+		co.Server = ""
+	}
+	return co
 }
 
 func (pd *planDrawer) log() drawnFault {
--- a/proofs/direct_drawn_routes_test.go
+++ b/proofs/direct_drawn_routes_test.go
@@ -117,3 +117,21 @@
 func (av announceVersion) happen(dw *drawnWorld) {
 	dw.ds.source.appendRecord(direct.OperatorsTopic, direct.LogRecord{Version: &direct.AdapterVersion{Model: testModel, Adapter: av.Adapter, Version: av.Version}})
 }
+
+// loseLog makes the log fail for one entry node, or for all if none is named.
+type loseLog struct {
+	noClass
+	Entry string
+	Lasts time.Duration
+}
+
+func (ll loseLog) happen(dw *drawnWorld) {
+	set := dw.ds.source.setDown
+	if ll.Entry != "" {
+		de, _ := dw.entry(ll.Entry)
+		set = de.reader.setRefused
+	}
+	set(true)
+	time.Sleep(ll.Lasts)
+	set(false)
+}
