--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -40,7 +40,12 @@
 	reasonEngineCrashed = "engine_crashed"
 )
 
-var errWrongAdapter = errors.New("broker: the engine answered with another adapter")
+var (
+	errWrongAdapter = errors.New("broker: the engine answered with another adapter")
+	errNotWhole     = errors.New("broker: an answer or an event is no whole JSON; the engine may have ended within it")
+	errNoStreamLine = errors.New("broker: a line of the stream is no part of one; look at what the engine sends")
+	errNoEvent      = errors.New("broker: the stream ended before its first event; look at what the engine sends")
+)
 
 // forwarding is a request that is being forwarded to the backend server.
 type forwarding struct {
@@ -201,17 +206,23 @@
 }
 
 // sendEvents sends the events of a stream, each with the adapter's name and version instead of its
-// handle.
+// handle. A stream without an event answers nothing, neither from the start nor where one goes on.
 func (fw *forwarding) sendEvents(ctx context.Context, resp *http.Response) error {
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, lineBufferBytes), lineBytesMax)
 	first := true
 	for lines.Scan() {
-		data, found := bytes.CutPrefix(lines.Bytes(), []byte(dataPrefix))
-		if !found {
+		data, err := eventData(lines.Bytes())
+		if err != nil {
+			return err
+		}
+		if data == nil {
 			continue
 		}
 		if string(data) == doneEvent {
+			if first {
+				return errNoEvent
+			}
 			return fw.out.Finish(ctx, []byte(dataPrefix+doneEvent+"\n\n"))
 		}
 		replaced, err := fw.replaceModel(data)
@@ -232,6 +243,19 @@
 	return errors.New("broker: the stream ended before its last event")
 }
 
+// eventData returns the data of a line of an event stream, nil if it has none: an empty line, a comment or another field.
+// Any other line is no part of a stream, so what follows it is none either.
+func eventData(line []byte) ([]byte, error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "data":
+		return bytes.TrimPrefix(value, []byte(" ")), nil
+	case "", "event", "id", "retry":
+		return nil, nil
+	}
+	return nil, errNoStreamLine
+}
+
 // formatEvent formats data as a server-sent event.
 func formatEvent(data []byte) []byte {
 	ev := make([]byte, 0, len(dataPrefix)+len(data)+2)
@@ -240,9 +264,13 @@
 	return append(ev, '\n', '\n')
 }
 
-// replaceModel checks that the model in an answer is the requested handle and replaces it by the
-// adapter's name and version.
+// replaceModel checks that an answer or an event is whole and that its model is the requested handle, and replaces it by
+// the adapter's name and version. Neither the end of a connection nor that of a line shows that a text is whole, but no
+// part of a JSON object is one.
 func (fw *forwarding) replaceModel(data []byte) ([]byte, error) {
+	if !gjson.ValidBytes(data) {
+		return nil, errNotWhole
+	}
 	model := gjson.GetBytes(data, "model")
 	if model.String() != fw.handle {
 		return nil, errors.Wrapf(errWrongAdapter, "asked for %s, got %q", fw.handle, model.String())
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -21,6 +21,7 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/abort"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
@@ -74,6 +75,9 @@
 	// callerListener accepts the connections of callers.
 	callerListener net.Listener
 
+	// syncing is held while the list of servers is passed on, so that an older one never follows a newer one.
+	syncing sync.Mutex
+
 	// mu guards the fields below.
 	mu         sync.Mutex
 	fleet      spread.Fleet
@@ -133,6 +137,7 @@
 		metrics: newHTTPServer(expvar.Handler()),
 	}
 	sv.callers.ConnState = no.waiting.record
+	sv.callers.ConnContext = abort.ConnContext
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return no.start(sv) },
 		OnStop:  func(ctx context.Context) error { return no.stop(ctx, sv) },
--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/tidwall/gjson"
+
+	"github.com/bambooladder/bambooladder/entry/internal/abort"
 )
 
 const (
@@ -39,6 +40,11 @@
 	// tokens is the number of events with generated text that were sent in an event stream. Each
 	// counts as one token.
 	tokens int
+	// finished is true once an event with the reason for the end was sent, uncounted once one that tokens do not count.
+	finished  bool
+	uncounted bool
+	// resumed is true once a later attempt goes on with the answer.
+	resumed bool
 }
 
 // newAnswer returns the answer to a request. stream is true if the caller asked for an event
@@ -51,6 +57,7 @@
 // attempt then continues the same answer.
 func (an *answer) Head(status int, contentType string) error {
 	if an.statusSent {
+		an.resumed = true
 		return nil
 	}
 	an.status = status
@@ -58,17 +65,29 @@
 	return nil
 }
 
-// Part adds a part to the answer. It sends the part at once if the answer is an event stream.
+// Part adds a part to the answer. It sends the part at once if the answer is an event stream. An attempt that goes on
+// with a stream gives the reason for its end again, which the caller may have.
 func (an *answer) Part(data []byte) error {
-	if !an.stream || !strings.HasPrefix(an.contentType, eventStreamType) {
+	if !an.stream || !an.isEventStream() {
 		return an.bufferOrSend(data)
 	}
-	if containsToken(data) {
-		an.tokens++
+	ev := parseEvent(data)
+	if an.resumed && an.finished && ev.finishes {
+		return nil
 	}
+	an.note(ev)
 	return an.send(data)
 }
 
+// note records an event that is sent to the caller.
+func (an *answer) note(ev event) {
+	if ev.token {
+		an.tokens++
+	}
+	an.finished = an.finished || ev.finishes
+	an.uncounted = an.uncounted || !ev.counted
+}
+
 // bufferOrSend buffers a part. If the answer gets longer than maxBufferedBytes, it sends the buffer
 // and the part instead.
 func (an *answer) bufferOrSend(data []byte) error {
@@ -117,6 +136,15 @@
 // Begun reports whether the status has been sent to the caller.
 func (an *answer) Begun() bool { return an.statusSent }
 
+// Resumable reports whether a successful event stream was begun that another attempt can go on with after a number of
+// tokens.
+func (an *answer) Resumable() bool {
+	return an.statusSent && an.stream && an.status == http.StatusOK && an.isEventStream() && !an.uncounted
+}
+
+// isEventStream reports whether the content type is that of an event stream.
+func (an *answer) isEventStream() bool { return strings.HasPrefix(an.contentType, eventStreamType) }
+
 // TokensSent returns the number of tokens that have been sent to the caller.
 func (an *answer) TokensSent() int { return an.tokens }
 
@@ -142,27 +170,15 @@
 	return an.status, an.contentType, bytes.Clone(an.buffer.Bytes()), true
 }
 
-// abort closes the connection of an answer that was partly sent and cannot be completed, so that
+// abort breaks off the answer to a request that was partly sent and cannot be completed, so that
 // the caller does not take it for complete. If the caller asked for an event stream, it sends the
 // error as an event first.
-func (an *answer) abort(err error) {
+func (an *answer) abort(rq *http.Request, err error) {
 	if !an.stream {
-		panic(http.ErrAbortHandler)
+		abort.Answer(rq)
 	}
 	_, body := errorResponse(err)
 	data, _ := json.Marshal(body)
 	_ = an.send([]byte(dataPrefix + string(data) + "\n\n"))
-	panic(http.ErrAbortHandler)
-}
-
-// containsToken reports whether an event of a completion stream contains generated text.
-func containsToken(event []byte) bool {
-	data, found := bytes.CutPrefix(event, []byte(dataPrefix))
-	if !found || bytes.HasPrefix(data, []byte(doneData)) {
-		return false
-	}
-	if content := gjson.GetBytes(data, "choices.0.delta.content"); content.Exists() {
-		return content.String() != ""
-	}
-	return gjson.GetBytes(data, "choices.0.text").String() != ""
+	abort.Answer(rq)
 }
