Let orders name the running server again after another one was named

Once an agent had been told of a server with a later start, as by another writer's record that was taken for its engine's next run, its orders named no server any more, so that they had one protection less against a run that they are not meant for. Callers saw nothing of that.

Cause: of two servers that an agent is told of, only the later start counted.

Evidence: server="" in order_given at an engine after such a record; the test failed with an order without a server.

The server that started when the engine did counts in any case.

--- a/core/grant/engine_test.go
+++ b/core/grant/engine_test.go
@@ -238,6 +238,17 @@
 	}
 }
 
+// A record of another writer, taken for the engine's next run, must not keep orders from naming the engine's own server.
+func TestOrdersNameTheRunningServerAgainAfterAnotherOneWasNamed(t *testing.T) {
+	dr := newDriver(t, 1)
+	dr.record(dr.en.Prepare(Assignment{Model: testModel, Slots: 1, Server: "odd", Born: 9}, dr.now))
+	dr.record(dr.en.Prepare(Assignment{Model: testModel, Slots: 1, Server: "s1", Born: 1}, dr.now))
+	dr.reserve("a", "x", 0, false)
+	if or := dr.pendingOrder; or == nil || or.Server != "s1" {
+		t.Errorf("order %+v, want one for s1", or)
+	}
+}
+
 func TestNoLoadIsOrderedWhileALostOneMayReachTheRestartedEngine(t *testing.T) {
 	dr := newDriver(t, 1)
 	dr.reserve("a", "x", 0, false)
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -111,7 +111,8 @@
 func (en *Engine) Prepare(as Assignment, now time.Time) []Action {
 	en.targetModel = as.Model
 	en.slots = as.Slots
-	if as.Born >= en.serverBorn {
+	runs := as.Born != 0 && as.Born == en.observation.Born
+	if runs || as.Born >= en.serverBorn {
 		en.serverID, en.serverBorn = as.Server, as.Born
 	}
 	return en.schedule(now)
