Bound what a node holds for its callers, and refuse bodies without room unread

Cause: each body was read whole whatever others were held, and copied once more for each attempt. Change: one budget (callers_hold_bytes, 40 % of memory_mb by default) for bodies, held answers and buffers of streams. A body is reserved before it is read, or as it grows if its length is not stated; without room it is refused as not run, with a Retry-After from the time for which large bodies were held, one caller after another. Attempts write the body without a copy. docs/design/0015 has what was weighed.

--- a/core/conf/conf_test.go
+++ b/core/conf/conf_test.go
@@ -77,6 +77,37 @@
 }
 
 // A tree that ParseTree accepts must pass Check.
+const validDirectEntry = `place: {name: front-1, region: r1, zone: z1}
+caller_address: 127.0.0.1:1
+ready_address: 127.0.0.1:2
+peer_address: 127.0.0.1:3
+peers: []
+agent_port: 7
+metrics_address: ""
+log_address: 127.0.0.1:4
+memory_mb: 284
+stop_ms: 8000
+leave_ms: 2500
+version_ms: 5000
+routes_ms: 2500
+retry_share: 0.2
+retry_window_ms: 10000
+retry_slack: 50
+regions: {z1: r1}
+`
+
+func TestBudgetForCallersMustFitTheMemory(t *testing.T) {
+	for value, valid := range map[string]bool{
+		"0": true, "8388608": true, "148897792": true, "-1": false, "8388607": false, "148897793": false,
+	} {
+		_, err := ParseDirectEntry("entry.yaml", []byte(validDirectEntry+"callers_hold_bytes: "+value+"\n"))
+		fe := &FileError{}
+		if valid != (err == nil) || !valid && (!errors.As(err, &fe) || fe.Line != 18) {
+			t.Errorf("callers_hold_bytes %s: error %v, want valid %t", value, err, valid)
+		}
+	}
+}
+
 func FuzzParseTree(fu *testing.F) {
 	fu.Add([]byte(validTree))
 	fu.Add([]byte("teams: {a: {adapters: ['@']}}"))
--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -3,6 +3,12 @@
 // answerHeadBytesMin is what the head of an ordinary answer needs.
 const answerHeadBytesMin = 1024
 
+// callersHoldBytesMin has room for a body of 4 MiB beside small ones.
+const callersHoldBytesMin = 8 << 20
+
+// bytesPerMegabyte is the unit of memory_mb.
+const bytesPerMegabyte = 1 << 20
+
 // check returns an error for the first invalid value in the settings file of an entry node that
 // sends requests directly to the backend servers, or nil.
 func (de DirectEntrySettings) check() *ValidationError {
@@ -22,14 +28,25 @@
 		return invalid("stop_ms", "give the time until the kill", "%d is too short", de.StopMs)
 	case de.RetryWindowMs < 1:
 		return invalid("retry_window_ms", "give the time over which retries are counted", "%d is too short", de.RetryWindowMs)
+	case de.Regions[de.Place.Zone] == "":
+		return invalid("regions", "give the region of each availability zone", "zone %q has no region", de.Place.Zone)
+	}
+	return de.checkBounds()
+}
+
+// checkBounds returns an error for the first invalid bound of what the node holds, or nil.
+func (de DirectEntrySettings) checkBounds() *ValidationError {
+	switch {
 	case de.AnswerHeadBytes != 0 && de.AnswerHeadBytes < answerHeadBytesMin:
 		return invalid("answer_head_bytes", "give at least 1024, or 0", "%d is too few", de.AnswerHeadBytes)
 	case de.AnswerHoldBytes < 0:
 		return invalid("answer_hold_bytes", "give a number of bytes, or 0", "%d is too few", de.AnswerHoldBytes)
 	case de.AnswersHoldBytes < 0:
 		return invalid("answers_hold_bytes", "give a number of bytes, or 0", "%d is too few", de.AnswersHoldBytes)
-	case de.Regions[de.Place.Zone] == "":
-		return invalid("regions", "give the region of each availability zone", "zone %q has no region", de.Place.Zone)
+	case de.CallersHoldBytes != 0 && de.CallersHoldBytes < callersHoldBytesMin:
+		return invalid("callers_hold_bytes", "give at least 8388608, or 0", "%d is too few", de.CallersHoldBytes)
+	case de.MemoryMb > 0 && de.CallersHoldBytes > de.MemoryMb*bytesPerMegabyte/2:
+		return invalid("callers_hold_bytes", "give at most half of memory_mb, or 0", "%d leaves too little for the process", de.CallersHoldBytes)
 	}
 	return nil
 }
--- a/core/conf/settings.gen.go
+++ b/core/conf/settings.gen.go
@@ -138,6 +138,10 @@
 	// CallerAddress is the listen address for callers, as IP:port.
 	CallerAddress string `json:"caller_address" yaml:"caller_address"`
 
+	// CallersHoldBytes is how much is held for all callers together, in bytes: bodies
+	// of requests, answers and buffers of streams. Zero stands for 40 % of memory_mb.
+	CallersHoldBytes int `json:"callers_hold_bytes,omitempty,omitzero" yaml:"callers_hold_bytes,omitempty"`
+
 	// FirstStart is true if the whole system starts for the first time, so that no
 	// caller has a stream from before.
 	FirstStart bool `json:"first_start,omitempty,omitzero" yaml:"first_start,omitempty"`
--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -24,7 +24,8 @@
 	InProgress Kind = "in_progress"
 	// RateLimited means that the team has reached one of its limits.
 	RateLimited Kind = "rate_limited"
-	// Overloaded means that no backend server can run the request in time; it may be sent again later.
+	// Overloaded means that no backend server can run the request in time, or that the entry node has no memory for its
+	// body; it may be sent again later.
 	Overloaded Kind = "overloaded"
 	// Unavailable means that no backend server can be chosen, that the log or the entry node cannot be
 	// used, or that the request failed in a way without a kind of its own.
--- a/entry/direct/body.go
+++ b/entry/direct/body.go
@@ -2,41 +2,48 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 )
 
-// readBody reads the whole request body, up to the operators' limit, until the context ends.
+// callersShare is the share of the process's memory that is the default budget for its callers. The rest is for the
+// node itself, the connections, and garbage: the soft limit of the runtime is at 0.7.
+const callersShare = 0.4
+
+// bytesPerMegabyte is the unit of memory_mb.
+const bytesPerMegabyte = 1 << 20
+
+// callersBytes returns the budget for callers, in bytes.
+func (no *Node) callersBytes() int64 {
+	se := &no.options.Settings
+	if se.CallersHoldBytes > 0 {
+		return int64(se.CallersHoldBytes)
+	}
+	return int64(callersShare * float64(se.MemoryMb) * bytesPerMegabyte)
+}
+
+// readBody reads the whole request body, up to the operators' limit, until the context ends. It refuses a body for which
+// the node has no memory before it reads it.
 func (rq *request) readBody(ctx context.Context, hr *http.Request) error {
 	limit := rq.bodyBytesMax
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if hr.ContentLength > limit {
-		return fault.New(fault.TooLarge, "the body is larger than allowed", "send a smaller body")
-	}
-	if hr.ContentLength == 0 {
-		return nil
-	}
-	stop := context.AfterFunc(ctx, func() {
-		// Without a deadline on the connection, the handler waits until the caller sends more.
-		_ = http.NewResponseController(rq.wr).SetReadDeadline(time.Now())
-	})
-	data, err := io.ReadAll(io.LimitReader(hr.Body, limit+1))
-	stopped := stop()
+	data, err := rq.hold.Read(ctx, &rq.no.memory, rq.wr, hr, limit)
 	switch {
 	case stopsNode(ctx):
 		return stoppingError()
-	case !stopped:
+	case errors.Is(err, memory.ErrTooLarge):
+		return fault.New(fault.TooLarge, "the body is larger than allowed", "send a smaller body")
+	case errors.Is(err, memory.ErrLate):
 		return fault.New(fault.Unavailable, "the body did not arrive in time", "send the request again").WithRetryAfter(defaultRetryAfter)
-	case err != nil:
+	case errors.Is(err, memory.ErrBroken):
 		return fault.New(fault.Invalid, "the body did not arrive whole", "send the request again")
-	case int64(len(data)) > limit:
-		return fault.New(fault.TooLarge, "the body is larger than allowed", "send a smaller body")
 	}
 	rq.body = data
-	return nil
+	return err
 }
--- a/entry/direct/held.go
+++ b/entry/direct/held.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
@@ -27,6 +28,8 @@
 	held int
 	// eachMax and allMax are the bounds for one answer and for all of them, zero for the defaults.
 	eachMax, allMax int
+	// budget is the memory of the node for its callers, nil for no further bound.
+	budget *memory.Budget
 }
 
 // take counts bytes for an answer that already holds some, and reports whether the bounds allow it.
@@ -36,6 +39,9 @@
 	if holds+count > orDefault(hb.eachMax, defaultAnswerHoldBytes) || hb.held+count > orDefault(hb.allMax, defaultAnswersHoldBytes) {
 		return false
 	}
+	if hb.budget != nil && !hb.budget.Take(int64(count)) {
+		return false
+	}
 	hb.held += count
 	metricHeldBytes.Set(int64(hb.held))
 	return true
@@ -46,6 +52,9 @@
 	hb.mu.Lock()
 	defer hb.mu.Unlock()
 	hb.held -= count
+	if hb.budget != nil {
+		hb.budget.Release(int64(count))
+	}
 	metricHeldBytes.Set(int64(hb.held))
 }
 
@@ -99,10 +108,13 @@
 type eventHold struct {
 	hb    *heldBytes
 	taken int
+	// free is the part of the buffer that does not count for the answers, but for the budget.
+	free int
 }
 
 // allows reports whether the bounds allow an event of a size, in bytes.
 func (eh *eventHold) allows(size int) bool {
+	eh.countFree(min(size, freeEventBytes))
 	if size <= freeEventBytes+eh.taken {
 		return true
 	}
@@ -113,5 +125,24 @@
 	return true
 }
 
+// countFree counts the part of the buffer that every stream may have. It takes memory from large bodies, never
+// from the stream.
+func (eh *eventHold) countFree(size int) {
+	if size <= eh.free || eh.hb.budget == nil {
+		return
+	}
+	grown := max(eventBufferBytes, eh.free)
+	for grown < size {
+		grown *= 2
+	}
+	eh.hb.budget.Count(int64(grown - eh.free))
+	eh.free = grown
+}
+
 // release ends the count of the stream's buffer.
-func (eh *eventHold) release() { eh.hb.release(eh.taken) }
+func (eh *eventHold) release() {
+	eh.hb.release(eh.taken)
+	if eh.free > 0 {
+		eh.hb.budget.Release(int64(eh.free))
+	}
+}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -21,6 +21,7 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
@@ -62,6 +63,7 @@
 	crashes *crashes
 	origins *origins
 	held    heldBytes
+	memory  memory.Budget
 	pool    *pool.Pool
 	// boot identifies this run of the node.
 	boot   string
@@ -109,6 +111,9 @@
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
 		ctx: ctx, cancel: cancel, drain: newDrain(), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
+	no.memory.SetBytes(no.callersBytes())
+	no.held.budget = &no.memory
+	metrics.Set("callers_memory", expvar.Func(func() any { return no.memory.Stats() }))
 	no.held.eachMax, no.held.allMax = options.Settings.AnswerHoldBytes, options.Settings.AnswersHoldBytes
 	no.agents = newAgents(no)
 	no.crashes = newCrashes(no)
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -16,6 +16,7 @@
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 )
 
 const (
@@ -40,6 +41,8 @@
 	hostHeader    string
 	header        http.Header
 	body          []byte
+	// hold is the memory that counts for the body.
+	hold memory.Hold
 	// bodyBytesMax is the operators' limit on the size of the body, zero for the default.
 	bodyBytesMax int64
 	start        time.Time
@@ -86,8 +89,10 @@
 	defer endAnswer()
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
+	defer rq.hold.Release()
 	if err := rq.prepare(ctx, gc.Request); err != nil {
 		rq.respondError(err)
+		rq.hold.Linger(rq.wr, gc.Request)
 		return
 	}
 	rq.runAttempts(ctx)
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -95,7 +96,9 @@
 	} else {
 		// A server may answer before it has read the whole body.
 		go func() {
-			_, err := co.nc.Write(append(head, rq.Body...))
+			// The body is not copied.
+			parts := net.Buffers{head, rq.Body}
+			_, err := parts.WriteTo(co.nc)
 			writeDone <- err
 		}()
 	}
@@ -212,10 +215,10 @@
 	}
 }
 
-// head returns the request line and the headers. The buffer has room for the body.
+// head returns the request line and the headers. The buffer has room for a body that is written with them.
 func (rq *Request) head() []byte {
 	buf := bytes.Buffer{}
-	buf.Grow(1024 + len(rq.Body))
+	buf.Grow(1024 + min(len(rq.Body), maxInlineBodyBytes))
 	buf.WriteString(rq.Method)
 	buf.WriteByte(' ')
 	buf.WriteString(rq.Target)
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -378,6 +378,8 @@
 	backends map[string]*backend
 	// readers holds the log as single entry nodes see it, by name; others see source.
 	readers map[string]direct.LogReader
+	// tune changes the settings of entry nodes that are started from now on, nil for none.
+	tune func(se *conf.DirectEntrySettings)
 	// renamed makes crashed servers start again under other IDs.
 	renamed bool
 	// mu guards apps while several programs are started at once.
@@ -540,14 +542,18 @@
 	if logReader == nil {
 		logReader = ds.source
 	}
+	se := conf.DirectEntrySettings{
+		Place: conf.Place{Name: name, Region: "region-1", Zone: directZone}, CallerAddress: name + ":1", ReadyAddress: name + ":2",
+		PeerAddress: name + ":3", Peers: []string{"entry-1:3", "entry-2:3"}, AgentPort: 7, LogAddress: "log:1", StopMs: 8000,
+		LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500, RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 2000,
+		Regions: conf.DirectEntrySettingsRegions{directZone: "region-1"},
+	}
+	if ds.tune != nil {
+		ds.tune(&se)
+	}
 	app := direct.New(direct.Options{
-		Settings: conf.DirectEntrySettings{
-			Place: conf.Place{Name: name, Region: "region-1", Zone: directZone}, CallerAddress: name + ":1", ReadyAddress: name + ":2",
-			PeerAddress: name + ":3", Peers: []string{"entry-1:3", "entry-2:3"}, AgentPort: 7, LogAddress: "log:1", StopMs: 8000,
-			LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500, RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 2000,
-			Regions: conf.DirectEntrySettingsRegions{directZone: "region-1"},
-		},
-		Network: ds.net.forHost(name), LogReader: logReader, Protocol: testProtocol{}, Logger: ds.lg.With().Str("node", name).Logger(),
+		Settings: se,
+		Network:  ds.net.forHost(name), LogReader: logReader, Protocol: testProtocol{}, Logger: ds.lg.With().Str("node", name).Logger(),
 	})
 	ds.start(app)
 	time.Sleep(1500 * time.Millisecond)
