--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -18,6 +18,7 @@
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/core/limit"
 	"github.com/bambooladder/bambooladder/entry/internal/config"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/relay"
 )
 
@@ -39,6 +40,8 @@
 var (
 	metricRequests = expvar.NewMap("requests")
 	metricRefusals = expvar.NewMap("refusals")
+	// metricMemory has what each node of the process holds of bodies.
+	metricMemory = expvar.NewMap("callers_memory")
 )
 
 // Settings provides the settings in force.
@@ -62,6 +65,8 @@
 // Caller serves the HTTP API for callers.
 type Caller struct {
 	op Options
+	// memory is what the node may hold of bodies.
+	memory memory.Budget
 
 	// mu protects teams.
 	mu    sync.Mutex
@@ -70,7 +75,9 @@
 
 // NewCaller returns the HTTP API for callers.
 func NewCaller(op Options) *Caller {
-	return &Caller{op: op}
+	ca := &Caller{op: op}
+	metricMemory.Set(op.Place.Name, expvar.Func(func() any { return ca.memory.Stats() }))
+	return ca
 }
 
 // Handler returns the handler of all paths.
--- a/entry/internal/caller/completion.go
+++ b/entry/internal/caller/completion.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/entry/internal/config"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/relay"
 )
 
@@ -28,9 +28,12 @@
 func (ca *Caller) serveCompletion(gc *gin.Context) {
 	vi := ca.op.Settings.View()
 	own := tokenOwner(gc)
-	rq, err := ca.parseCompletion(gc, vi, own.Team)
+	ho := memory.Hold{}
+	defer ho.Release()
+	rq, err := ca.parseCompletion(gc, &ho, vi, own.Team)
 	if err != nil {
 		ca.abortWithError(gc, err)
+		ho.Linger(gc.Writer, gc.Request)
 		return
 	}
 	ca.runRequest(gc, vi.Tree.Teams[own.Team], rq, newAnswer(gc.Writer, rq.Stream))
@@ -63,8 +66,8 @@
 }
 
 // parseCompletion reads and validates a completion request.
-func (ca *Caller) parseCompletion(gc *gin.Context, vi *config.View, team string) (*relay.Request, error) {
-	due, body, err := readDeadlineAndBody(gc, vi.Tree.DeploymentOrDefault())
+func (ca *Caller) parseCompletion(gc *gin.Context, ho *memory.Hold, vi *config.View, team string) (*relay.Request, error) {
+	due, body, err := ca.readDeadlineAndBody(gc, ho, vi.Tree.DeploymentOrDefault())
 	if err != nil {
 		return nil, err
 	}
@@ -130,34 +133,28 @@
 }
 
 // readDeadlineAndBody returns the deadline and the body of a request.
-func readDeadlineAndBody(gc *gin.Context, de conf.Deployment) (time.Time, []byte, error) {
+func (ca *Caller) readDeadlineAndBody(gc *gin.Context, ho *memory.Hold, de conf.Deployment) (time.Time, []byte, error) {
 	due, err := deadline(gc, de)
 	if err != nil {
 		return due, nil, err
 	}
-	body, err := readBody(gc, de.BodyBytes, due)
+	body, err := ca.readBody(gc, ho, de.BodyBytes, due)
 	return due, body, err
 }
 
-// readBody reads the body of a request, or returns an error if it is longer than the limit or does not arrive by
-// the deadline.
-func readBody(gc *gin.Context, limit int, due time.Time) ([]byte, error) {
+// readBody reads the body of a request, or returns an error if it is longer than the limit, does not arrive by
+// the deadline or has no room in memory.
+func (ca *Caller) readBody(gc *gin.Context, ho *memory.Hold, limit int, due time.Time) ([]byte, error) {
 	ctx, cancel := context.WithDeadline(gc.Request.Context(), due)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() {
-		// Without a deadline on the connection, the handler waits until the caller sends more.
-		_ = http.NewResponseController(gc.Writer).SetReadDeadline(time.Now())
-	})
-	data, err := io.ReadAll(http.MaxBytesReader(gc.Writer, gc.Request.Body, int64(limit)))
-	if !stop() {
-		return nil, fault.New(fault.Unavailable, "the body did not arrive in time", "send the request again").WithRetryAfter(notReadyRetryAfter)
-	}
-	tooLong := &http.MaxBytesError{}
-	if errors.As(err, &tooLong) {
+	data, err := ho.Read(ctx, &ca.memory, gc.Writer, gc.Request, int64(limit))
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, fault.New(fault.TooLarge, "the body is longer than the limit", "shorten it or ask an operator for a higher deployment.body_bytes")
-	}
-	if err != nil {
+	case errors.Is(err, memory.ErrLate):
+		return nil, fault.New(fault.Unavailable, "the body did not arrive in time", "send the request again").WithRetryAfter(notReadyRetryAfter)
+	case errors.Is(err, memory.ErrBroken):
 		return nil, fault.New(fault.Invalid, "the body could not be read", "send it whole")
 	}
-	return data, nil
+	return data, err
 }
--- a/entry/internal/caller/service.go
+++ b/entry/internal/caller/service.go
@@ -9,6 +9,7 @@
 	"github.com/bambooladder/bambooladder/core/claim"
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/entry/internal/config"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/relay"
 )
 
@@ -18,16 +19,19 @@
 func (ca *Caller) serveService(gc *gin.Context) {
 	vi := ca.op.Settings.View()
 	own := tokenOwner(gc)
-	rq, err := ca.parseServiceCall(gc, vi, own.Team)
+	ho := memory.Hold{}
+	defer ho.Release()
+	rq, err := ca.parseServiceCall(gc, &ho, vi, own.Team)
 	if err != nil {
 		ca.abortWithError(gc, err)
+		ho.Linger(gc.Writer, gc.Request)
 		return
 	}
 	ca.runRequest(gc, vi.Tree.Teams[own.Team], rq, newAnswer(gc.Writer, false))
 }
 
 // parseServiceCall reads and validates a call to a plain service.
-func (ca *Caller) parseServiceCall(gc *gin.Context, vi *config.View, team string) (*relay.Request, error) {
+func (ca *Caller) parseServiceCall(gc *gin.Context, ho *memory.Hold, vi *config.View, team string) (*relay.Request, error) {
 	name := gc.Param("service")
 	te := vi.Tree.Teams[team]
 	se, ok := vi.Tree.Services[name]
@@ -37,7 +41,7 @@
 	if !te.MayCallService(name) {
 		return nil, fault.New(fault.Forbidden, "team "+team+" may not call service "+name, "ask an operator to add it to the team's services")
 	}
-	due, body, err := readDeadlineAndBody(gc, vi.Tree.DeploymentOrDefault())
+	due, body, err := ca.readDeadlineAndBody(gc, ho, vi.Tree.DeploymentOrDefault())
 	if err != nil {
 		return nil, err
 	}
