--- a/entry/direct/held_test.go
+++ b/entry/direct/held_test.go
@@ -6,6 +6,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 )
 
 // Whatever is held and released, neither all answers together nor a single one exceed their bounds, and
@@ -59,3 +61,32 @@
 		t.Error("nothing is left after a release")
 	}
 }
+
+// Answers are held within the budget of the node too, and the first part of a stream's buffer counts for it without failing.
+func TestAnswersAndEventsCountForTheBudget(t *testing.T) {
+	bu := &memory.Budget{}
+	bu.SetBytes(2 * freeEventBytes)
+	hb := heldBytes{budget: bu}
+	streams := [3]eventHold{{hb: &hb}, {hb: &hb}, {hb: &hb}}
+	for ix := range streams {
+		if !streams[ix].allows(freeEventBytes) {
+			t.Fatal("an event that every stream may have is refused")
+		}
+	}
+	if held := bu.Stats().Held; held != 3*freeEventBytes {
+		t.Errorf("%d bytes count for three buffers, want %d", held, 3*freeEventBytes)
+	}
+	if hb.take(1, 0) || streams[0].allows(freeEventBytes+1) {
+		t.Error("more is held than the budget has")
+	}
+	for ix := range streams {
+		streams[ix].release()
+	}
+	if !hb.take(2*freeEventBytes, 0) || hb.take(1, 0) {
+		t.Error("want the whole budget for an answer after the streams have ended")
+	}
+	hb.release(2 * freeEventBytes)
+	if held := bu.Stats().Held; held != 0 {
+		t.Errorf("%d bytes count after all was released", held)
+	}
+}
