--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -17,6 +17,7 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/entry/internal/abort"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 )
 
 const (
@@ -41,6 +42,8 @@
 	hostHeader    string
 	header        http.Header
 	body          []byte
+	// hold is the memory that counts for the body.
+	hold memory.Hold
 	// bodyBytesMax is the operators' limit on the size of the body, zero for the default.
 	bodyBytesMax int64
 	start        time.Time
@@ -89,8 +92,10 @@
 	defer endAnswer()
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
+	defer rq.hold.Release()
 	if err := rq.prepare(ctx, gc.Request); err != nil {
 		rq.respondError(err)
+		rq.hold.Linger(rq.wr, gc.Request)
 		return
 	}
 	rq.beginOrder()
