--- a/proofs/direct_drawn_caller_test.go
+++ b/proofs/direct_drawn_caller_test.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// asksPerCaller is the number of streams and calls that a caller asks for, triesMax that of its requests for one stream.
+	// asksPerCaller is the number of streams and calls that a caller asks for, drawnTriesMax that of its requests for one stream.
 	asksPerCaller = 12
-	triesMax      = 6
+	drawnTriesMax = 6
 	// giveUpTime is how long after its deadline a caller stops to wait.
 	giveUpTime = 20 * time.Second
 	// askPauseMax is the longest time between what a caller asks for, takeUpPauseMax the longest until it takes a broken
@@ -88,7 +88,7 @@
 // sendAll sends the requests of an ask: a stream that may be resumed is taken up until it is whole.
 func (dc *drawnCaller) sendAll(ctx context.Context, da *drawnAsk, rq drawnRequest) {
 	last, begunBy := 0, ""
-	for try := range triesMax {
+	for try := range drawnTriesMax {
 		dr := dc.send(ctx, rq, fmt.Sprintf("%s-%d", da.name, try), begunBy, last)
 		da.replies = append(da.replies, dr)
 		if count := len(dr.events); count > 0 {
