Believe no end, and no first step, that a break makes doubtful

Found by drawn histories: a stream whose second server went away too, or whose first answer had broken off, looked whole after an end without framing (2 of 3 cases); and an event that was missing after the first one was not seen (1 of 3 cases). An end counts without confirmation only in the first answer that brings events, and a stream that begins with number one counts by one until a step shows otherwise.

--- a/entry/direct/ends.go
+++ b/entry/direct/ends.go
@@ -63,10 +63,12 @@
 func (rq *request) endStream(at *attempt, an *pool.Answer) (result, bool) {
 	usual := rq.no.recordFraming(rq.service.Name, an.Framed())
 	empty := at.firstEventAt.IsZero()
-	// A caller that has all events may take the stream up for its end alone.
-	counts := !empty || !rq.answerStarted && rq.goesOn()
+	// A caller that has all events may take the stream up for its end alone. Where the answer before broke off, or ended
+	// although more followed, servers are going away.
+	takesUpEnd := empty && !rq.answerStarted && rq.goesOn()
+	counts := !empty && !rq.stream.joined || takesUpEnd
 	confirms := rq.stream.end != nil && empty
-	if an.Framed() || confirms || usual && counts {
+	if an.Framed() || confirms || usual && (!empty || takesUpEnd) {
 		return rq.finishStream(at, an)
 	}
 	rq.stream.moreFollows()
--- a/entry/direct/order.go
+++ b/entry/direct/order.go
@@ -38,8 +38,11 @@
 		return eo, !eo.numbered
 	case err != nil && id != "":
 		return eventOrder{}, true
-	case err != nil || !eo.numbered:
-		return eo.withLast(id), true
+	case err != nil:
+		return eo, true
+	case !eo.numbered:
+		// Streams that begin with the first number count by one, unless a step shows otherwise.
+		eo.steps = number <= 1
 	case number <= eo.last, firstOfAnswer && eo.steps && !eo.gaps && number > eo.last+1:
 		return eo, false
 	case !firstOfAnswer:
--- a/entry/direct/order_test.go
+++ b/entry/direct/order_test.go
@@ -11,6 +11,8 @@
 	}{
 		"one answer":                      {answers: [][]string{{"1", "2", "3"}}, follows: true},
 		"the next answer goes on":         {answers: [][]string{{"1", "2"}, {"3", "4"}}, follows: true},
+		"one is left out after the first": {answers: [][]string{{"1"}, {"3"}}},
+		"one event, then more apart":      {answers: [][]string{{"10"}, {"30"}}, follows: true},
 		"from the start":                  {answers: [][]string{{"1", "2"}, {"1"}}},
 		"the last one again":              {answers: [][]string{{"1", "2"}, {"2"}}},
 		"one is left out":                 {answers: [][]string{{"1", "2"}, {"4"}}},
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -43,6 +43,8 @@
 	// endCounts is true, the stream is whole if no other server can be asked.
 	end       *pool.Answer
 	endCounts bool
+	// joined is true if events of several answers were written.
+	joined bool
 }
 
 // recordWritten updates the state after an event was written.
@@ -132,6 +134,7 @@
 		}
 		if first {
 			first = false
+			rq.stream.joined = rq.stream.count > 0
 			rq.recordFirstEvent(at, an, ev)
 		}
 		at.recordReceived(time.Now())
