--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 DRAWN_SEEDS ?= 1000
 DRAWN_FROM ?= 1
 
-.PHONY: build run test proofs soak fault-soak drawn-hunt bench measure slopes lint format generate clean
+.PHONY: build run test proofs soak fault-soak platform-soak drawn-hunt bench measure slopes lint format generate clean
 
 build:
 	@mkdir -p bin
@@ -39,6 +39,9 @@
 drawn-hunt:
 	@cd proofs && DRAWN_SEEDS=$(DRAWN_SEEDS) DRAWN_FROM=$(DRAWN_FROM) go test -count=1 -timeout 0 -run TestDrawnHistoriesBreakNoRule .
 
+platform-soak:
+	@cd proofs && PLATFORM_SOAK_SEEDS=$(SOAK_SEEDS) PLATFORM_SOAK_FROM=$(SOAK_FROM) go test -count=1 -timeout 0 -run TestPlatformSoak .
+
 bench:
 	@cd proofs && go test -run xxx -bench 'Added|Rate' -benchtime 3000x .
 	@cd proofs && go test -run xxx -bench Tokens -benchtime 500x .
--- a/entry/direct/order_test.go
+++ b/entry/direct/order_test.go
@@ -11,6 +11,8 @@
 	}{
 		"one answer":                      {answers: [][]string{{"1", "2", "3"}}, follows: true},
 		"the next answer goes on":         {answers: [][]string{{"1", "2"}, {"3", "4"}}, follows: true},
+		"one is left out after the first": {answers: [][]string{{"1"}, {"3"}}},
+		"one event, then more apart":      {answers: [][]string{{"10"}, {"30"}}, follows: true},
 		"from the start":                  {answers: [][]string{{"1", "2"}, {"1"}}},
 		"the last one again":              {answers: [][]string{{"1", "2"}, {"2"}}},
 		"one is left out":                 {answers: [][]string{{"1", "2"}, {"4"}}},
@@ -27,6 +29,7 @@
 		"goes on without a number":        {answers: [][]string{{"1", "2"}, {"", "3"}}},
 		"goes on with another ID":         {answers: [][]string{{"1", "2"}, {"x1", "x2"}}},
 		"taken up without a number":       {last: "12", answers: [][]string{{"", "13"}}},
+		"numbers by chance":               {answers: [][]string{{"8", "9", "a", "b"}, {"c"}}, follows: true},
 		"never a number":                  {answers: [][]string{{"", ""}, {"", ""}}, follows: true},
 		"the largest number":              {answers: [][]string{{"18446744073709551614", "18446744073709551615"}, {"0"}}},
 	} {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -17,6 +17,7 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/entry/internal/abort"
+	"github.com/bambooladder/bambooladder/entry/internal/memory"
 )
 
 const (
@@ -41,6 +42,8 @@
 	hostHeader    string
 	header        http.Header
 	body          []byte
+	// hold is the memory that counts for the body.
+	hold memory.Hold
 	// bodyBytesMax is the operators' limit on the size of the body, zero for the default.
 	bodyBytesMax int64
 	start        time.Time
@@ -89,8 +92,10 @@
 	defer endAnswer()
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
+	defer rq.hold.Release()
 	if err := rq.prepare(ctx, gc.Request); err != nil {
 		rq.respondError(err)
+		rq.hold.Linger(rq.wr, gc.Request)
 		return
 	}
 	rq.beginOrder()
@@ -206,7 +211,7 @@
 // respondError answers the caller with an error, or aborts the connection if an answer has
 // started. A stream that has ended, although no other server could confirm that, is completed instead.
 func (rq *request) respondError(err error) {
-	if rq.stream.endSeen && rq.stream.count > 0 {
+	if rq.stream.endCounts && rq.hr.Context().Err() == nil {
 		rq.finishUnconfirmed(err)
 		return
 	}
