Count the step after a caller's last event, and believe no end after a break

The step from the caller's last event counts now, and an unconfirmed end counts only where nothing broke off before and events came.

--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -92,6 +92,7 @@
 		}
 		if re.outcome == retry.Unknown {
 			no.crashes.recordEnd(rq, true)
+			rq.stream.broken = rq.stream.broken || re.reason != reasonEndNotConfirmed
 		}
 		st = st.WithOutcome(re.outcome)
 		st.TimeLeft = time.Until(no.drain.waitsUntil(rq.deadline))
--- a/entry/direct/ends.go
+++ b/entry/direct/ends.go
@@ -48,7 +48,7 @@
 }
 
 // moreFollows records that the end of the last answer, if it had one, was not that of the stream.
-func (ss *streamState) moreFollows() { ss.end, ss.endCounts = nil, false }
+func (ss *streamState) moreFollows() { ss.unconfirmedEnd, ss.endCounts = false, false }
 
 // recordPartOfEvent records that an answer broke off within an event: the stream had not ended before.
 func (rq *request) recordPartOfEvent(part []byte) {
@@ -63,24 +63,20 @@
 func (rq *request) endStream(at *attempt, an *pool.Answer) (result, bool) {
 	usual := rq.no.recordFraming(rq.service.Name, an.Framed())
 	empty := at.firstEventAt.IsZero()
-	// A caller that has all events may take the stream up for its end alone. Where the answer before broke off, or ended
-	// although more followed, servers are going away.
-	takesUpEnd := empty && !rq.answerStarted && rq.goesOn()
-	counts := !empty && !rq.stream.joined || takesUpEnd
-	confirms := rq.stream.end != nil && empty
-	if an.Framed() || confirms || usual && (!empty || takesUpEnd) {
+	confirms := rq.stream.unconfirmedEnd && empty
+	if an.Framed() || confirms || usual && !empty {
 		return rq.finishStream(at, an)
 	}
 	rq.stream.moreFollows()
 	if rq.goesOn() {
-		rq.stream.end, rq.stream.endCounts = an, counts
+		// Where an answer has broken off before, servers are going away.
+		rq.stream.unconfirmedEnd, rq.stream.endCounts = true, !empty && !rq.stream.broken
 	}
 	return result{outcome: retry.Unknown, reason: reasonEndNotConfirmed}, false
 }
 
 // finishUnconfirmed completes an answer whose end no other server could confirm, for the reason given by an error.
 func (rq *request) finishUnconfirmed(err error) {
-	rq.writeStreamHeader(rq.stream.end)
 	metricUnconfirmedEnds.Add(1)
 	rq.no.crashes.recordAnswered(rq)
 	took := time.Since(rq.start)
--- a/entry/direct/order.go
+++ b/entry/direct/order.go
@@ -45,9 +45,10 @@
 		eo.steps = number <= 1
 	case number <= eo.last, firstOfAnswer && eo.steps && !eo.gaps && number > eo.last+1:
 		return eo, false
+	case number == eo.last+1:
+		eo.steps = true
 	case !firstOfAnswer:
-		eo.steps = eo.steps || number == eo.last+1
-		eo.gaps = eo.gaps || number > eo.last+1
+		eo.gaps = true
 	}
 	return eo.withLast(id), true
 }
--- a/entry/direct/order_test.go
+++ b/entry/direct/order_test.go
@@ -23,6 +23,7 @@
 		"taken up after an event":         {last: "12", answers: [][]string{{"13", "14"}}, follows: true},
 		"taken up at the start":           {last: "12", answers: [][]string{{"1"}}},
 		"taken up at the same event":      {last: "12", answers: [][]string{{"12"}}},
+		"taken up, one left out later":    {last: "12", answers: [][]string{{"13"}, {"15"}}},
 		"taken up, further answer":        {last: "12", answers: [][]string{{"13", "14"}, {"16"}}},
 		"IDs that are no numbers":         {last: "x", answers: [][]string{{"a", "b"}, {"a"}}, follows: true},
 		"events without an ID in between": {answers: [][]string{{"1", "", "2"}, {"3", ""}}, follows: true},
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -39,12 +39,11 @@
 	// two events.
 	lastWrittenAt time.Time
 	longestPause  time.Duration
-	// end is the last answer if it ended with its connection and nothing shows that more follows, nil otherwise. If
-	// endCounts is true, the stream is whole if no other server can be asked.
-	end       *pool.Answer
-	endCounts bool
-	// joined is true if events of several answers were written.
-	joined bool
+	// unconfirmedEnd is true if the last answer ended with its connection and nothing shows that more follows. If endCounts
+	// is true, the stream is whole then where no other server can be asked.
+	unconfirmedEnd, endCounts bool
+	// broken is true once an answer has broken off, or more has followed its end.
+	broken bool
 }
 
 // recordWritten updates the state after an event was written.
@@ -134,7 +133,7 @@
 		}
 		if first {
 			first = false
-			rq.stream.joined = rq.stream.count > 0
+			rq.stream.broken = rq.stream.broken || rq.stream.count > 0
 			rq.recordFirstEvent(at, an, ev)
 		}
 		at.recordReceived(time.Now())
