End connections that become idle within a stop by themselves too

SetKeepAlivesEnabled closes all connections that count as idle, as they do until a head has been read whole; one that became idle after idle ones had been ended was hit as its next request was being read.

--- a/entry/direct/stop.go
+++ b/entry/direct/stop.go
@@ -23,7 +23,9 @@
 	mu sync.Mutex
 	// unread holds those without a first request by the time at which they were opened.
 	unread map[net.Conn]time.Time
-	idle   map[net.Conn]bool
+	// idle holds those between two requests by the time since which they are. They stay so until the head of the next
+	// request has been read.
+	idle map[net.Conn]time.Time
 }
 
 // record records the state of a connection.
@@ -31,7 +33,7 @@
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
 	if wc.unread == nil {
-		wc.unread, wc.idle = map[net.Conn]time.Time{}, map[net.Conn]bool{}
+		wc.unread, wc.idle = map[net.Conn]time.Time{}, map[net.Conn]time.Time{}
 	}
 	delete(wc.unread, nc)
 	delete(wc.idle, nc)
@@ -39,22 +41,25 @@
 	case http.StateNew:
 		wc.unread[nc] = time.Now()
 	case http.StateIdle:
-		wc.idle[nc] = true
+		wc.idle[nc] = time.Now()
 	case http.StateActive, http.StateHijacked, http.StateClosed:
 	}
 }
 
-// endIdle makes idle connections end by themselves. A request that has been read on one by then is still served.
-func (wc *waitingConns) endIdle(now time.Time) {
+// endIdle makes connections end by themselves that have been idle for a time. A request that has been read on one by then
+// is still served.
+func (wc *waitingConns) endIdle(now time.Time, idleFor time.Duration) {
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
-	for nc := range wc.idle {
-		// A connection that has ended meanwhile needs no deadline.
-		_ = nc.SetReadDeadline(now)
+	for nc, since := range wc.idle {
+		if now.Sub(since) >= idleFor {
+			// A connection that has ended meanwhile needs no deadline.
+			_ = nc.SetReadDeadline(now)
+		}
 	}
 }
 
-// any reports whether a request may be about to be read on a connection that was opened within unreadMax.
+// any reports whether a request may be about to be read: on a connection that was opened within unreadMax, or on an idle one.
 func (wc *waitingConns) any(now time.Time) bool {
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
@@ -63,7 +68,7 @@
 			return true
 		}
 	}
-	return false
+	return len(wc.idle) > 0
 }
 
 // stop fails the readiness check, keeps serving for balancerNoticeTime so that the load balancer
@@ -79,7 +84,7 @@
 	no.sleep(ctx, balancerNoticeTime)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	no.closeIdleCallers(drainCtx, sv.callers)
+	no.closeIdleCallers(drainCtx)
 	no.awaitIdle(drainCtx)
 	err := sv.callers.Close()
 	no.cancel()
@@ -90,16 +95,15 @@
 
 // closeIdleCallers takes no new connections of callers, and ends those without a request: a request that arrived on
 // one later would be cut off. http.Server.Shutdown would drop the requests that it reads from now on, and close idle
-// connections on which it has just read one.
-func (no *Node) closeIdleCallers(ctx context.Context, callers *http.Server) {
+// connections on which it has just read one, as SetKeepAlivesEnabled does.
+func (no *Node) closeIdleCallers(ctx context.Context) {
 	if no.callerListener != nil {
 		if err := no.callerListener.Close(); err != nil {
 			no.logger.Warn().Str("error", err.Error()).Msg("listener_not_closed")
 		}
 	}
-	no.waiting.endIdle(time.Now())
+	no.waiting.endIdle(time.Now(), 0)
 	no.sleep(ctx, idleEndTime)
-	callers.SetKeepAlivesEnabled(false)
 }
 
 // logDrain logs a stage of the drain with the number of requests that it finds.
@@ -109,10 +113,12 @@
 	}
 }
 
-// awaitIdle waits until no request has been in flight or about to be read for idleBeforeStop, or the context ends.
+// awaitIdle waits until no request has been in flight or about to be read for idleBeforeStop, or the context ends. Connections
+// that become idle meanwhile, as their last answer had begun before the stop and did not tell that they close, are ended.
 func (no *Node) awaitIdle(ctx context.Context) {
 	for idle := time.Duration(0); idle < idleBeforeStop && ctx.Err() == nil; idle += idlePollPeriod {
 		no.sleep(ctx, idlePollPeriod)
+		no.waiting.endIdle(time.Now(), idlePollPeriod)
 		if no.inFlight.Load() > 0 || no.waiting.any(time.Now()) {
 			idle = 0
 		}
