End keep-alives in a stop at a moment at which no connection is idle

SetKeepAlivesEnabled is called again, which ends each connection with its present answer, but only while no connection is idle: it closes those at once, also one on which a request is just being read. A connection that becomes idle at that moment waits for the lock in its state hook, and has not begun to read.

--- a/entry/direct/stop.go
+++ b/entry/direct/stop.go
@@ -13,8 +13,8 @@
 const (
 	// unreadMax is how long after it was opened the first request of a connection is expected.
 	unreadMax = time.Second
-	// idleEndTime is how long idle connections have to end by themselves.
-	idleEndTime = 200 * time.Millisecond
+	// idleEndMax bounds the wait for idle connections to end by themselves.
+	idleEndMax = time.Second
 )
 
 // waitingConns holds the connections of callers that wait for a request: their first one, or the next one. The zero
@@ -23,9 +23,8 @@
 	mu sync.Mutex
 	// unread holds those without a first request by the time at which they were opened.
 	unread map[net.Conn]time.Time
-	// idle holds those between two requests by the time since which they are. They stay so until the head of the next
-	// request has been read.
-	idle map[net.Conn]time.Time
+	// idle holds those between two requests. They stay so until the head of the next request has been read.
+	idle map[net.Conn]bool
 }
 
 // record records the state of a connection.
@@ -33,7 +32,7 @@
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
 	if wc.unread == nil {
-		wc.unread, wc.idle = map[net.Conn]time.Time{}, map[net.Conn]time.Time{}
+		wc.unread, wc.idle = map[net.Conn]time.Time{}, map[net.Conn]bool{}
 	}
 	delete(wc.unread, nc)
 	delete(wc.idle, nc)
@@ -41,25 +40,34 @@
 	case http.StateNew:
 		wc.unread[nc] = time.Now()
 	case http.StateIdle:
-		wc.idle[nc] = time.Now()
+		wc.idle[nc] = true
 	case http.StateActive, http.StateHijacked, http.StateClosed:
 	}
 }
 
-// endIdle makes connections end by themselves that have been idle for a time. A request that has been read on one by then
-// is still served.
-func (wc *waitingConns) endIdle(now time.Time, idleFor time.Duration) {
+// endIdle makes idle connections end by themselves. A request that has been read on one by then is still served.
+func (wc *waitingConns) endIdle(now time.Time) {
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
-	for nc, since := range wc.idle {
-		if now.Sub(since) >= idleFor {
-			// A connection that has ended meanwhile needs no deadline.
-			_ = nc.SetReadDeadline(now)
-		}
+	for nc := range wc.idle {
+		// A connection that has ended meanwhile needs no deadline.
+		_ = nc.SetReadDeadline(now)
 	}
 }
 
-// any reports whether a request may be about to be read: on a connection that was opened within unreadMax, or on an idle one.
+// whileNoneIdle calls a function unless a connection is idle, and reports whether it did. A connection that becomes idle
+// meanwhile waits in record, and reads no request until the function has returned.
+func (wc *waitingConns) whileNoneIdle(fn func()) bool {
+	wc.mu.Lock()
+	defer wc.mu.Unlock()
+	if len(wc.idle) > 0 {
+		return false
+	}
+	fn()
+	return true
+}
+
+// any reports whether a request may be about to be read on a connection that was opened within unreadMax.
 func (wc *waitingConns) any(now time.Time) bool {
 	wc.mu.Lock()
 	defer wc.mu.Unlock()
@@ -68,7 +76,7 @@
 			return true
 		}
 	}
-	return len(wc.idle) > 0
+	return false
 }
 
 // stop fails the readiness check, keeps serving for balancerNoticeTime so that the load balancer
@@ -84,7 +92,7 @@
 	no.sleep(ctx, balancerNoticeTime)
 	drainCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	no.closeIdleCallers(drainCtx)
+	no.closeIdleCallers(drainCtx, sv.callers)
 	no.awaitIdle(drainCtx)
 	err := sv.callers.Close()
 	no.cancel()
@@ -95,15 +103,23 @@
 
 // closeIdleCallers takes no new connections of callers, and ends those without a request: a request that arrived on
 // one later would be cut off. http.Server.Shutdown would drop the requests that it reads from now on, and close idle
-// connections on which it has just read one, as SetKeepAlivesEnabled does.
-func (no *Node) closeIdleCallers(ctx context.Context) {
+// connections on which it has just read one. So does SetKeepAlivesEnabled, by which connections end with their present
+// answer, so that it is called while none is idle.
+func (no *Node) closeIdleCallers(ctx context.Context, callers *http.Server) {
 	if no.callerListener != nil {
 		if err := no.callerListener.Close(); err != nil {
 			no.logger.Warn().Str("error", err.Error()).Msg("listener_not_closed")
 		}
 	}
-	no.waiting.endIdle(time.Now(), 0)
-	no.sleep(ctx, idleEndTime)
+	endKeepAlives := func() { callers.SetKeepAlivesEnabled(false) }
+	for waited := time.Duration(0); waited < idleEndMax && ctx.Err() == nil; waited += idlePollPeriod {
+		no.waiting.endIdle(time.Now())
+		no.sleep(ctx, idlePollPeriod)
+		if no.waiting.whileNoneIdle(endKeepAlives) {
+			return
+		}
+	}
+	endKeepAlives()
 }
 
 // logDrain logs a stage of the drain with the number of requests that it finds.
@@ -113,12 +129,10 @@
 	}
 }
 
-// awaitIdle waits until no request has been in flight or about to be read for idleBeforeStop, or the context ends. Connections
-// that become idle meanwhile, as their last answer had begun before the stop and did not tell that they close, are ended.
+// awaitIdle waits until no request has been in flight or about to be read for idleBeforeStop, or the context ends.
 func (no *Node) awaitIdle(ctx context.Context) {
 	for idle := time.Duration(0); idle < idleBeforeStop && ctx.Err() == nil; idle += idlePollPeriod {
 		no.sleep(ctx, idlePollPeriod)
-		no.waiting.endIdle(time.Now(), idlePollPeriod)
 		if no.inFlight.Load() > 0 || no.waiting.any(time.Now()) {
 			idle = 0
 		}
