Keep the stand-ins of the platform, and its names, in platform

The stand-ins of the soak of the platform's way stood in stand, with names of its wire. They are in platform/site now, and the soak's callers take the names from platform/terms.

--- a/proofs/platform_caller_test.go
+++ b/proofs/platform_caller_test.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/bambooladder/bambooladder/platform/terms"
 )
 
 const (
@@ -112,14 +114,14 @@
 func (sq *siteRequest) setHeaders(rq *http.Request) {
 	rq.GetBody = nil
 	rq.Host = siteHost
-	rq.Header.Set("X-Bambooladder-Request-Id", sq.id)
-	rq.Header.Set("X-Bambooladder-Deadline-Ms", strconv.FormatInt(sq.deadline.Milliseconds(), 10))
+	rq.Header.Set(terms.RequestID, sq.id)
+	rq.Header.Set(terms.DeadlineMs, strconv.FormatInt(sq.deadline.Milliseconds(), 10))
 	if sq.adapter != "" {
-		rq.Header.Set("X-Bambooladder-Model", siteModel+"/"+sq.adapter)
-		rq.Header.Set("X-Bambooladder-Token-Count", fmt.Sprintf("%d,%d", sitePromptTokens, sq.events))
+		rq.Header.Set(terms.Model, siteModel+"/"+sq.adapter)
+		rq.Header.Set(terms.TokenCount, fmt.Sprintf("%d,%d", sitePromptTokens, sq.events))
 	}
 	if sq.last > 0 {
-		rq.Header.Set("Last-Event-Id", strconv.Itoa(sq.last))
+		rq.Header.Set(terms.LastEventID, strconv.Itoa(sq.last))
 		rq.Header.Set("Resumes", sq.resumes)
 	}
 }
--- a/proofs/platform_site_test.go
+++ b/proofs/platform_site_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"github.com/bambooladder/bambooladder/stand/site"
+	"github.com/bambooladder/bambooladder/platform/site"
 )
 
 // Ports of a site. Each process and each server has an address of its own.
--- a/proofs/platform_soak_test.go
+++ b/proofs/platform_soak_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"github.com/bambooladder/bambooladder/stand/site"
+	"github.com/bambooladder/bambooladder/platform/site"
 )
 
 // The soak test of the platform's way runs the programs of the deploy file as processes, with stand-ins for the
