--- a/core/conf/direct.go
+++ b/core/conf/direct.go
@@ -6,8 +6,8 @@
 // callersHoldBytesMin has room for a body of 4 MiB beside small ones.
 const callersHoldBytesMin = 8 << 20
 
-// bytesPerMegabyte is the unit of memory_mb.
-const bytesPerMegabyte = 1 << 20
+// BytesPerMegabyte is the unit of memory_mb.
+const BytesPerMegabyte = 1 << 20
 
 // check returns an error for the first invalid value in the settings file of an entry node that
 // sends requests directly to the backend servers, or nil.
@@ -45,7 +45,7 @@
 		return invalid("answers_hold_bytes", "give a number of bytes, or 0", "%d is too few", de.AnswersHoldBytes)
 	case de.CallersHoldBytes != 0 && de.CallersHoldBytes < callersHoldBytesMin:
 		return invalid("callers_hold_bytes", "give at least 8388608, or 0", "%d is too few", de.CallersHoldBytes)
-	case de.MemoryMb > 0 && de.CallersHoldBytes > de.MemoryMb*bytesPerMegabyte/2:
+	case de.MemoryMb > 0 && de.CallersHoldBytes > de.MemoryMb*BytesPerMegabyte/2:
 		return invalid("callers_hold_bytes", "give at most half of memory_mb, or 0", "%d leaves too little for the process", de.CallersHoldBytes)
 	}
 	return nil
--- a/entry/direct/body.go
+++ b/entry/direct/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/entry/internal/memory"
 )
@@ -14,16 +15,13 @@
 // node itself, the connections, and garbage: the soft limit of the runtime is at 0.7.
 const callersShare = 0.4
 
-// bytesPerMegabyte is the unit of memory_mb.
-const bytesPerMegabyte = 1 << 20
-
 // callersBytes returns the budget for callers, in bytes.
 func (no *Node) callersBytes() int64 {
 	se := &no.options.Settings
 	if se.CallersHoldBytes > 0 {
 		return int64(se.CallersHoldBytes)
 	}
-	return int64(callersShare * float64(se.MemoryMb) * bytesPerMegabyte)
+	return int64(callersShare * float64(se.MemoryMb) * conf.BytesPerMegabyte)
 }
 
 // readBody reads the whole request body, up to the operators' limit, until the context ends. It refuses a body for which
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -105,7 +105,6 @@
 // resume on another server after the last event that the caller has received.
 func (rq *request) deliverStream(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
 	rd := bufio.NewReaderSize(an.Body, eventBufferBytes)
-	first := true
 	buf := make([]byte, 0, eventBufferBytes)
 	eh := eventHold{hb: &rq.no.held}
 	defer eh.release()
@@ -119,29 +118,38 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
-		buf = ev
-		if first && rq.goesOn() && !hasData(ev) {
-			continue
-		}
-		order, follows := rq.orderWith(at, ev, first)
-		if !follows {
-			return result{outcome: retry.Unknown, reason: reasonOutOfOrder}, false
-		}
-		if first && !rq.admitFirstEvent(at) {
-			rq.stream.moreFollows()
-			return result{outcome: retry.Unknown, reason: reasonSoftwareChanged}, false
+		if reason := rq.passOnEvent(at, an, ev); reason != "" {
+			return result{outcome: retry.Unknown, reason: reason}, false
 		}
-		if first {
-			first = false
-			rq.stream.broken = rq.stream.broken || rq.stream.count > 0
-			rq.recordFirstEvent(at, an, ev)
-		}
-		at.recordReceived(time.Now())
-		if !rq.writeEvent(an, ev) {
-			return result{outcome: retry.Unknown, reason: reasonCallerGone}, false
-		}
-		rq.stream.order = order
+		buf = ev
+	}
+}
+
+// passOnEvent writes an event to the caller if it comes next in the stream, or returns the reason why the attempt ends. It
+// leaves out what only keeps the connection open until the server goes on.
+func (rq *request) passOnEvent(at *attempt, an *pool.Answer, ev []byte) string {
+	first := at.firstEventAt.IsZero()
+	if first && rq.goesOn() && !hasData(ev) {
+		return ""
+	}
+	order, follows := rq.orderWith(at, ev, first)
+	if !follows {
+		return reasonOutOfOrder
+	}
+	if first && !rq.admitFirstEvent(at) {
+		rq.stream.moreFollows()
+		return reasonSoftwareChanged
+	}
+	if first {
+		rq.stream.broken = rq.stream.broken || rq.stream.count > 0
+		rq.recordFirstEvent(at, an, ev)
+	}
+	at.recordReceived(time.Now())
+	if !rq.writeEvent(an, ev) {
+		return reasonCallerGone
 	}
+	rq.stream.order = order
+	return ""
 }
 
 // orderWith returns the order of the stream with the next event, and whether that event follows. If not, it counts a
