Tell in the logs how far a stop has got when a request is read, sent or cut

Streams were cut at the end of a planned stop. The lines told neither when such a request had been read or sent, nor on what connection it came, so that requests that came late, connections that stayed open, waits and an early end of answers looked the same. request_taken_in_stop, attempt_cut and the fields stopping_for and answers_end_in of route_chosen tell them apart. No decision changes.

--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -44,6 +44,8 @@
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
 	start     time.Time
+	// sentAt is when the request was sent to the server, zero before.
+	sentAt time.Time
 	// firstEventAt and lastEventAt are when the first and the last event arrived, longestPause is the
 	// longest time between two events.
 	firstEventAt, lastEventAt time.Time
@@ -186,8 +188,10 @@
 		id: rq.attemptID(number), server: ch.ID, software: no.fleet.Software(ch.ID), address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
 		born: no.fleet.RunStart(ch.ID),
 	}
-	rq.logAttempt(at, "route_chosen").Str("software", at.software).Str("resumes", rq.info.Resumes).Str("last_event", rq.lastEventID()).Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
-		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.ReportAge).Str("candidates", formatCandidates(&ch)).Int64("routes_version", rq.routesVersion).Send()
+	ev := rq.logAttempt(at, "route_chosen").Str("software", at.software).Str("resumes", rq.info.Resumes).Str("last_event", rq.lastEventID()).Str("adapter", rq.info.Adapter).Int("version", sr.Version).Bool("popular", sr.Popular).Str("reason", string(ch.Reason)).
+		Float64("cost", ch.Cost).Dur("wait", ch.Wait).Dur("age", ch.ReportAge).Str("candidates", formatCandidates(&ch)).Int64("routes_version", rq.routesVersion)
+	no.drain.logStage(ev)
+	ev.Send()
 	no.fleet.Sent(ch.ID, rq.info.PromptTokens, now)
 	return at, nil
 }
--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/core/fault"
 )
@@ -31,8 +32,10 @@
 	endWaits, endAnswers context.CancelCauseFunc
 
 	mu sync.Mutex
-	// waitsEndAt is when waits will end, zero while the node does not stop.
-	waitsEndAt time.Time
+	// beganAt is when the stop began, zero while the node does not stop.
+	beganAt time.Time
+	// waitsEndAt and answersEndAt are when waits and answers will end.
+	waitsEndAt, answersEndAt time.Time
 }
 
 // newDrain returns the drain of a node that is not stopping.
@@ -47,25 +50,36 @@
 func (dr *drain) begin(now, deadline time.Time) {
 	length := deadline.Sub(now)
 	waits := max(0, time.Duration((1-answerShare)*float64(length)))
+	answers := max(0, length-abortMargin)
 	dr.mu.Lock()
-	dr.waitsEndAt = now.Add(waits)
+	dr.beganAt, dr.waitsEndAt, dr.answersEndAt = now, now.Add(waits), now.Add(answers)
 	dr.mu.Unlock()
 	time.AfterFunc(waits, func() { dr.endWaits(errNodeStopping) })
-	time.AfterFunc(max(0, length-abortMargin), func() { dr.endAnswers(errNodeStopping) })
+	time.AfterFunc(answers, func() { dr.endAnswers(errNodeStopping) })
 }
 
 // begun reports whether the node is stopping.
 func (dr *drain) begun() bool {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	return !dr.waitsEndAt.IsZero()
+	return !dr.beganAt.IsZero()
+}
+
+// logStage adds to a log line how long the node has been stopping and when answers end. It adds nothing while the node
+// does not stop.
+func (dr *drain) logStage(ev *zerolog.Event) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if !dr.beganAt.IsZero() {
+		ev.Dur("stopping_for", time.Since(dr.beganAt)).Dur("answers_end_in", time.Until(dr.answersEndAt))
+	}
 }
 
 // waitsUntil returns until when a request with a deadline may wait.
 func (dr *drain) waitsUntil(deadline time.Time) time.Time {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if !dr.waitsEndAt.IsZero() && dr.waitsEndAt.Before(deadline) {
+	if !dr.beganAt.IsZero() && dr.waitsEndAt.Before(deadline) {
 		return dr.waitsEndAt
 	}
 	return deadline
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -21,7 +21,6 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
-	"github.com/bambooladder/bambooladder/entry/internal/abort"
 	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
@@ -144,7 +143,7 @@
 		metrics: newHTTPServer(expvar.Handler()),
 	}
 	sv.callers.ConnState = no.waiting.record
-	sv.callers.ConnContext = abort.ConnContext
+	sv.callers.ConnContext = callerConnContext
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return no.start(sv) },
 		OnStop:  func(ctx context.Context) error { return no.stop(ctx, sv) },
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -144,7 +144,7 @@
 	if rq.info.Adapter != "" {
 		fi.Version = at.version
 	}
-	at.connection, at.reused = co.Number, co.Reused
+	at.connection, at.reused, at.sentAt = co.Number, co.Reused, time.Now()
 	rq.connections = append(rq.connections, co.Number)
 	ctx, stop := rq.watchServer(ctx, at)
 	defer stop()
@@ -188,6 +188,7 @@
 	reason, callerGone := "connection_lost", false
 	switch {
 	case stopsNode(ctx):
+		rq.logCut(at)
 		return result{outcome: outcome, reason: reasonNodeStopping}
 	case errors.Is(context.Cause(ctx), errPartRefused):
 		return rq.canceledForPart(at, outcome)
@@ -209,6 +210,14 @@
 	return result{outcome: outcome, reason: reason, serverLost: outcome == retry.Unknown && !callerGone}
 }
 
+// logCut logs an attempt that ends because the node is stopping.
+func (rq *request) logCut(at *attempt) {
+	ev := rq.logAttempt(at, "attempt_cut").Str("kind", rq.route.Kind.String()).Dur("read_ago", time.Since(rq.start)).Dur("sent_ago", time.Since(at.sentAt)).
+		Int("events", rq.stream.count).Int("output_tokens", rq.info.OutputTokens).Dur("left", rq.timeLeft())
+	rq.no.drain.logStage(ev)
+	ev.Send()
+}
+
 // canceledForPart returns the result of an attempt that was canceled because a part of its prompt crashes
 // servers. It counts for nothing against its server.
 func (rq *request) canceledForPart(at *attempt, outcome retry.Outcome) result {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -81,6 +81,7 @@
 	no.inFlight.Add(1)
 	defer no.inFlight.Add(-1)
 	rq := &request{no: no, start: time.Now(), hr: gc.Request, wr: gc.Writer}
+	connRequests, connAge := countRequest(gc.Request.Context())
 	if no.drain.begun() {
 		gc.Header("Connection", "close")
 	}
@@ -98,10 +99,21 @@
 		rq.hold.Linger(rq.wr, gc.Request)
 		return
 	}
+	if no.drain.begun() {
+		rq.logTakenInStop(connRequests, connAge)
+	}
 	rq.beginOrder()
 	rq.runAttempts(ctx)
 }
 
+// logTakenInStop logs a request that was read whole, or waits, while the node is stopping.
+func (rq *request) logTakenInStop(connRequests int64, connAge time.Duration) {
+	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("kind", rq.route.Kind.String()).Dur("body_took", time.Since(rq.start)).Int("body", len(rq.body)).
+		Dur("left", rq.timeLeft()).Int64("connection_requests", connRequests).Dur("connection_age", connAge)
+	rq.no.drain.logStage(ev)
+	ev.Msg("request_taken_in_stop")
+}
+
 // prepare reads the body and finds out what began the stream that the request takes up, if it does.
 func (rq *request) prepare(ctx context.Context, hr *http.Request) error {
 	ctx, endWait := rq.no.drain.boundWait(ctx)
