Begin in a planned stop only what can be expected to end in it

Callers whose requests came late in a planned stop got no whole answer to streams, and an unknown outcome for calls that may not be repeated: the node sent them to a server and cut them at 7.1 s of a stop of 8 s.

Cause: whether a request may still begin was decided by a moment, three quarters through the stop, that knows nothing of the request; a stream of 5 s that was whole 3.2 s after SIGTERM could not end. attempt_cut showed sent_ago=3899 for those. Margins in seconds cut more in short stops: with 2 s a call of 0.8 s was cut at 1.1 s.

core/drain keeps how long the last answers of each route and size took, and the timetable of a stop. A request begins as long as its answer can be expected before the end of answers; it is asked when the body is there, when a server is chosen, and bounds each wait. What came before the load balancer could notice need only be likely to end, as its caller could choose no other node; what came later must be sure to, by the longest answer known and a margin. What can't begin is told at once that it has not run, with a time to come back that differs between callers. A second attempt goes on, as its request can no longer be told so. Stages are shares of short stops. Keep-alives are never ended while a connection is idle.

TestDirectStopPassesOnNoRequestThatItWouldCut failed before (calls and streams whole at 3.2, 4.1 and 5 s were cut, a call of 0.3 s at 5.9 s was refused), TestDirectStopOfAnyLengthCutsNoRequest too (2, 4 and 16 s).

--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -97,7 +97,8 @@
 			rq.stream.broken = rq.stream.broken || re.reason != reasonEndNotConfirmed
 		}
 		st = st.WithOutcome(re.outcome)
-		st.TimeLeft = time.Until(no.drain.waitsUntil(rq.deadline))
+		rq.mayHaveRun = st.PossibleRuns > 0
+		st.TimeLeft = time.Until(no.drain.latestStart(rq.startTerms()))
 		if ctx.Err() != nil {
 			st.TimeLeft = 0
 		}
@@ -130,8 +131,8 @@
 	if retryDelay <= 0 {
 		retryDelay = defaultRetryAfter
 	}
-	if rq.no.drain.waits.Err() != nil {
-		return stoppingError()
+	if rq.no.drain.begun() && ctx.Err() == nil && !rq.mayBegin(0, time.Now()) || stopsNode(ctx) {
+		return rq.no.stoppingError()
 	}
 	kind := fault.Overloaded
 	if ctx.Err() != nil {
@@ -177,10 +178,10 @@
 	if !ok {
 		return nil, no.noServerError(sr, now)
 	}
-	if retryAfter, ok := ch.Admit(no.drain.waitsUntil(rq.deadline).Sub(now)); !ok {
-		if _, ok := ch.Admit(rq.deadline.Sub(now)); ok {
-			return nil, stoppingError()
-		}
+	if !rq.mayBegin(ch.QueueWait, now) {
+		return nil, no.stoppingError()
+	}
+	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
 			WithRetryAfter(retryAfter)
 	}
--- a/entry/direct/body.go
+++ b/entry/direct/body.go
@@ -34,7 +34,7 @@
 	data, err := rq.hold.Read(ctx, &rq.no.memory, rq.wr, hr, limit)
 	switch {
 	case stopsNode(ctx):
-		return stoppingError()
+		return rq.no.stoppingError()
 	case errors.Is(err, memory.ErrTooLarge):
 		return fault.New(fault.TooLarge, "the body is larger than allowed", "send a smaller body")
 	case errors.Is(err, memory.ErrLate):
--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -8,108 +8,178 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/bambooladder/bambooladder/core/drain"
 	"github.com/bambooladder/bambooladder/core/fault"
 )
 
 const (
-	// stopMargin is the part of the stop time reserved for closing the servers after draining.
-	stopMargin = 700 * time.Millisecond
-	// answerShare is the part of the time to drain that is left for answers when waits end: a request that begins
-	// to run later would be cut off.
-	answerShare = 0.25
-	// abortMargin is how long before the end of the drain the requests that still run are answered.
-	abortMargin = 200 * time.Millisecond
+	// stopRetryAfterMin and stopRetryAfterMax bound the time after which callers are asked to send a request to another
+	// node. It differs between them, as many are told at the same time.
+	stopRetryAfterMin = 50 * time.Millisecond
+	stopRetryAfterMax = 250 * time.Millisecond
 )
 
 // errNodeStopping is why the context of a request ends in a planned stop.
 var errNodeStopping = errors.New("direct: the node is stopping; send the request to another node")
 
-// drain is a planned stop of the node. In its first part requests are served as always. Then waits end: a request
-// that no server has got is answered as not run. At its end requests that still run are answered too.
-type drain struct {
-	// waits and answers end when no request may wait any more, and when none may run any more.
-	waits, answers       context.Context
-	endWaits, endAnswers context.CancelCauseFunc
-
-	mu sync.Mutex
-	// beganAt is when the stop began, zero while the node does not stop.
-	beganAt time.Time
-	// waitsEndAt and answersEndAt are when waits and answers will end.
-	waitsEndAt, answersEndAt time.Time
+// draining is a planned stop of the node. Requests are served as always as long as their answers can be expected before its
+// end; others are answered as not run. At its end requests that still run are answered too.
+type draining struct {
+	// begins ends when the stop begins, answers when no request may run any more.
+	begins, answers context.Context
+	endBegins       context.CancelFunc
+	endAnswers      context.CancelCauseFunc
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	stop  drain.Stop
+	times drain.Times
 }
 
-// newDrain returns the drain of a node that is not stopping.
-func newDrain() *drain {
-	dr := &drain{}
-	dr.waits, dr.endWaits = context.WithCancelCause(context.Background())
+// newDraining returns the state of a node that is not stopping.
+func newDraining() *draining {
+	dr := &draining{}
+	dr.begins, dr.endBegins = context.WithCancel(context.Background())
 	dr.answers, dr.endAnswers = context.WithCancelCause(context.Background())
 	return dr
 }
 
-// begin begins a drain that ends at a deadline.
-func (dr *drain) begin(now, deadline time.Time) {
-	length := deadline.Sub(now)
-	waits := max(0, time.Duration((1-answerShare)*float64(length)))
-	answers := max(0, length-abortMargin)
+// begin begins a stop that takes at most a time, and returns its timetable.
+func (dr *draining) begin(now time.Time, length time.Duration) drain.Stop {
 	dr.mu.Lock()
-	dr.beganAt, dr.waitsEndAt, dr.answersEndAt = now, now.Add(waits), now.Add(answers)
-	dr.mu.Unlock()
-	time.AfterFunc(waits, func() { dr.endWaits(errNodeStopping) })
-	time.AfterFunc(answers, func() { dr.endAnswers(errNodeStopping) })
+	defer dr.mu.Unlock()
+	dr.stop = drain.NewStop(now, length)
+	dr.endBegins()
+	time.AfterFunc(dr.stop.AnswersEndAt.Sub(now), func() { dr.endAnswers(errNodeStopping) })
+	return dr.stop
 }
 
-// begun reports whether the node is stopping.
-func (dr *drain) begun() bool {
+// timetable returns the timetable of the stop.
+func (dr *draining) timetable() drain.Stop {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	return !dr.beganAt.IsZero()
+	return dr.stop
 }
 
+// begun reports whether the node is stopping.
+func (dr *draining) begun() bool { return dr.begins.Err() != nil }
+
 // logStage adds to a log line how long the node has been stopping and when answers end. It adds nothing while the node
 // does not stop.
-func (dr *drain) logStage(ev *zerolog.Event) {
+func (dr *draining) logStage(ev *zerolog.Event) {
+	if st := dr.timetable(); st.Begun() {
+		ev.Dur("stopping_for", time.Since(st.BeganAt)).Dur("answers_end_in", time.Until(st.AnswersEndAt))
+	}
+}
+
+// recordAnswer records how long the answer of a route took.
+func (dr *draining) recordAnswer(route string, size int, took time.Duration) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if !dr.beganAt.IsZero() {
-		ev.Dur("stopping_for", time.Since(dr.beganAt)).Dur("answers_end_in", time.Until(dr.answersEndAt))
-	}
+	dr.times.Record(route, size, took)
 }
 
-// waitsUntil returns until when a request with a deadline may wait.
-func (dr *drain) waitsUntil(deadline time.Time) time.Time {
+// estimate returns how long the answer to an attempt may take.
+func (dr *draining) estimate(sr startTerms) drain.Estimate {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if !dr.beganAt.IsZero() && dr.waitsEndAt.Before(deadline) {
-		return dr.waitsEndAt
+	return dr.times.Estimate(sr.route, sr.size)
+}
+
+// boundAnswer returns a context that also ends when no request may run any more.
+func (dr *draining) boundAnswer(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(dr.answers, func() { cancel(context.Cause(dr.answers)) })
+	return ctx, func() {
+		stop()
+		cancel(context.Canceled)
 	}
-	return deadline
 }
 
-// boundWait returns a context that also ends when waits end.
-func (dr *drain) boundWait(ctx context.Context) (context.Context, context.CancelFunc) {
-	return boundBy(ctx, dr.waits)
+// startTerms is what decides until when an attempt may be sent.
+type startTerms struct {
+	route string
+	size  int
+	// goesOn is true if the request may have run or its answer has begun.
+	goesOn            bool
+	wholeAt, deadline time.Time
 }
 
-// boundAnswer returns a context that also ends when no request may run any more.
-func (dr *drain) boundAnswer(ctx context.Context) (context.Context, context.CancelFunc) {
-	return boundBy(ctx, dr.answers)
+// startTerms returns what decides until when the next attempt may be sent.
+func (rq *request) startTerms() startTerms {
+	return startTerms{
+		route: rq.route.Name, size: rq.info.answerSize(), goesOn: rq.mayHaveRun || rq.answerStarted, wholeAt: rq.wholeAt, deadline: rq.deadline,
+	}
+}
+
+// latestStart returns until when an attempt may be sent: until the deadline, and while the node stops only as long as its
+// answer can be expected before the end of answers.
+func (dr *draining) latestStart(sr startTerms) time.Time {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if !dr.stop.Begun() {
+		return sr.deadline
+	}
+	if sr.goesOn {
+		return dr.stop.LatestRetry(sr.deadline)
+	}
+	return dr.stop.LatestStart(dr.times.Estimate(sr.route, sr.size), sr.wholeAt, sr.deadline)
 }
 
-// boundBy returns a context that also ends with another one, whose cause it then has.
-func boundBy(ctx, other context.Context) (context.Context, context.CancelFunc) {
+// boundWait returns a context that also ends when the attempt may no longer be sent because the node is stopping.
+func (dr *draining) boundWait(ctx context.Context, sr startTerms) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(other, func() { cancel(context.Cause(other)) })
+	stop := context.AfterFunc(dr.begins, func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(dr.latestStart(sr))):
+			cancel(errNodeStopping)
+		}
+	})
 	return ctx, func() {
 		stop()
 		cancel(context.Canceled)
 	}
 }
 
+// mayBegin reports whether an attempt may still be sent after a wait that is expected before it. It logs what a stop does not
+// let begin.
+func (rq *request) mayBegin(wait time.Duration, now time.Time) bool {
+	sr := rq.startTerms()
+	latest := rq.no.drain.latestStart(sr)
+	if !rq.no.drain.begun() || !now.Add(wait).After(latest) {
+		return true
+	}
+	es := rq.no.drain.estimate(sr)
+	ev := rq.no.logger.Info().Str("request", rq.info.ID).Dur("wait", wait).Dur("latest_start_in", latest.Sub(now)).Int("size", sr.size).
+		Int("answers_known", es.Count).Dur("likely", es.Likely).Dur("sure", es.Sure).Dur("left", rq.timeLeft())
+	rq.no.drain.logStage(ev)
+	ev.Msg("start_too_late")
+	return false
+}
+
+// recordAnswerTime records how long the answer to an attempt took, if it was whole or ended only because time was over.
+func (rq *request) recordAnswerTime(at *attempt, re result, delivered bool) {
+	if at.sentAt.IsZero() || !delivered && re.reason != reasonTimeOver && re.reason != reasonNodeStopping {
+		return
+	}
+	rq.no.drain.recordAnswer(rq.route.Name, rq.info.answerSize(), time.Since(at.sentAt))
+}
+
+// answerSize returns the expected number of tokens of the answer, zero if it is not known.
+func (ri *RequestInfo) answerSize() int {
+	if ri.OutputExpected > 0 {
+		return ri.OutputExpected
+	}
+	return ri.OutputTokens
+}
+
 // stopsNode reports whether a context has ended because the node is stopping.
 func stopsNode(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errNodeStopping) }
 
 // stoppingError returns the error for a request that no server has got before the node stops.
-func stoppingError() *fault.Error {
+func (no *Node) stoppingError() *fault.Error {
+	retryAfter := stopRetryAfterMin + time.Duration(no.options.Random()*float64(stopRetryAfterMax-stopRetryAfterMin))
 	return fault.New(fault.Unavailable, "the node is stopping and no backend server has run the request", "send it again to another node").
-		WithRetryAfter(defaultRetryAfter)
+		WithRetryAfter(retryAfter)
 }
--- a/entry/direct/drain_test.go
+++ b/entry/direct/drain_test.go
@@ -11,19 +11,19 @@
 func TestDrainEndsWaitsBeforeAnswersAndAnswersBeforeItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const length = 8 * time.Second
-		dr := newDrain()
+		dr := newDraining()
 		start := time.Now()
-		far, near := start.Add(time.Hour), start.Add(time.Second)
-		waitCtx, endWait := dr.boundWait(t.Context())
+		far, near := startTerms{deadline: start.Add(time.Hour)}, startTerms{deadline: start.Add(time.Second)}
+		waitCtx, endWait := dr.boundWait(t.Context(), far)
 		defer endWait()
 		answerCtx, endAnswer := dr.boundAnswer(t.Context())
 		defer endAnswer()
-		if dr.begun() || dr.waitsUntil(far) != far {
+		if dr.begun() || dr.latestStart(far) != far.deadline {
 			t.Error("a node that is not stopping bounds waits")
 		}
-		dr.begin(start, start.Add(length))
-		if !dr.begun() || dr.waitsUntil(near) != near || !dr.waitsUntil(far).Before(start.Add(length)) {
-			t.Errorf("waits end at %v for a deadline at %v, and at %v for one at %v", dr.waitsUntil(near), near, dr.waitsUntil(far), far)
+		closed := dr.begin(start, length).ClosedAt
+		if !dr.begun() || dr.latestStart(near) != near.deadline || !dr.latestStart(far).Before(closed) || !closed.Before(start.Add(length)) {
+			t.Errorf("waits end at %v for %v, and at %v for %v", dr.latestStart(near), near, dr.latestStart(far), far)
 		}
 		<-waitCtx.Done()
 		waits := time.Since(start)
@@ -31,7 +31,7 @@
 			t.Errorf("waits ended after %v with %v, answers with %v", waits, context.Cause(waitCtx), context.Cause(answerCtx))
 		}
 		<-answerCtx.Done()
-		if answers := time.Since(start); answers <= waits || answers >= length || !stopsNode(answerCtx) {
+		if answers := time.Since(start); answers <= waits || answers >= closed.Sub(start) || !stopsNode(answerCtx) {
 			t.Errorf("answers ended after %v with %v", answers, context.Cause(answerCtx))
 		}
 	})
@@ -39,9 +39,9 @@
 
 // The end of a request is not the end of the node.
 func TestBoundContextEndsForItsOwnReasonToo(t *testing.T) {
-	dr := newDrain()
+	dr := newDraining()
 	parent, cancel := context.WithCancel(t.Context())
-	ctx, end := dr.boundWait(parent)
+	ctx, end := dr.boundWait(parent, startTerms{})
 	defer end()
 	cancel()
 	<-ctx.Done()
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -32,10 +32,6 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	sweepPeriod    = time.Second
-	// balancerNoticeTime is how long new connections still arrive after the readiness check
-	// has begun to fail. The load balancer removes a node after two failed checks, made one
-	// second apart.
-	balancerNoticeTime = 2500 * time.Millisecond
 	// idleBeforeStop is how long the node must have had no request in flight before a planned
 	// stop ends.
 	idleBeforeStop = 300 * time.Millisecond
@@ -70,7 +66,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	drain    *drain
+	drain    *draining
 	inFlight atomic.Int64
 	waiting  waitingConns
 	// callerListener accepts the connections of callers.
@@ -114,7 +110,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, drain: newDrain(), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, drain: newDraining(), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.memory.SetBytes(no.callersBytes())
 	no.held.budget = &no.memory
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -23,7 +23,9 @@
 	// Adapter is empty for requests to the base model itself.
 	Adapter      string
 	PromptTokens int
-	OutputTokens int
+	// OutputTokens is the maximum number of tokens to generate, OutputExpected the caller's estimate of their number; both
+	// are zero if they are not known.
+	OutputTokens, OutputExpected int
 	// PromptParts are the IDs of the parts of the prompt that other requests may share, in order.
 	// The part that belongs to the request alone is left out.
 	PromptParts []string
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -37,6 +37,7 @@
 	re, delivered := result{outcome: retry.Unknown}, false
 	defer func() { rq.release(at, re) }()
 	re, delivered = rq.send(ctx, at)
+	rq.recordAnswerTime(at, re, delivered)
 	if re.outcome == retry.Unsent {
 		rq.no.recordUnsent(at.server)
 	}
@@ -45,7 +46,7 @@
 
 // awaitServer waits until the attempt may be sent, and reports whether it may.
 func (rq *request) awaitServer(ctx context.Context, at *attempt) (result, bool) {
-	ctx, endWait := rq.no.drain.boundWait(ctx)
+	ctx, endWait := rq.no.drain.boundWait(ctx, rq.startTerms())
 	defer endWait()
 	if re, ok := rq.takeLease(ctx, at); !ok {
 		return re, false
@@ -63,7 +64,7 @@
 // reserve requests a grant for the attempt and reports whether it was given.
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
 	versionMin := rq.versionMin(time.Now())
-	budget := spread.WaitBudget(time.Until(rq.no.drain.waitsUntil(rq.deadline)))
+	budget := spread.WaitBudget(time.Until(rq.no.drain.latestStart(rq.startTerms())))
 	if rq.stream.endCounts {
 		budget = min(budget, confirmWaitMax)
 	}
@@ -197,7 +198,7 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reason, callerGone = reasonCallerGone, true
 	case ctx.Err() != nil:
-		reason = "time_over"
+		reason = reasonTimeOver
 	case errors.Is(err, pool.ErrHeadTooLong):
 		reason = "head_too_long"
 	case errors.Is(err, pool.ErrHeadInvalid):
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -46,7 +46,8 @@
 	hold memory.Hold
 	// bodyBytesMax is the operators' limit on the size of the body, zero for the default.
 	bodyBytesMax int64
-	start        time.Time
+	// start is when the head of the request was read, wholeAt when its body was, zero before.
+	start, wholeAt time.Time
 	// deadline is when the caller must be answered: answerMargin before the end of its timeout, or
 	// at the end of defaultTimeout if it states none, but no later than the end of the route's
 	// timeout.
@@ -61,6 +62,8 @@
 	redirected bool
 	// contentFingerprint is the result of fingerprint, empty until it is first needed.
 	contentFingerprint string
+	// mayHaveRun is true once an attempt may have run.
+	mayHaveRun bool
 	// answerStarted is true once any part of an answer has been written.
 	answerStarted bool
 	// connections holds the numbers of the connections that the request was sent on.
@@ -116,14 +119,15 @@
 
 // prepare reads the body and finds out what began the stream that the request takes up, if it does.
 func (rq *request) prepare(ctx context.Context, hr *http.Request) error {
-	ctx, endWait := rq.no.drain.boundWait(ctx)
+	ctx, endWait := rq.no.drain.boundWait(ctx, rq.startTerms())
 	defer endWait()
 	if err := rq.readBody(ctx, hr); err != nil {
 		return err
 	}
+	rq.wholeAt = time.Now()
 	err := rq.takeUp(ctx)
 	if stopsNode(ctx) {
-		return stoppingError()
+		return rq.no.stoppingError()
 	}
 	return err
 }
--- a/entry/direct/stop.go
+++ b/entry/direct/stop.go
@@ -13,8 +13,6 @@
 const (
 	// unreadMax is how long after it was opened the first request of a connection is expected.
 	unreadMax = time.Second
-	// idleEndMax bounds the wait for idle connections to end by themselves.
-	idleEndMax = time.Second
 )
 
 // waitingConns holds the connections of callers that wait for a request: their first one, or the next one. The zero
@@ -79,21 +77,18 @@
 	return false
 }
 
-// stop fails the readiness check, keeps serving for balancerNoticeTime so that the load balancer
-// removes the node, then waits for the requests in flight. Each of them is answered before the stop ends.
+// stop fails the readiness check, takes new connections until the load balancer has
+// removed the node, then waits for the requests in flight. Each of them is answered before the stop ends.
 func (no *Node) stop(ctx context.Context, sv httpServers) error {
-	now := time.Now()
-	deadline := now.Add(time.Duration(no.options.Settings.StopMs)*time.Millisecond - stopMargin)
-	no.drain.begin(now, deadline)
-	no.logger.Info().Int64("in_flight", no.inFlight.Load()).Dur("waits_end_in", time.Until(no.drain.waitsUntil(deadline))).
-		Dur("ends_in", time.Until(deadline)).Msg("entry_draining")
-	context.AfterFunc(no.drain.waits, func() { no.logDrain("drain_waits_ended") })
-	context.AfterFunc(no.drain.answers, func() { no.logDrain("drain_answers_ended") })
-	no.sleep(ctx, balancerNoticeTime)
-	drainCtx, cancel := context.WithDeadline(ctx, deadline)
+	st := no.drain.begin(time.Now(), time.Duration(no.options.Settings.StopMs)*time.Millisecond)
+	no.logger.Info().Int64("in_flight", no.inFlight.Load()).Dur("noticed_in", time.Until(st.NoticedAt)).Dur("waits_end_in", time.Until(st.WaitsEndAt)).
+		Dur("answers_end_in", time.Until(st.AnswersEndAt)).Dur("ends_in", time.Until(st.ClosedAt)).Msg("entry_draining")
+	context.AfterFunc(no.drain.answers, no.logAnswersEnded)
+	drainCtx, cancel := context.WithDeadline(ctx, st.ClosedAt)
 	defer cancel()
-	no.closeIdleCallers(drainCtx, sv.callers)
-	no.awaitIdle(drainCtx)
+	no.sleep(drainCtx, time.Until(st.NoticedAt))
+	no.closeListener()
+	no.awaitIdle(drainCtx, func() { sv.callers.SetKeepAlivesEnabled(false) })
 	err := sv.callers.Close()
 	no.cancel()
 	err = errors.CombineErrors(err, errors.CombineErrors(sv.ready.Close(), errors.CombineErrors(sv.peers.Close(), sv.metrics.Close())))
@@ -101,39 +96,36 @@
 	return errors.Wrap(err, "direct: close servers")
 }
 
-// closeIdleCallers takes no new connections of callers, and ends those without a request: a request that arrived on
-// one later would be cut off. http.Server.Shutdown would drop the requests that it reads from now on, and close idle
-// connections on which it has just read one. So does SetKeepAlivesEnabled, by which connections end with their present
-// answer, so that it is called while none is idle.
-func (no *Node) closeIdleCallers(ctx context.Context, callers *http.Server) {
-	if no.callerListener != nil {
-		if err := no.callerListener.Close(); err != nil {
-			no.logger.Warn().Str("error", err.Error()).Msg("listener_not_closed")
-		}
+// closeListener takes no new connections of callers. http.Server.Shutdown would drop the requests that it reads from now
+// on, and close idle connections on which it has just read one.
+func (no *Node) closeListener() {
+	if no.callerListener == nil {
+		return
 	}
-	endKeepAlives := func() { callers.SetKeepAlivesEnabled(false) }
-	for waited := time.Duration(0); waited < idleEndMax && ctx.Err() == nil; waited += idlePollPeriod {
-		no.waiting.endIdle(time.Now())
-		no.sleep(ctx, idlePollPeriod)
-		if no.waiting.whileNoneIdle(endKeepAlives) {
-			return
-		}
+	if err := no.callerListener.Close(); err != nil {
+		no.logger.Warn().Str("error", err.Error()).Msg("listener_not_closed")
 	}
-	endKeepAlives()
 }
 
-// logDrain logs a stage of the drain with the number of requests that it finds.
-func (no *Node) logDrain(event string) {
+// logAnswersEnded logs the number of requests that still ran at the end of answers.
+func (no *Node) logAnswersEnded() {
 	if count := no.inFlight.Load(); count > 0 {
-		no.logger.Info().Int64("in_flight", count).Msg(event)
+		no.logger.Info().Int64("in_flight", count).Msg("drain_answers_ended")
 	}
 }
 
-// awaitIdle waits until no request has been in flight or about to be read for idleBeforeStop, or the context ends.
-func (no *Node) awaitIdle(ctx context.Context) {
+// awaitIdle ends idle connections, on which a request could arrive that would be cut off, until no request has been in
+// flight or about to be read for idleBeforeStop, or the context ends. It calls a function that ends keep-alives while no
+// connection is idle, as it closes those on which a request is just being read.
+func (no *Node) awaitIdle(ctx context.Context, endKeepAlives func()) {
+	ended := false
 	for idle := time.Duration(0); idle < idleBeforeStop && ctx.Err() == nil; idle += idlePollPeriod {
+		no.waiting.endIdle(time.Now())
 		no.sleep(ctx, idlePollPeriod)
-		if no.inFlight.Load() > 0 || no.waiting.any(time.Now()) {
+		if !ended {
+			ended = no.waiting.whileNoneIdle(endKeepAlives)
+		}
+		if !ended || no.inFlight.Load() > 0 || no.waiting.any(time.Now()) {
 			idle = 0
 		}
 	}
--- a/proofs/direct_late_stop_test.go
+++ b/proofs/direct_late_stop_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/conf"
 )
 
 const (
@@ -54,7 +56,7 @@
 }
 
 // sendAt sends the request with its head and its last byte at their times after now.
-func (lr *lateRequest) sendAt(ctx context.Context, ds *directSimulation) {
+func (lr *lateRequest) sendAt(ctx context.Context, ds *directSimulation, entry string) {
 	time.Sleep(lr.head)
 	body, fill := io.Pipe()
 	go func() {
@@ -62,11 +64,11 @@
 		time.Sleep(lr.body - lr.head)
 		_ = fill.Close()
 	}()
-	lr.reply = ds.sendPatiently(ctx, "entry-1", lr.id, lr.target, lr.adapter, body)
+	lr.reply = ds.sendPatiently(ctx, entry, lr.id, lr.target, lr.adapter, body)
 }
 
 // check checks that the request was served, or told truly and promptly that it has not run.
-func (lr *lateRequest) check(t *testing.T, runs map[string]int) {
+func (lr *lateRequest) check(t *testing.T, runs map[string]int, length time.Duration) {
 	t.Helper()
 	re := &lr.reply
 	if lr.served {
@@ -75,7 +77,7 @@
 		}
 		return
 	}
-	checkNotRun(t, lr.id, *re, runs)
+	checkNotRun(t, lr.id, *re, runs, length)
 	if late := re.took - (lr.body - lr.head); late > promptRejection {
 		t.Errorf("%s was told %v after its last byte that it has not run, want at most %v", lr.id, late, promptRejection)
 	}
@@ -97,7 +99,7 @@
 		done := make(chan struct{})
 		for _, lr := range list {
 			go func() {
-				lr.sendAt(t.Context(), ds)
+				lr.sendAt(t.Context(), ds, "entry-1")
 				done <- struct{}{}
 			}()
 		}
@@ -106,7 +108,7 @@
 		}
 		<-stopped
 		for _, lr := range list {
-			lr.check(t, ds.runs())
+			lr.check(t, ds.runs(), stopTime)
 		}
 	})
 }
@@ -130,3 +132,49 @@
 	}
 	return list
 }
+
+// The bounds of a stop follow from its length: margins in seconds cut off requests in short ones.
+func TestDirectStopOfAnyLengthCutsNoRequest(t *testing.T) {
+	for _, length := range []time.Duration{2 * time.Second, 4 * time.Second, 16 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playStopOfLength(t, length) })
+		})
+	}
+}
+
+// playStopOfLength sends requests that take two fifths of a stop, and checks that each is served or told promptly that it has
+// not run.
+func playStopOfLength(t *testing.T, length time.Duration) {
+	ds := newDirectSimulation(t, 2, 0)
+	defer ds.close()
+	ds.patientRoutes()
+	ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+		time.Sleep(length * 2 / 5)
+		defaultAnswer(wr, rq)
+	})
+	ds.tune = func(se *conf.DirectEntrySettings) { se.StopMs = int(length.Milliseconds()) }
+	ds.startEntry("entry-2")
+	for number := range 4 {
+		ds.sendPatiently(t.Context(), "entry-2", fmt.Sprintf("before-%d", number), "/unsafe/x", "", nil)
+	}
+	list := []*lateRequest(nil)
+	for tenth := 1; tenth < 10; tenth++ {
+		whole := time.Duration(tenth) * length / 10
+		list = append(list, &lateRequest{id: fmt.Sprintf("call-%d", tenth), target: "/unsafe/x", head: min(whole, 1500*time.Millisecond), body: whole, served: tenth <= 4})
+	}
+	stopped := ds.stopEntry(len(ds.apps) - 1)
+	done := make(chan struct{})
+	for _, lr := range list {
+		go func() {
+			lr.sendAt(t.Context(), ds, "entry-2")
+			done <- struct{}{}
+		}()
+	}
+	for range list {
+		<-done
+	}
+	<-stopped
+	for _, lr := range list {
+		lr.check(t, ds.runs(), length)
+	}
+}
--- a/proofs/direct_stop_test.go
+++ b/proofs/direct_stop_test.go
@@ -79,11 +79,11 @@
 	return runs
 }
 
-// checkNotRun checks that a request was told truly that it has not run, with a time to come back, before the stop
-// could cut it off.
-func checkNotRun(t *testing.T, id string, re directReply, runs map[string]int) {
+// checkNotRun checks that a request was told truly that it has not run, with a time to come back, before a stop
+// of some length could cut it off.
+func checkNotRun(t *testing.T, id string, re directReply, runs map[string]int, length time.Duration) {
 	t.Helper()
-	if re.err != nil || re.status != http.StatusServiceUnavailable || re.header.Get("Retry-After") == "" || re.took >= stopTime {
+	if re.err != nil || re.status != http.StatusServiceUnavailable || re.header.Get("Retry-After") == "" || re.took >= length {
 		t.Errorf("%s got status %d, %v, after %v, want 503 with a time to come back", id, re.status, re.err, re.took)
 	}
 	if runs[id] != 0 {
@@ -124,7 +124,7 @@
 		<-stopped
 		time.Sleep(time.Second)
 		for number, re := range replies {
-			checkNotRun(t, fmt.Sprintf("call-%d", number), re, ds.runs())
+			checkNotRun(t, fmt.Sprintf("call-%d", number), re, ds.runs(), stopTime)
 		}
 		time.Sleep(patientTimeout)
 	})
@@ -171,7 +171,7 @@
 		_, _ = io.WriteString(fill, "part")
 		stopped := ds.stopEntry(len(ds.apps) - 1)
 		<-stopped
-		checkNotRun(t, "slow", <-reply, ds.runs())
+		checkNotRun(t, "slow", <-reply, ds.runs(), stopTime)
 	})
 }
 
