Count an answer of a late request as sure to end only by enough known ones

By the first mend one known answer allowed a request twice its time; answers of a route differ by more than that, so that a node that had just started could still cut what came late in its stop. 16 answers of the size and larger ones must be known now, and half of the longest is added.

--- a/core/drain/stop.go
+++ b/core/drain/stop.go
@@ -60,14 +60,14 @@
 	}
 	early := wholeAt.Before(st.NoticedAt)
 	switch {
-	case es.Count == 0 && early:
-		return st.WaitsEndAt
-	case es.Count == 0:
-		return st.BeganAt
-	case early:
+	case early && es.known():
 		return st.AnswersEndAt.Add(-es.Likely)
+	case early:
+		return st.WaitsEndAt
+	case es.sure():
+		return st.AnswersEndAt.Add(-es.Sure)
 	}
-	return st.AnswersEndAt.Add(-es.Sure)
+	return st.BeganAt
 }
 
 // LatestRetry returns until when a request that may have run, or whose answer has begun, may be sent once more. It can no
--- a/core/drain/times.go
+++ b/core/drain/times.go
@@ -13,8 +13,10 @@
 	groupsMax = 4096
 	// likelyOneIn is how rarely an answer takes longer than the likely time: one in so many.
 	likelyOneIn = 20
-	// sureMargin is what the sure time exceeds the longest known one by, at most this part of it.
-	sureMargin = 4
+	// sureMargin is by what part of it the sure time exceeds the longest known one.
+	sureMargin = 0.5
+	// enough is the number of answers that tell how long another one may take.
+	enough = 16
 )
 
 // Times holds how long the last answers took, by route and expected size of the answer. The zero value is empty.
@@ -38,10 +40,14 @@
 type Estimate struct {
 	// Count is the number of answers that the estimate is based on.
 	Count int
-	// Likely is not exceeded by most answers, Sure by hardly any.
+	// Likely is not exceeded by most answers, Sure by hardly any, if enough are known.
 	Likely, Sure time.Duration
 }
 
+// known reports whether the estimate is based on any answers, sure whether on enough of them.
+func (es Estimate) known() bool { return es.Count > 0 }
+func (es Estimate) sure() bool  { return es.Count >= enough }
+
 // Record records the time that an answer took from when its request was sent to the backend server. The size is the
 // expected number of tokens of the answer, zero if it is not known.
 func (ti *Times) Record(route string, size int, took time.Duration) {
@@ -70,24 +76,25 @@
 	ri.next = (ri.next + 1) % timesKept
 }
 
-// Estimate returns how long an answer of a route may take. Where no answer of its size is known, the next larger ones
-// that are known tell.
+// Estimate returns how long an answer of a route may take. Where too few answers of its size are known, the next larger ones
+// tell as well.
 func (ti *Times) Estimate(route string, size int) Estimate {
-	for length := bits.Len(uint(max(0, size))); length <= bits.UintSize; length++ {
+	list := []time.Duration(nil)
+	for length := bits.Len(uint(max(0, size))); length <= bits.UintSize && len(list) < enough; length++ {
 		if ri := ti.groups[group{route: route, bits: length}]; ri != nil {
-			return ri.estimate()
+			list = append(list, ri.times...)
 		}
 	}
-	return Estimate{}
+	return estimateOf(list)
 }
 
-// estimate returns the estimate by the times that are kept.
-func (ri *ring) estimate() Estimate {
-	sorted := slices.Clone(ri.times)
-	slices.Sort(sorted)
-	count := len(sorted)
-	longest := sorted[count-1]
-	return Estimate{
-		Count: count, Likely: sorted[count-1-count/likelyOneIn], Sure: longest + longest/time.Duration(min(count, sureMargin)),
+// estimateOf returns the estimate by a list of times, which it sorts.
+func estimateOf(times []time.Duration) Estimate {
+	count := len(times)
+	if count == 0 {
+		return Estimate{}
 	}
+	slices.Sort(times)
+	longest := times[count-1]
+	return Estimate{Count: count, Likely: times[count-1-count/likelyOneIn], Sure: longest + share(sureMargin, longest)}
 }
