End each connection of an entry node that stops while no request is read on it

What callers saw: on the product's own interface, a whole request that came after drain_grace_ms on a connection opened before, calls that may not be repeated among them, got no answer: the connection ended. So did one whose head was just being read on a kept connection, and one that was sent right after an answer that had begun before the stop and so had not told that it was the last one.

Cause: http.Server.Shutdown drops each request that it reads from then on, closes connections that count as idle, which they do until a head has been read, and ends connections after an answer that did not tell. The node has ten minutes to serve them.

Why it works: the node closes its listener itself, answers tell from the SIGTERM on that they are the last ones, a connection between two requests ends by a read deadline once it has been idle for a second and nothing of the next request was read, and the stop lasts until no connection is left. One without a request ends with the time to read heads, 5 s. A request's own timeout bounds the stop, so that none needs to be refused for it: that holds for request_timeout_ms up to ten minutes less drain_grace_ms.

entry_draining, drain_grace_ended, drain_answers_ended and entry_stopped tell the connections that they find and the time that is left, idle_connection_ended (debug) each that the node ends, and request_ended whether a request began in the stop.

--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -60,6 +60,8 @@
 	Logger   zerolog.Logger
 	// Ready reports whether the node accepts new requests.
 	Ready func() bool
+	// Stopping reports whether a planned stop of the node has begun.
+	Stopping func() bool
 }
 
 // Caller serves the HTTP API for callers.
--- a/entry/internal/caller/completion.go
+++ b/entry/internal/caller/completion.go
@@ -48,14 +48,14 @@
 	}
 	defer release()
 	metricRequests.Add(rq.Team, 1)
-	start := time.Now()
+	start, stopping := time.Now(), ca.op.Stopping()
 	if rq.Key != "" {
 		err = ca.op.Relay.RunClaimed(gc.Request.Context(), rq, ca.op.Place.Name, an)
 	} else {
 		err = ca.op.Relay.Run(gc.Request.Context(), rq, an)
 	}
 	ca.op.Logger.Info().Str("request", rq.ID).Str("team", rq.Team).Dur("took", time.Since(start)).
-		Bool("answered", err == nil).Msg("request_ended")
+		Bool("answered", err == nil).Bool("begun_in_stop", stopping).Msg("request_ended")
 	switch {
 	case err == nil:
 	case an.Begun():
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
@@ -32,15 +31,10 @@
 )
 
 const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 32 << 10
 	// maxIdleConnsPerHost is the maximum number of idle connections to the platform or to one peer.
 	maxIdleConnsPerHost = 64
 	// stopTimeout is the maximum duration of a planned stop.
 	stopTimeout = 10 * time.Minute
-	// answerMargin is how long before the end of a planned stop the requests that are left are answered.
-	answerMargin = time.Second
 )
 
 // Network opens and accepts the entry node's connections.
@@ -166,6 +160,7 @@
 func newCallerAPI(op Options, li *lifetime, fo *config.Follower, ls *links.Links, rl *relay.Relay) *caller.Caller {
 	return caller.NewCaller(caller.Options{
 		Place: op.Settings.Place, Settings: fo, Relay: rl, Logger: op.Logger, Ready: newReadyCheck(li, fo, ls),
+		Stopping: li.draining.Load,
 	})
 }
 
@@ -197,30 +192,22 @@
 
 // registerHooks registers the functions that start and stop the node.
 func registerHooks(lc fx.Lifecycle, co components) {
-	callerServer := newServer(co.Caller.Handler())
-	callerServer.ConnContext = abort.ConnContext
-	callerServer.BaseContext = func(net.Listener) context.Context { return co.Lifetime.requests }
-	adminServer := newServer(co.Admin.Handler())
+	callers := newServer(co.endKeepAlives(co.Caller.Handler()), co.Options.Logger)
+	callers.hs.ConnContext = abort.ConnContext
+	callers.hs.BaseContext = func(net.Listener) context.Context { return co.Lifetime.requests }
+	operators := newServer(co.Admin.Handler(), co.Options.Logger)
 	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error { return co.start(callerServer, adminServer) },
-		OnStop:  func(ctx context.Context) error { return co.stop(ctx, callerServer, adminServer) },
+		OnStart: func(context.Context) error { return co.start(callers, operators) },
+		OnStop:  func(ctx context.Context) error { return co.stop(ctx, callers, operators) },
 	})
 }
 
-// newServer returns an HTTP server that limits the size of headers and the time to read them, but
-// not the duration of a response.
-func newServer(ha http.Handler) *http.Server {
-	return &http.Server{
-		Handler: ha, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-}
-
 // start listens on both addresses and starts the node's goroutines.
-func (co components) start(callerServer, adminServer *http.Server) error {
-	if err := co.serve(callerServer, co.Options.Settings.CallerAddress); err != nil {
+func (co components) start(callers, operators *server) error {
+	if err := callers.serve(co.Options.Network, co.Options.Settings.CallerAddress); err != nil {
 		return err
 	}
-	if err := co.serve(adminServer, co.Options.Settings.AdminAddress); err != nil {
+	if err := operators.serve(co.Options.Network, co.Options.Settings.AdminAddress); err != nil {
 		return err
 	}
 	go co.Links.Run(co.Lifetime.ctx)
@@ -233,16 +220,6 @@
 	return nil
 }
 
-// serve listens on an address and serves its connections in the background.
-func (co components) serve(hs *http.Server, address string) error {
-	ln, err := co.Options.Network.Listen(address)
-	if err != nil {
-		return errors.Wrapf(err, "node: listen on %s", address)
-	}
-	go func() { _ = hs.Serve(ln) }()
-	return nil
-}
-
 // forwardToHeartbeats passes each new settings revision and log time on to the links, whose
 // heartbeats contain them.
 func (co components) forwardToHeartbeats() {
@@ -258,23 +235,3 @@
 		}
 	}
 }
-
-// stop drains the node: it fails the readiness check, waits for drain_grace_ms so that the load
-// balancer removes the node, and then waits for the requests in flight to end. Those that are left shortly before
-// the end of the stop are answered then.
-func (co components) stop(ctx context.Context, callerServer, adminServer *http.Server) error {
-	co.Lifetime.draining.Store(true)
-	co.Options.Logger.Info().Msg("entry_draining")
-	select {
-	case <-time.After(time.Duration(co.Options.Settings.DrainGraceMs) * time.Millisecond):
-	case <-ctx.Done():
-	}
-	if end, ok := ctx.Deadline(); ok {
-		defer time.AfterFunc(time.Until(end)-answerMargin, func() { co.Lifetime.endRequests(relay.ErrStopping) }).Stop()
-	}
-	err := callerServer.Shutdown(ctx)
-	co.Lifetime.cancel()
-	_ = adminServer.Close()
-	co.Options.Logger.Info().Msg("entry_stopped")
-	return errors.Wrap(err, "node: drain")
-}
--- /dev/null
+++ b/entry/node/stop.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/entry/internal/conns"
+	"github.com/bambooladder/bambooladder/entry/internal/relay"
+)
+
+// answerMargin is how long before the end of a planned stop the requests that are left are answered.
+const answerMargin = time.Second
+
+// endKeepAlives returns a handler whose answers tell, while the node drains, that each is the last one of its connection.
+func (co components) endKeepAlives(ha http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		if co.Lifetime.draining.Load() {
+			wr.Header().Set("Connection", "close")
+		}
+		ha.ServeHTTP(wr, rq)
+	})
+}
+
+// stop drains the node: it fails the readiness check, waits for drain_grace_ms so that the load
+// balancer removes the node, and then waits for the requests in flight, and those about to be read, to end. Those that
+// are left shortly before the end of the stop are answered then. As the stop lasts longer than requests usually may, it
+// takes every request that comes.
+func (co components) stop(ctx context.Context, callers, operators *server) error {
+	co.Lifetime.draining.Store(true)
+	co.logStop(ctx, "entry_draining", callers.conns.Counts())
+	select {
+	case <-time.After(time.Duration(co.Options.Settings.DrainGraceMs) * time.Millisecond):
+	case <-ctx.Done():
+	}
+	if end, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(end)-answerMargin, func() {
+			co.logStop(ctx, "drain_answers_ended", callers.conns.Counts())
+			co.Lifetime.endRequests(relay.ErrStopping)
+		}).Stop()
+	}
+	co.logStop(ctx, "drain_grace_ended", callers.conns.Counts())
+	left := callers.drain(ctx)
+	_ = callers.hs.Close()
+	co.Lifetime.cancel()
+	_ = operators.hs.Close()
+	co.logStop(ctx, "entry_stopped", left)
+	if left.All() > 0 {
+		return errors.Wrap(ctx.Err(), "node: drain")
+	}
+	return nil
+}
+
+// logStop logs a stage of the stop with the callers' connections that it finds and the time that is left.
+func (co components) logStop(ctx context.Context, event string, cs conns.Counts) {
+	ev := co.Options.Logger.Info().Int("unread", cs.Unread).Int("idle", cs.Idle).Int("active", cs.Active)
+	if end, ok := ctx.Deadline(); ok {
+		ev = ev.Dur("ends_in", time.Until(end))
+	}
+	ev.Msg(event)
+}
