Answer operators and peers before an entry node stops

What operators saw: a change that was under way when the last request of a caller ended got no answer, though it may have been accepted: the interface for operators was closed at once.

Cause: the stop waits for callers' requests alone. The class is that of the stop's other faults: an end that those who wait there are not told of.

Why it works: the interface ends as that of callers does, after it, each connection while no request is read or answered on it, within 10 s; a change waits up to 7 s for the log. operators_cut_off tells what was left.

--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -195,7 +195,7 @@
 	callers := newServer(co.endKeepAlives(co.Caller.Handler()), co.Options.Logger)
 	callers.hs.ConnContext = abort.ConnContext
 	callers.hs.BaseContext = func(net.Listener) context.Context { return co.Lifetime.requests }
-	operators := newServer(co.Admin.Handler(), co.Options.Logger)
+	operators := newServer(co.endKeepAlives(co.Admin.Handler()), co.Options.Logger)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return co.start(callers, operators) },
 		OnStop:  func(ctx context.Context) error { return co.stop(ctx, callers, operators) },
--- a/entry/node/stop.go
+++ b/entry/node/stop.go
@@ -11,8 +11,12 @@
 	"github.com/bambooladder/bambooladder/entry/internal/relay"
 )
 
-// answerMargin is how long before the end of a planned stop the requests that are left are answered.
-const answerMargin = time.Second
+const (
+	// answerMargin is how long before the end of a planned stop the requests that are left are answered.
+	answerMargin = time.Second
+	// operatorsDrainMax bounds the wait for requests of operators and peers. A change waits up to 7 s for the log.
+	operatorsDrainMax = 10 * time.Second
+)
 
 // endKeepAlives returns a handler whose answers tell, while the node drains, that each is the last one of its connection.
 func (co components) endKeepAlives(ha http.Handler) http.Handler {
@@ -44,8 +48,8 @@
 	co.logStop(ctx, "drain_grace_ended", callers.conns.Counts())
 	left := callers.drain(ctx)
 	_ = callers.hs.Close()
+	co.stopOperators(ctx, operators)
 	co.Lifetime.cancel()
-	_ = operators.hs.Close()
 	co.logStop(ctx, "entry_stopped", left)
 	if left.All() > 0 {
 		return errors.Wrap(ctx.Err(), "node: drain")
@@ -53,6 +57,17 @@
 	return nil
 }
 
+// stopOperators waits for the requests of operators and peers, and closes their interface. It is open while callers'
+// requests end, so that operators see them.
+func (co components) stopOperators(ctx context.Context, operators *server) {
+	ctx, cancel := context.WithTimeout(ctx, operatorsDrainMax)
+	defer cancel()
+	if left := operators.drain(ctx); left.Active > 0 {
+		co.Options.Logger.Warn().Int("active", left.Active).Msg("operators_cut_off")
+	}
+	_ = operators.hs.Close()
+}
+
 // logStop logs a stage of the stop with the callers' connections that it finds and the time that is left.
 func (co components) logStop(ctx context.Context, event string, cs conns.Counts) {
 	ev := co.Options.Logger.Info().Int("unread", cs.Unread).Int("idle", cs.Idle).Int("active", cs.Active)
