End an agent's links only once the entry nodes have learned of its stop

What callers saw: a call with a key that crossed the stop of an agent got 502 with an unknown outcome after 6 s. It had not run, and never did: sent again with its key, it was told each time that its agent has restarted, so that its outcome stays unknown. Chats waited 1.5 s, counted as retries that may have run, and with one engine got 502; so did those that waited for a load, which the agent had refused.

Cause: a drain that finds nothing running ends within the round in which it begins. The links end before the report of the leaving and the refusals are written, and under what entry nodes send meanwhile; an entry node takes a link that ends under an attempt for a loss.

TestOwnAgentStopAnswersCallsThatComeThroughout is a guard.

Why it works: a drain lasts 3 s at least. Entry nodes learn of it within a round trip and choose the agent no more; one that has chosen it before waits 2 s at most for its claim. What they send meanwhile is refused, and goes to another agent at once.

drain_begun and drain_ended tell what a drain finds and how long it took, agent_stopped whether it ended by itself, link_lost how many attempts the link ended under.

--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -29,6 +29,10 @@
 	orphanTimeout = 10 * time.Second
 	// deliveryTimeout is how long a drain waits for the acknowledgement of an answer that has ended.
 	deliveryTimeout = 5 * time.Second
+	// noticeTime is how long a drain lasts at least. Entry nodes that have not learned of it yet, or that have chosen this
+	// agent before and wait up to 2 s for the claim of a call, still send requests. They are refused; a request that
+	// crosses the end of a link has an unknown outcome.
+	noticeTime = 3 * time.Second
 	// claimedAnswerRetention is how long the answer to an attempt with a claim is kept after its end,
 	// so that an entry node can have it sent again.
 	claimedAnswerRetention = 10 * time.Minute
@@ -72,8 +76,10 @@
 	stateChanged     bool
 	nextReportAt     time.Time
 	nextInspectionAt time.Time
-	// drained is closed at the end of a drain, and nil before the drain starts and after its end.
-	drained chan struct{}
+	// drained is closed at the end of a drain, and nil before the drain starts and after its end. drainBegan is when it
+	// started.
+	drained    chan struct{}
+	drainBegan time.Time
 }
 
 // NewBroker returns the broker for a run of the agent with the given boot ID.
@@ -119,14 +125,16 @@
 	br.postEvent(ctx, event{logTime: millis})
 }
 
-// Drain refuses the queued and all new requests and waits until those at the backend server have
-// ended and their answers are acknowledged, or the context is canceled.
-func (br *Broker) Drain(ctx context.Context) {
+// Drain refuses the queued and all new requests and waits until the entry nodes have learned of it and the requests at
+// the backend server have ended and their answers are acknowledged. It returns false if the context is canceled before.
+func (br *Broker) Drain(ctx context.Context) bool {
 	drained := make(chan struct{})
 	br.postEvent(ctx, event{drain: &drainRequest{drained: drained}})
 	select {
 	case <-drained:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -181,8 +189,9 @@
 	case ev.inspection != nil:
 		br.handleInspection(ctx, ev.inspection, now)
 	case ev.drain != nil:
-		br.drained = ev.drain.drained
+		br.drained, br.drainBegan = ev.drain.drained, now
 		br.stateChanged = true
+		br.lg.Info().Int("entries", len(br.sessions)).Int("running", br.sc.Running()).Int("waiting", br.sc.Waiting()).Msg("drain_begun")
 		br.executeActions(ctx, br.sc.StopAccepting())
 	case ev.logTime > 0:
 		br.ta.AdvanceLogTime(ev.logTime)
@@ -268,7 +277,7 @@
 	br.executeActions(ctx, br.sc.InspectionDone(held, in.iv.Fence, now))
 }
 
-// checkDrained ends the drain once no request is queued or running and every answer is acknowledged.
+// checkDrained ends the drain once noticeTime is over, no request is queued or running and every answer is acknowledged.
 // It does not wait for an answer whose entry node is disconnected, or for longer than
 // deliveryTimeout after the end of an answer.
 func (br *Broker) checkDrained() {
@@ -276,12 +285,16 @@
 		return
 	}
 	now := time.Now()
+	if now.Sub(br.drainBegan) < noticeTime {
+		return
+	}
 	for _, at := range br.attempts {
 		attached := at.out.DetachedSince().IsZero()
 		if !at.out.Delivered() && attached && now.Sub(at.endedAt) < deliveryTimeout {
 			return
 		}
 	}
+	br.lg.Info().Dur("took", now.Sub(br.drainBegan)).Msg("drain_ended")
 	close(br.drained)
 	br.drained = nil
 }
--- a/agent/node/node.go
+++ b/agent/node/node.go
@@ -101,10 +101,10 @@
 		},
 		OnStop: func(ctx context.Context) error {
 			op.Logger.Info().Msg("agent_draining")
-			br.Drain(ctx)
+			drained := br.Drain(ctx)
 			li.cancel()
 			_ = hs.Close()
-			op.Logger.Info().Msg("agent_stopped")
+			op.Logger.Info().Bool("drained", drained).Msg("agent_stopped")
 			return nil
 		},
 	})
--- a/entry/internal/links/dial.go
+++ b/entry/internal/links/dial.go
@@ -71,8 +71,8 @@
 	ac := &agentConn{co: co, welcome: we, connectedAt: time.Now()}
 	ls.addConnection(ho.Name, ac)
 	err = co.Run(ctx, &frameReceiver{ls: ls, name: ho.Name, ac: ac})
-	ls.op.Logger.Info().Str("runner", ho.Name).Str("reason", err.Error()).Msg("link_lost")
-	ls.removeConnection(ho.Name, ac)
+	attempts := ls.removeConnection(ho.Name, ac)
+	ls.op.Logger.Info().Str("runner", ho.Name).Str("reason", err.Error()).Int("attempts", attempts).Msg("link_lost")
 }
 
 // dial opens a connection and exchanges the Hello and Welcome frames. It fails if the agent is not
@@ -102,25 +102,28 @@
 	ls.op.Logger.Info().Str("runner", name).Str("boot", ac.welcome.Boot).Msg("link_opened")
 }
 
-// removeConnection removes a lost connection and notifies the attempts at its runner. The
+// removeConnection removes a lost connection and notifies the attempts at its runner, whose number it returns. The
 // connection is nil if the dial failed.
-func (ls *Links) removeConnection(name string, ac *agentConn) {
+func (ls *Links) removeConnection(name string, ac *agentConn) int {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
 	ls.members.Disconnected(name, time.Now(), ls.op.Random())
 	if ac == nil || ls.conns[name] != ac {
-		return
+		return 0
 	}
 	delete(ls.conns, name)
 	ls.fleet.Remove(name)
-	ls.notifyAttempts(name, ConnectionChange{})
+	return ls.notifyAttempts(name, ConnectionChange{})
 }
 
-// notifyAttempts delivers a connection change to all attempts at a runner.
-func (ls *Links) notifyAttempts(name string, ch ConnectionChange) {
+// notifyAttempts delivers a connection change to all attempts at a runner and returns their number.
+func (ls *Links) notifyAttempts(name string, ch ConnectionChange) int {
+	count := 0
 	for _, at := range ls.attempts {
 		if at.Runner == name {
 			at.deliver(Event{Connection: &ch})
+			count++
 		}
 	}
+	return count
 }
--- a/proofs/own_stop_test.go
+++ b/proofs/own_stop_test.go
@@ -221,6 +221,39 @@
 	}
 }
 
+// Calls come all the time while an agent stops, ends and starts again: each one is answered, and truly.
+func TestOwnAgentStopAnswersCallsThatComeThroughout(t *testing.T) {
+	const running, period, through = 5 * time.Second, 30 * time.Millisecond, 9 * time.Second
+	op := smallSimulation()
+	op.engines, op.serviceCallTime, op.batchSize = 1, running, 400
+	runSimulation(t, op, func(t *testing.T, sm *simulation) {
+		replies := make(chan reply)
+		count := int(through / period)
+		for number := range count {
+			go func() {
+				time.Sleep(time.Duration(number) * period)
+				re := sm.postRelease("caller", entryName(number%2), newIdempotencyKey(), fmt.Sprintf(`{"batch":%d}`, number), ownPatience)
+				if ran := sm.recordedRuns(fmt.Sprintf(`{"batch":%d}`, number)); ran != 0 != (re.status == http.StatusCreated) || ran > 1 || ran == 0 && re.outcome != "not_run" {
+					t.Errorf("call %d: status %d, error %v, outcome %q after %v, ran %d times", number, re.status, re.err, re.outcome, re.took, ran)
+				}
+				replies <- re
+			}()
+		}
+		time.Sleep(time.Second)
+		sm.stop("ledger")
+		sm.startAgent("ledger")
+		ran := 0
+		for range count {
+			if ownServed(<-replies) {
+				ran++
+			}
+		}
+		if ran < count/4 || ran > 3*count/4 {
+			t.Errorf("%d of %d calls ran, want those before the stop and after the start", ran, count)
+		}
+	})
+}
+
 // Chats that cross the stop of an agent go to another one at once: they neither wait for the link that has ended nor take
 // from the budget of retries.
 func TestOwnAgentStopPassesChatsOnAtOnce(t *testing.T) {
@@ -260,12 +293,12 @@
 				replies <- sm.sendChat("caller", entryName(0), "shell@2", ownPrompt, 5, false, ownPatience)
 			}()
 		}
-		time.Sleep(time.Second)
-		start := time.Now()
+		const before, atOnce = time.Second, time.Second
+		time.Sleep(before)
 		sm.stop(runnerName(0))
 		for range cap(replies) {
 			re := <-replies
-			if took := time.Since(start); re.status != http.StatusServiceUnavailable || re.outcome != "not_run" || re.header.Get("Retry-After") == "" || took > time.Second {
+			if took := re.took - before; re.status != http.StatusServiceUnavailable || re.outcome != "not_run" || re.header.Get("Retry-After") == "" || took > atOnce {
 				t.Errorf("status %d, error %v, outcome %q, %.200q %v after the stop began, want 503 at once", re.status, re.err, re.outcome, re.body, took)
 			}
 		}
