Tell requests that are left at the end of a stop the truth

What callers saw: a chat that still ran at the end of the stop of its entry node got 503 "the caller went away" without a time to come back, and so did a request that no server had run and that waited for its next attempt.

Cause: the context of a request ends with its caller and with the stop, and the relay did not tell one from the other.

Why it works: the cause of the end tells. What may have run is answered 502 with an unknown outcome, the rest 503 as not run, both with a time to come back. attempt_ended tells reason=node_stopping.

--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -41,18 +41,21 @@
 
 // untilStop returns a context that outlasts its parent, unless that ends because the node is stopping.
 func untilStop(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(parent))
 	stop := context.AfterFunc(parent, func() {
-		if errors.Is(context.Cause(parent), ErrStopping) {
-			cancel()
+		if stopsNode(parent) {
+			cancel(ErrStopping)
 		}
 	})
 	return ctx, func() {
 		stop()
-		cancel()
+		cancel(nil)
 	}
 }
 
+// stopsNode reports whether a context has ended because the node is stopping.
+func stopsNode(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopping) }
+
 // RunClaimed runs a call that must not run twice. It appends a claim on the call's idempotency
 // key to the log before it dispatches an attempt. If an earlier attempt holds the key, it finds
 // out what became of that attempt first.
--- a/entry/internal/relay/errors.go
+++ b/entry/internal/relay/errors.go
@@ -1,9 +1,22 @@
 package relay
 
-import "github.com/bambooladder/bambooladder/core/fault"
+import (
+	"context"
 
-// callerGoneError returns the error for a request whose caller has disconnected.
-func callerGoneError(outcome fault.Outcome) error {
+	"github.com/bambooladder/bambooladder/core/fault"
+)
+
+// endedError returns the error for a request whose context has ended: the node is stopping, or the caller has
+// disconnected.
+func endedError(ctx context.Context, outcome fault.Outcome) error {
+	switch {
+	case stopsNode(ctx) && outcome == fault.NotRun:
+		return fault.New(fault.Unavailable, "the node is stopping and no backend server has run the request",
+			"send it again to another node").WithRetryAfter(defaultRetryAfter)
+	case stopsNode(ctx):
+		return fault.New(fault.OutcomeUnknown, "the node is stopping while the request runs",
+			"send it again to another node").WithOutcome(outcome).WithRetryAfter(defaultRetryAfter)
+	}
 	return fault.New(fault.Unavailable, "the caller went away", "send the request again").WithOutcome(outcome)
 }
 
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -29,6 +29,8 @@
 	maxVoidedVerdictAge = 30 * time.Second
 
 	reasonCallerGone = "caller_gone"
+	// reasonNodeStopping means that the stop of the node is about to end.
+	reasonNodeStopping = "node_stopping"
 	// reasonOtherSoftware means that an engine of another software version than the one that began the stream
 	// has answered.
 	reasonOtherSoftware = "other_software"
@@ -122,9 +124,12 @@
 }
 
 // endOf returns how an attempt ends with its context: at the deadline of a call that goes on without its
-// caller, or because the caller has disconnected.
+// caller, because the node is stopping or because the caller has disconnected.
 func endOf(ctx context.Context) result {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case stopsNode(ctx):
+		return result{ending: canceled, reason: reasonNodeStopping}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return result{ending: timedOut, reason: reasonDeadline}
 	}
 	return result{ending: canceled, reason: reasonCallerGone}
--- a/entry/internal/relay/relay.go
+++ b/entry/internal/relay/relay.go
@@ -226,7 +226,7 @@
 func (ex *execution) awaitRetry(ctx context.Context, runner string, rs result) (bool, error) {
 	switch rs.ending {
 	case canceled:
-		return true, callerGoneError(fault.Unknown)
+		return true, endedError(ctx, fault.Unknown)
 	case timedOut:
 		ex.mayHaveRun = true
 		return true, ex.timeoutError()
@@ -257,6 +257,6 @@
 	case <-time.After(wait):
 		return false, nil
 	case <-ctx.Done():
-		return true, callerGoneError(ex.outcome())
+		return true, endedError(ctx, ex.outcome())
 	}
 }
--- a/proofs/own_stop_test.go
+++ b/proofs/own_stop_test.go
@@ -353,7 +353,7 @@
 }
 
 // Requests that outlast the stop of their entry node are answered before its end, and truly: a chat that runs as one whose
-// outcome is unknown, one that waits for its next attempt as not run.
+// outcome is unknown because of the stop.
 func TestOwnStopTellsRequestsThatOutlastItTheTruth(t *testing.T) {
 	const stopTimeout = 5 * time.Second
 	runSimulation(t, smallSimulation(), func(t *testing.T, sm *simulation) {
