Keep the answers of calls that end right before their entry node

What callers saw: a call with a key was answered within the stop of its entry node. Sent again after its agent had been stopped and started as planned too, it got 502 with an outcome that stays unknown.

Cause: the end of a call is appended to the log in the background, and the goroutine that appends ends with the node, as soon as no request is left. The agent knows the answer until it stops.

--- a/entry/internal/claims/claims.go
+++ b/entry/internal/claims/claims.go
@@ -31,6 +31,8 @@
 	lg      zerolog.Logger
 	streams [claim.StreamCount]*stream.Stream
 	states  [claim.StreamCount]*claimState
+	// dones counts the ends of attempts that are being appended.
+	dones sync.WaitGroup
 }
 
 // NewClaims returns Claims that have not read the streams yet. It calls seen with each new log
@@ -140,11 +142,14 @@
 // it can be sent again.
 func (cs *Claims) Done(ctx context.Context, do record.Done) {
 	st, _ := cs.streamFor(do.Key)
-	go func() {
+	cs.dones.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
 		if err := st.Append(ctx, &record.Envelope{Done: &do}); err != nil {
 			cs.lg.Warn().Str("attempt", do.Attempt).Str("error", err.Error()).Msg("answer_not_recorded")
 		}
-	}()
+	})
 }
+
+// AwaitDones waits until the ends of attempts that Done has got are appended, or claimTimeout is over for each.
+func (cs *Claims) AwaitDones() { cs.dones.Wait() }
--- a/entry/internal/crash/reports.go
+++ b/entry/internal/crash/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,6 +29,8 @@
 	st    *stream.Stream
 	table *poison.Table
 	lg    zerolog.Logger
+	// clears counts the ends of probes that are being appended.
+	clears sync.WaitGroup
 }
 
 // NewReports returns Reports that have not read the stream yet. It calls seen with each new log
@@ -82,11 +85,14 @@
 // Clear ends a probe at which no engine crashed. The quarantine ends as well if the probe was
 // answered and the request is not blocked. The record is appended in the background.
 func (re *Reports) Clear(ctx context.Context, cl record.Clear) {
-	go func() {
+	re.clears.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, clearTimeout)
 		defer cancel()
 		if err := re.st.Append(ctx, &record.Envelope{Clear: &cl}); err != nil {
 			re.lg.Warn().Str("error", err.Error()).Msg("quarantine_not_cleared")
 		}
-	}()
+	})
 }
+
+// AwaitClears waits until the ends of probes that Clear has got are appended, or clearTimeout is over for each.
+func (re *Reports) AwaitClears() { re.clears.Wait() }
--- a/entry/node/stop.go
+++ b/entry/node/stop.go
@@ -49,6 +49,9 @@
 	left := callers.drain(ctx)
 	_ = callers.hs.Close()
 	co.stopOperators(ctx, operators)
+	if left.All() == 0 {
+		co.awaitAppends()
+	}
 	co.Lifetime.cancel()
 	co.logStop(ctx, "entry_stopped", left)
 	if left.All() > 0 {
@@ -57,6 +60,15 @@
 	return nil
 }
 
+// awaitAppends waits until what requests that have ended left to be written is in the log. Each append has a timeout of
+// a few seconds.
+func (co components) awaitAppends() {
+	start := time.Now()
+	co.Claims.AwaitDones()
+	co.Reports.AwaitClears()
+	co.Options.Logger.Info().Dur("took", time.Since(start)).Msg("appends_ended")
+}
+
 // stopOperators waits for the requests of operators and peers, and closes their interface. It is open while callers'
 // requests end, so that operators see them.
 func (co components) stopOperators(ctx context.Context, operators *server) {
