Let no record hide a server that its agent reports, or that a call could not show

Two records of other writers on an engine's host, one at its address and one at another port, hid it: Roster.Servers left it out for a record alone, against its agent's report, and serverBeside gave the agent to the other record, so that no call went to the first, whose 421 would have shown the engine. One record is enough if it takes no calls: leaving, or of another base model while the agent cannot be reached.

A server whose agent reports its start is always listed, and others of its service at its address are not; else a record hides only one whose requests could all go to it instead.

--- a/agent/direct/link.go
+++ b/agent/direct/link.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/link"
@@ -39,7 +41,20 @@
 	ctx, cancel := context.WithTimeout(ag.ctx, helloTimeout)
 	defer cancel()
 	place := ag.op.Settings.Place
-	return co.Welcome(ctx, &wire.Welcome{Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region, KeepsOrigins: true, KeepsVersions: true})
+	return co.Welcome(ctx, &wire.Welcome{
+		Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region, KeepsOrigins: true, KeepsVersions: true,
+		EnginePort: portOf(ag.op.Settings.BackendAddress),
+	})
+}
+
+// portOf returns the port of an address, zero if it has none.
+func portOf(address string) int {
+	_, text, err := net.SplitHostPort(address)
+	port, numberErr := strconv.ParseUint(text, 10, 16)
+	if err != nil || numberErr != nil {
+		return 0
+	}
+	return int(port)
 }
 
 // frameReceiver passes the frames of one connection to the broker.
--- a/core/roster/epoch_test.go
+++ b/core/roster/epoch_test.go
@@ -46,7 +46,7 @@
 				// A record of the copy, or one of an earlier epoch that arrives late.
 				ro.Put(Server{ID: id, Born: born}, Position{Epoch: epoch - int64(code%2), Offset: int64(code % 50)})
 			}
-			for _, se := range ro.Servers(allServices) {
+			for _, se := range ro.Servers(allServices, nobodyReports) {
 				if ts := ro.servers[se.ID]; se.Born <= left[se.ID] && !se.Leaving && ts.missingSince.IsZero() {
 					return fmt.Sprintf("after %d in epoch %d, run %d of %s is ready, but run %d has left", code, epoch, se.Born, se.ID, left[se.ID])
 				}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -124,34 +124,58 @@
 	return latest
 }
 
-// place is where a service runs.
-type place struct{ service, address string }
-
-// Servers returns the servers of the services that are offered, sorted by ID, without those whose address belongs to
-// another one of their service that started later: their records only have not expired yet. One of another service does
-// not show that: another writer may have left it.
-func (ro *Roster) Servers(offered func(service string) bool) []Server {
-	newest := ro.newestByPlace()
+// place is where a service runs, and what it serves there.
+type place struct{ service, address, zone, model string }
+
+// placeOf returns the place of a server.
+func placeOf(se *Server) place { return place{se.Service, se.Address, se.Zone, se.Model} }
+
+// Servers returns the servers of the services that are offered, sorted by ID, without those that records of others show to
+// be gone while their own have not expired yet. The function reported tells which servers run as those beside them report:
+// they are never left out, and others of their service at their addresses are. Otherwise a server is left out if
+// another one of its service at its address started later and takes all requests that it would: if another writer has left
+// that record, the answer to the first request shows it. A record that takes fewer would hide a living server for good.
+func (ro *Roster) Servers(offered func(service string) bool, reported func(se *Server) bool) []Server {
+	newest, running := ro.newestByPlace(), ro.runningEndpoints(reported)
 	list := make([]Server, 0, len(ro.servers))
 	for _, id := range ro.ids() {
-		se := ro.servers[id].Server
-		if offered(se.Service) && (se.Born == 0 || se.Born >= newest[place{se.Service, se.Address}]) {
-			list = append(list, se)
+		se := &ro.servers[id].Server
+		hidden := se.Born != 0 && se.Born < newest[placeOf(se)]
+		if running[endpoint{se.Service, se.Address}] {
+			hidden = !reported(se)
+		}
+		if offered(se.Service) && !hidden {
+			list = append(list, *se)
 		}
 	}
 	return list
 }
 
-// newestByPlace returns the latest start of a server of each service at each address.
+// newestByPlace returns the latest start of a server at each place, of those that take requests.
 func (ro *Roster) newestByPlace() map[place]int64 {
 	newest := map[place]int64{}
 	for _, ts := range ro.servers {
-		pl := place{ts.Service, ts.Address}
-		newest[pl] = max(newest[pl], ts.Born)
+		if pl := placeOf(&ts.Server); !ts.Leaving {
+			newest[pl] = max(newest[pl], ts.Born)
+		}
 	}
 	return newest
 }
 
+// endpoint is the address of a service.
+type endpoint struct{ service, address string }
+
+// runningEndpoints returns the endpoints of the servers that are reported to run.
+func (ro *Roster) runningEndpoints(reported func(se *Server) bool) map[endpoint]bool {
+	running := map[endpoint]bool{}
+	for _, ts := range ro.servers {
+		if reported(&ts.Server) {
+			running[endpoint{ts.Service, ts.Address}] = true
+		}
+	}
+	return running
+}
+
 // Record is a server with the position of its record.
 type Record struct {
 	Server Server
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -755,6 +755,10 @@
 	// Boot identifies the run of the agent's process; it changes with every restart.
 	Boot string `json:"boot" yaml:"boot" cbor:"2,keyasint,omitempty"`
 
+	// EnginePort is the port at which the agent's engine serves requests. An agent of
+	// an earlier version does not tell it: zero.
+	EnginePort int `json:"engine_port" yaml:"engine_port" cbor:"12,keyasint,omitempty"`
+
 	// KeepsOrigins is true when the agent keeps what began streams. An agent of an
 	// earlier version does not know the frames for that.
 	KeepsOrigins bool `json:"keeps_origins" yaml:"keeps_origins" cbor:"10,keyasint,omitempty"`
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -36,6 +36,8 @@
 	keepsOrigins bool
 	// keepsVersions is true if the agent keeps the software versions of services.
 	keepsVersions bool
+	// enginePort is the port of the agent's engine, empty if the agent does not tell it.
+	enginePort string
 	// silent is true from an unanswered reservation until the agent sends anything.
 	silent bool
 }
@@ -56,17 +58,19 @@
 	servers map[string]string
 	records map[string][]engineRecord
 	reports map[string]engineReport
-	// zones maps each agent's host to its availability zone.
-	zones map[string]string
+	// listOutdated is true if an agent has reported another run than that of the only server with an address on its host.
+	listOutdated bool
 	// waiting holds the attempts that wait for a grant, granted those that have one; both are
 	// keyed by attempt ID.
 	waiting map[string]*grantWaiter
 	granted map[string]*heldGrant
 }
 
-// engineRecord is a server with an address on an agent's host, and the start of its run.
+// engineRecord is a server with an address on an agent's host: its port there, its zone and the start of its run.
 type engineRecord struct {
 	id   string
+	port string
+	zone string
 	born int64
 }
 
@@ -107,13 +111,13 @@
 	}
 }
 
-// hostOf returns the IP address without the port.
-func hostOf(address string) string {
-	host, _, err := net.SplitHostPort(address)
+// splitAddress returns the IP address and the port, both empty if the address is invalid.
+func splitAddress(address string) (host, port string) {
+	host, port, err := net.SplitHostPort(address)
 	if err != nil {
-		return ""
+		return "", ""
 	}
-	return host
+	return host, port
 }
 
 // setServers replaces the list of servers; those that are engines have an agent on their host. It returns, by server, the
@@ -124,15 +128,14 @@
 		return nil
 	}
 	hosts := make([]member.Host, 0, len(servers))
-	records, zones := map[string][]engineRecord{}, map[string]string{}
+	records := map[string][]engineRecord{}
 	for ix := range servers {
 		se := &servers[ix]
-		host := hostOf(se.Address)
+		host, port := splitAddress(se.Address)
 		if !ta.Services[se.Service].Engine || host == "" {
 			continue
 		}
-		records[host] = append(records[host], engineRecord{id: se.ID, born: se.Born})
-		zones[host] = se.Zone
+		records[host] = append(records[host], engineRecord{id: se.ID, port: port, zone: se.Zone, born: se.Born})
 		hosts = append(hosts, member.Host{
 			Name: host, Address: net.JoinHostPort(host, strconv.Itoa(as.no.options.Settings.AgentPort)), Zone: se.Zone,
 		})
@@ -141,13 +144,14 @@
 	defer as.mu.Unlock()
 	as.members.ApplyList(hosts, now)
 	previous := as.servers
-	as.records, as.zones, as.servers = records, zones, map[string]string{}
+	as.records, as.servers = records, map[string]string{}
 	for host := range records {
 		as.servers[host] = as.serverBeside(host, previous[host])
 	}
 	maps.DeleteFunc(as.reports, func(host string, _ engineReport) bool { return records[host] == nil })
 	for host := range as.links {
 		if previous[host] != as.servers[host] {
+			as.no.recordAgentUnreachable(previous[host])
 			as.prepare(host)
 		}
 	}
@@ -178,12 +182,32 @@
 	return 0
 }
 
+// recordsBeside returns the servers with addresses on a host that the engine of its agent can be: those at its port, or
+// all if the agent does not tell it or none is there. The caller must hold as.mu.
+func (as *agents) recordsBeside(host string) []engineRecord {
+	all := as.records[host]
+	ac := as.links[host]
+	if ac == nil || ac.enginePort == "" {
+		return all
+	}
+	list := make([]engineRecord, 0, len(all))
+	for _, er := range all {
+		if er.port == ac.enginePort {
+			list = append(list, er)
+		}
+	}
+	if len(list) == 0 {
+		return all
+	}
+	return list
+}
+
 // serverBeside returns the ID of the server beside the agent of a host; earlier is the one until now. Of several
 // with addresses there, of which another writer may have left some, it is the one that started when the agent's engine
 // did, the earlier one if it is among those, else the last one that started. The caller must hold as.mu.
 func (as *agents) serverBeside(host, earlier string) string {
 	running, last := "", engineRecord{}
-	for _, er := range as.records[host] {
+	for _, er := range as.recordsBeside(host) {
 		if er.born != 0 && er.born == as.reports[host].load.Born && (running == "" || er.id == earlier) {
 			running = er.id
 		}
@@ -197,23 +221,79 @@
 	return last.id
 }
 
+// findServerBeside finds the server beside the agent of a host anew. The caller must hold as.mu.
+func (as *agents) findServerBeside(host string) {
+	earlier := as.servers[host]
+	id := as.serverBeside(host, earlier)
+	if id == earlier {
+		return
+	}
+	as.servers[host] = id
+	as.no.recordAgentUnreachable(earlier)
+	as.prepare(host)
+}
+
+// zoneOf returns the availability zone of an agent, as the record of the server beside it says. The caller must hold as.mu.
+func (as *agents) zoneOf(host string) string {
+	for _, er := range as.records[host] {
+		if er.id == as.servers[host] {
+			return er.zone
+		}
+	}
+	return ""
+}
+
+// engineRun is what an agent tells of its engine's run: the port, empty if it does not tell it, and the start.
+type engineRun struct {
+	port string
+	born int64
+}
+
+// reportedRuns returns a function that reports whether a server's record says what the agent on its host does: that an
+// engine which started then runs there.
+func (as *agents) reportedRuns() func(se *roster.Server) bool {
+	as.mu.Lock()
+	defer as.mu.Unlock()
+	runs := map[string]engineRun{}
+	for host, er := range as.reports {
+		if ac := as.working(host); ac != nil && er.load.Known && er.load.Born != 0 {
+			runs[host] = engineRun{port: ac.enginePort, born: er.load.Born}
+		}
+	}
+	ta := as.no.view.table.Load()
+	return func(se *roster.Server) bool {
+		host, port := splitAddress(se.Address)
+		run, ok := runs[host]
+		return ok && ta != nil && ta.Services[se.Service].Engine && run.born == se.Born && (run.port == "" || run.port == port)
+	}
+}
+
 // keepReport keeps what the agent of a host reports of its engine; holds is nil if it only reports the load. The caller
 // must hold as.mu.
 func (as *agents) keepReport(host string, load spread.Load, holds []spread.AdapterSlot) {
-	previous := as.reports[host]
-	if holds == nil && load.Born == previous.load.Born {
-		holds = previous.holds
+	previous := as.reports[host].load
+	if holds == nil && load.Born == previous.Born {
+		holds = as.reports[host].holds
 	}
 	as.reports[host] = engineReport{load: load, holds: holds}
-	if load.Born == previous.load.Born {
+	if load.Born == previous.Born && load.Known == previous.Known {
 		return
 	}
-	if id := as.serverBeside(host, as.servers[host]); id != as.servers[host] {
-		as.servers[host] = id
-		as.prepare(host)
+	as.findServerBeside(host)
+	if list := as.records[host]; len(list) != 1 || list[0].born != load.Born {
+		as.listOutdated = true
 	}
 }
 
+// takeListOutdated reports whether agents have said since the last time that other servers run than the list has.
+func (as *agents) takeListOutdated() bool {
+	as.mu.Lock()
+	defer as.mu.Unlock()
+	outdated := as.listOutdated
+	as.listOutdated = false
+	return outdated
+}
+
 // prepare sends an agent the base model and slots that its engine must provide. The caller must hold as.mu.
 func (as *agents) prepare(host string) {
 	ac := as.links[host]
--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -69,8 +69,8 @@
 func (no *Node) syncServers(now time.Time) {
 	no.syncing.Lock()
 	defer no.syncing.Unlock()
-	servers := []roster.Server(nil)
-	no.view.withRoster(func(ro *roster.Roster) { servers = ro.Servers(no.view.offers()) })
+	servers, reported := []roster.Server(nil), no.agents.reportedRuns()
+	no.view.withRoster(func(ro *roster.Roster) { servers = ro.Servers(no.view.offers(), reported) })
 	ids := map[string]bool{}
 	no.mu.Lock()
 	for ix := range servers {
--- a/entry/direct/dial.go
+++ b/entry/direct/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/link"
@@ -9,7 +10,8 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// run connects to agents when a connection or reconnection is due, until the context ends.
+// run connects to agents when a connection or reconnection is due, and makes the list of servers anew when their reports
+// show that it is out of date, until the context ends.
 func (as *agents) run(ctx context.Context) {
 	tick := time.NewTicker(dialPeriod)
 	defer tick.Stop()
@@ -20,6 +22,9 @@
 		for _, ho := range due {
 			go as.runConnection(ctx, ho)
 		}
+		if as.takeListOutdated() {
+			as.no.syncServers(time.Now())
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -37,6 +42,9 @@
 		return
 	}
 	ac := &agentConn{co: co, boot: we.Boot, keepsOrigins: we.KeepsOrigins, keepsVersions: we.KeepsVersions}
+	if we.EnginePort > 0 {
+		ac.enginePort = strconv.Itoa(we.EnginePort)
+	}
 	as.addConnection(ctx, ho.Name, ac)
 	err = co.Run(ctx, &frameReceiver{as: as, host: ho.Name, ac: ac})
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", ho.Name).Str("reason", err.Error()).Msg("dependency_lost")
@@ -63,6 +71,7 @@
 	as.mu.Lock()
 	as.members.Connected(host)
 	as.links[host] = ac
+	as.servers[host] = as.serverBeside(host, as.servers[host])
 	if fr := as.prepareFrame(host); fr != nil {
 		frames = append(frames, fr)
 	}
--- a/entry/direct/relays.go
+++ b/entry/direct/relays.go
@@ -31,7 +31,7 @@
 	list := make([]string, 0, commonRelays+1)
 	ownZone := false
 	for _, host := range slices.Sorted(maps.Keys(as.links)) {
-		own := as.zones[host] == as.no.options.Settings.Place.Zone
+		own := as.zoneOf(host) == as.no.options.Settings.Place.Zone
 		if as.links[host].silent || len(list) >= commonRelays && (ownZone || !own) {
 			continue
 		}
--- a/proofs/direct_zone_test.go
+++ b/proofs/direct_zone_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -198,8 +199,8 @@
 	}
 }
 
-// Two records of other writers together: one hides a living engine, another one on its host takes its agent, so that no
-// call goes to the first, whose answer would show the living engine. All calls for its service are refused.
+// Two records of other writers together: one hid a living engine, another one on its host took its agent, so that no
+// call went to the first, whose answer would have shown the living engine. All calls for its service were refused.
 func TestDirectZoneTwoRecordsOnAnEnginesHostHideNoEngine(t *testing.T) {
 	for name, born := range map[string]int64{"started last": 9, "started with the engine": 1} {
 		t.Run(name, func(t *testing.T) {
@@ -216,6 +217,94 @@
 	}
 }
 
+// A node that starts while another writer's record states the very start of a living engine, on another port of its host,
+// must find the agent of that host beside the living engine, whichever of the two IDs sorts first.
+func TestDirectZoneRecordWithAnEnginesStartTakesNoAgentFromANewNode(t *testing.T) {
+	for _, id := range []string{"aa-odd", "zz-odd"} {
+		t.Run(id, func(t *testing.T) {
+			runZone(t, 1, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+				ds.source.appendRecord(direct.ServersTopic, oddRecord(id, "advice", "engine-0:2", 1))
+				time.Sleep(2500 * time.Millisecond)
+				zo.readers["entry-9"] = &nodeReader{testSource: ds.source}
+				ds.readers["entry-9"] = zo.readers["entry-9"]
+				ds.startEntry("entry-9")
+				time.Sleep(feedSettleTime)
+				for round := range 4 {
+					zo.checkCalls(t, "/once/x", round)
+				}
+			})
+		})
+	}
+}
+
+// Another writer leaves a record with the address of a living server, its service and a later start, which says that the
+// server is leaving. No call goes to it, whose answer would show the living server: all calls were refused.
+func TestDirectZoneLeavingRecordHidesNoServer(t *testing.T) {
+	for name, tc := range map[string]struct{ service, address, target string }{
+		"plain server": {service: "ledger", address: "plain-0:1", target: "/unsafe/x"},
+		"engine":       {service: "advice", address: "engine-0:1", target: "/once/x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runZone(t, 1, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+				odd := oddRecord("zz-odd", tc.service, tc.address, 9)
+				odd.Server.Leaving = true
+				ds.source.appendRecord(direct.ServersTopic, odd)
+				time.Sleep(2500 * time.Millisecond)
+				for round := range 4 {
+					zo.checkCalls(t, tc.target, round)
+				}
+			})
+		})
+	}
+}
+
+// Another writer leaves a record with the address of a living engine, its service and a later start, but of a base model
+// that nobody asks for, while the nodes cannot reach the engine's agent. No call goes to it, whose answer would show the
+// living engine.
+func TestDirectZoneRecordOfAnotherModelHidesNoEngine(t *testing.T) {
+	runZone(t, 1, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+		zo.checkCalls(t, "/once/x", 0)
+		time.Sleep(time.Second)
+		_ = ds.agents["engine-0"].Stop(context.Background())
+		odd := oddRecord("zz-odd", "advice", "engine-0:1", 9)
+		odd.Server.Model = "another-model"
+		ds.source.appendRecord(direct.ServersTopic, odd)
+		time.Sleep(2500 * time.Millisecond)
+		for range 4 {
+			// The adapter of the first round is loaded.
+			zo.checkCalls(t, "/once/x", 0)
+		}
+	})
+}
+
+// An engine is gone, and another one has started at its address under another ID while the record of the first has not expired. What
+// their agent reported must not keep requests for the first one going there: one for each node at most is answered 421, and
+// all calls are served.
+func TestDirectZoneEngineThatIsGoneGetsNoCallsAtItsAddress(t *testing.T) {
+	runZone(t, 1, 1, func(t *testing.T, ds *directSimulation, zo *zone) {
+		zo.checkCalls(t, "/once/x", 0)
+		ba := ds.backends["engine-0"]
+		ba.mu.Lock()
+		ba.born, ba.announcedID = 2, "engine-0-next"
+		ba.mu.Unlock()
+		own, misdirected := answerOwn("engine-0-next"), atomic.Int64{}
+		ba.setScript(func(wr http.ResponseWriter, rq *http.Request) {
+			if rq.Header.Get(headerServer) != "engine-0-next" {
+				misdirected.Add(1)
+			}
+			own(wr, rq)
+		})
+		ds.announceServer("engine-0", "advice", testModel, false)
+		time.Sleep(2500 * time.Millisecond)
+		for round := range 4 {
+			zo.checkCalls(t, "/once/x", round)
+		}
+		if got := misdirected.Load(); got > zoneNodes {
+			t.Errorf("%d calls for the engine that is gone were sent to the one at its address, want %d at most", got, zoneNodes)
+		}
+	})
+}
+
 // zoneSeeds is the number of seeds of the long run of a zone; ZONE_SEEDS and ZONE_FROM set other ones.
 const zoneSeeds = 10
 
@@ -232,10 +321,11 @@
 	case 1:
 		ds.source.appendRecord(direct.ServersTopic, oddRecord(id, "nobody", address, born))
 	case 2:
-		ds.source.appendRecord(direct.ServersTopic, oddRecord(id, []string{"ledger", "advice"}[random.IntN(2)], address, born))
+		odd := oddRecord(id, []string{"ledger", "advice"}[random.IntN(2)], address, born)
+		odd.Server.Leaving = number%3 == 2
+		ds.source.appendRecord(direct.ServersTopic, odd)
 	case 3:
-		// The start of the living engine itself, on another port of its host, can't be told from it once it is hidden.
-		ds.source.appendRecord(direct.ServersTopic, oddRecord(id, "advice", vi.id+":2", max(born, 2)))
+		ds.source.appendRecord(direct.ServersTopic, oddRecord(id, "advice", vi.id+":2", born))
 	case 4:
 		ds.source.appendRecord(direct.ServersTopic, direct.LogRecord{UnreadableServer: vi.id})
 		ds.announceServer(vi.id, vi.service, vi.model, false)
