Ask anew before each sending in a stop, and learn only from whole answers

A review of the stop showed by tests that calls could still be cut: one that waited for a connection after it had been asked whether it may begin, one after quick errors of the server that counted as answers, one of an unknown size among small ones, and a second attempt of a call that may be repeated. Short stops ended answers before their last sixth, and answers written late at the end of a stop were cut at 7.3 s.

It is asked again once the connection is there, second attempts before any part of the answer are asked as first ones, only whole answers count, an unknown size counts as the largest, a body that could not begin once it is whole is not waited for, and closing waits up to 0.5 s for what is being written. A data race in the check of silent servers, and one in a test, are mended; TestDirectStop* pass with -race.

TestDirectStopBeginsNoSecondAttemptThatItWouldCut and TestDirectStopIsNotMisledByQuickErrors failed before.

--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -19,8 +19,8 @@
 	pr.Property("stages", prop.ForAll(func(seconds int) bool {
 		now, length := time.Unix(1000, 0), time.Duration(seconds)*time.Second
 		st := NewStop(now, length)
-		return st.Begun() && st.NoticedAt.After(now) && !st.NoticedAt.After(st.ClosedAt) && st.WaitsEndAt.Before(st.AnswersEndAt) &&
-			st.AnswersEndAt.Before(st.ClosedAt) && st.ClosedAt.Before(now.Add(length)) && st.AnswersEndAt.Sub(now) > length*4/5
+		return st.Begun() && st.NoticedAt.After(now) && !st.NoticedAt.After(st.AnswersEndAt) && st.UnknownEndAt.Before(st.AnswersEndAt) &&
+			st.AnswersEndAt.Before(st.ClosedAt) && st.ClosedAt.Before(now.Add(length)) && st.AnswersEndAt.Sub(now) > length*5/6
 	}, stops))
 	pr.TestingRun(t)
 }
@@ -33,11 +33,11 @@
 		st, ti, longest := NewStop(now, time.Duration(seconds)*time.Second), Times{}, time.Duration(0)
 		for _, millis := range took {
 			answer := time.Duration(millis) * time.Millisecond
-			ti.Record("route", 90, answer)
+			ti.Record(Request{Route: "route", Size: 90}, answer)
 			longest = max(longest, answer)
 		}
 		wholeAt, deadline := st.NoticedAt.Add(time.Duration(whole)*time.Millisecond), now.Add(time.Hour)
-		latest := st.LatestStart(ti.Estimate("route", 90), wholeAt, deadline)
+		latest := st.LatestStart(ti.Estimate(Request{Route: "route", Size: 90}), wholeAt, deadline)
 		if len(took) < enough {
 			return !latest.After(now)
 		}
@@ -46,20 +46,24 @@
 	pr.TestingRun(t)
 }
 
-// What a node that is not stopping, a request's own deadline and a second attempt allow is not bounded by estimates.
+// What a node that is not stopping, a request's own deadline and a broken answer allow is not bounded by estimates.
 func TestLatestStartOfRequestsThatAStopDoesNotCut(t *testing.T) {
 	now := time.Unix(1000, 0)
 	st, slow := NewStop(now, 8*time.Second), Estimate{Count: enough, Likely: time.Minute, Sure: time.Hour}
 	soon, far := now.Add(5*time.Second), now.Add(time.Hour)
 	for name, tc := range map[string]struct{ got, want time.Time }{
+		"body, sure to fit":           {st.LatestWhole(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second}, far), st.AnswersEndAt.Add(-3 * time.Second)},
+		"body, likely to fit":         {st.LatestWhole(Estimate{Count: enough, Likely: 3 * time.Second, Sure: 6 * time.Second}, far), st.NoticedAt},
+		"body, unlikely to fit":       {st.LatestWhole(Estimate{Count: enough, Likely: 6 * time.Second, Sure: 9 * time.Second}, far), st.AnswersEndAt.Add(-6 * time.Second)},
+		"body, nothing known":         {st.LatestWhole(Estimate{}, far), st.NoticedAt},
 		"not stopping":                {Stop{}.LatestStart(slow, now, far), far},
 		"deadline before the end":     {st.LatestStart(slow, now, soon), soon},
-		"nothing known, early":        {st.LatestStart(Estimate{}, now, far), st.WaitsEndAt},
+		"nothing known, early":        {st.LatestStart(Estimate{}, now, far), st.UnknownEndAt},
 		"too little known, late":      {st.LatestStart(Estimate{Count: enough - 1}, st.NoticedAt, far), now},
 		"nothing known, late":         {st.LatestStart(Estimate{}, st.NoticedAt, far), now},
-		"second attempt":              {st.LatestRetry(far), st.AnswersEndAt},
-		"second attempt, deadline":    {st.LatestRetry(soon), soon},
-		"second attempt, no stop":     {Stop{}.LatestRetry(far), far},
+		"broken answer":               {st.LatestResume(far), st.AnswersEndAt},
+		"broken answer, deadline":     {st.LatestResume(soon), soon},
+		"broken answer, no stop":      {Stop{}.LatestResume(far), far},
 		"answers known, early":        {st.LatestStart(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second}, now, far), st.AnswersEndAt.Add(-time.Second)},
 		"answers known, late request": {st.LatestStart(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second}, st.NoticedAt, far), st.AnswersEndAt.Add(-3 * time.Second)},
 	} {
@@ -73,12 +77,12 @@
 func TestEstimateByAnswersOfTheSameSize(t *testing.T) {
 	ti := Times{}
 	for number := range 100 {
-		ti.Record("route", 20, time.Duration(number+1)*10*time.Millisecond)
+		ti.Record(Request{Route: "route", Size: 20}, time.Duration(number+1)*10*time.Millisecond)
 	}
 	for range enough - 1 {
-		ti.Record("route", 300, 8*time.Second)
+		ti.Record(Request{Route: "route", Size: 300}, 8*time.Second)
 	}
-	ti.Record("route", 3000, 20*time.Second)
+	ti.Record(Request{Route: "route", Size: 3000}, 20*time.Second)
 	for name, tc := range map[string]struct {
 		size int
 		want Estimate
@@ -86,30 +90,33 @@
 		"same size":   {31, Estimate{Count: 100, Likely: 950 * time.Millisecond, Sure: 1500 * time.Millisecond}},
 		"too few":     {500, Estimate{Count: enough, Likely: 20 * time.Second, Sure: 30 * time.Second}},
 		"next larger": {2100, Estimate{Count: 1, Likely: 20 * time.Second, Sure: 30 * time.Second}},
-		"smaller":     {0, Estimate{Count: 100, Likely: 950 * time.Millisecond, Sure: 1500 * time.Millisecond}},
+		"smaller":     {1, Estimate{Count: 100, Likely: 950 * time.Millisecond, Sure: 1500 * time.Millisecond}},
+		"unknown":     {0, Estimate{Count: 100 + enough, Likely: 8 * time.Second, Sure: 30 * time.Second}},
 		"too large":   {6000, Estimate{}},
 	} {
-		if got := ti.Estimate("route", tc.size); got != tc.want {
+		if got := ti.Estimate(Request{Route: "route", Size: tc.size}); got != tc.want {
 			t.Errorf("%s: %+v, want %+v", name, got, tc.want)
 		}
 	}
-	if got := ti.Estimate("other", 20); got != (Estimate{}) {
-		t.Errorf("another route has the estimate %+v", got)
+	for _, rq := range []Request{{Route: "other", Size: 20}, {Route: "route", Service: "other", Size: 20}} {
+		if got := ti.Estimate(rq); got != (Estimate{}) {
+			t.Errorf("%+v has the estimate %+v", rq, got)
+		}
 	}
 }
 
 // Only the last times count, and the memory does not grow with answers or routes.
 func TestOldTimesAreForgotten(t *testing.T) {
 	ti := Times{}
-	ti.Record("route", 0, time.Hour)
+	ti.Record(Request{}, time.Hour)
 	for range timesKept {
-		ti.Record("route", 0, time.Second)
+		ti.Record(Request{}, time.Second)
 	}
-	if got := ti.Estimate("route", 0); got.Count != timesKept || got.Likely != time.Second || got.Sure >= 2*time.Second {
+	if got := ti.Estimate(Request{}); got.Count != timesKept || got.Likely != time.Second || got.Sure >= 2*time.Second {
 		t.Errorf("the estimate is %+v", got)
 	}
 	for number := range 2 * groupsMax {
-		ti.Record(fmt.Sprint(number), 0, time.Second)
+		ti.Record(Request{Route: fmt.Sprint(number)}, time.Second)
 	}
 	if len(ti.groups) > groupsMax {
 		t.Errorf("%d groups are kept, want at most %d", len(ti.groups), groupsMax)
--- a/core/drain/stop.go
+++ b/core/drain/stop.go
@@ -8,12 +8,12 @@
 	noticeTime = 2500 * time.Millisecond
 	// closeMargin is the part of a stop reserved for closing the servers after draining, closeShare limits it to a
 	// share of short stops.
-	closeMargin = 700 * time.Millisecond
-	closeShare  = 0.125
+	closeMargin = 400 * time.Millisecond
+	closeShare  = 0.05
 	// abortMargin is how long before connections are closed the requests that still run are answered, abortShare
-	// limits it to a share of short stops.
-	abortMargin = 200 * time.Millisecond
-	abortShare  = 0.05
+	// limits it to a share of short stops. It is the time for the answers to be written on a busy host.
+	abortMargin = 500 * time.Millisecond
+	abortShare  = 0.09
 	// unknownShare is the part of a stop that is left for an answer of which nothing is known.
 	unknownShare = 0.25
 )
@@ -24,8 +24,8 @@
 	BeganAt time.Time
 	// NoticedAt is from when on the load balancer sends no new connections.
 	NoticedAt time.Time
-	// WaitsEndAt is when requests of which nothing is known may no longer begin.
-	WaitsEndAt time.Time
+	// UnknownEndAt is when requests of which nothing is known may no longer begin.
+	UnknownEndAt time.Time
 	// AnswersEndAt is when requests that still run are answered.
 	AnswersEndAt time.Time
 	// ClosedAt is when all connections are closed.
@@ -37,7 +37,7 @@
 	closed := length - min(closeMargin, share(closeShare, length))
 	answers := closed - min(abortMargin, share(abortShare, length))
 	return Stop{
-		BeganAt: now, NoticedAt: now.Add(min(noticeTime, closed)), WaitsEndAt: now.Add(share(1-unknownShare, answers)),
+		BeganAt: now, NoticedAt: now.Add(min(noticeTime, answers)), UnknownEndAt: now.Add(share(1-unknownShare, answers)),
 		AnswersEndAt: now.Add(answers), ClosedAt: now.Add(closed),
 	}
 }
@@ -63,16 +63,29 @@
 	case early && es.known():
 		return st.AnswersEndAt.Add(-es.Likely)
 	case early:
-		return st.WaitsEndAt
+		return st.UnknownEndAt
 	case es.sure():
 		return st.AnswersEndAt.Add(-es.Sure)
 	}
 	return st.BeganAt
 }
 
-// LatestRetry returns until when a request that may have run, or whose answer has begun, may be sent once more. It can no
-// longer be told that it has not run, so that any chance is taken.
-func (st Stop) LatestRetry(deadline time.Time) time.Time {
+// LatestWhole returns until when the body of a request may arrive: what is whole only then could not begin.
+func (st Stop) LatestWhole(es Estimate, deadline time.Time) time.Time {
+	late := st.LatestStart(es, st.NoticedAt, deadline)
+	if late.After(st.NoticedAt) {
+		return late
+	}
+	early := st.LatestStart(es, st.BeganAt, deadline)
+	if early.After(st.NoticedAt) {
+		return st.NoticedAt
+	}
+	return early
+}
+
+// LatestResume returns until when a request whose answer has begun may be sent once more. Its answer would be broken off
+// otherwise, so that any chance is taken.
+func (st Stop) LatestResume(deadline time.Time) time.Time {
 	if st.Begun() && st.AnswersEndAt.Before(deadline) {
 		return st.AnswersEndAt
 	}
--- a/core/drain/times.go
+++ b/core/drain/times.go
@@ -19,15 +19,27 @@
 	enough = 16
 )
 
-// Times holds how long the last answers took, by route and expected size of the answer. The zero value is empty.
+// Request describes what the time of an answer depends on.
+type Request struct {
+	Service, Route string
+	// Size is the expected number of tokens of the answer, zero if it is not known.
+	Size int
+}
+
+// Times holds how long the last answers took, by service, route and expected size. The zero value is empty.
 type Times struct {
 	groups map[group]*ring
 }
 
 // group is a set of requests whose answers take about as long: those of a route with sizes between two powers of two.
 type group struct {
-	route string
-	bits  int
+	service, route string
+	bits           int
+}
+
+// group returns the group of the request.
+func (rq *Request) group() group {
+	return group{service: rq.Service, route: rq.Route, bits: bits.Len(uint(max(0, rq.Size)))}
 }
 
 // ring holds the last times of a group, the oldest of which is replaced next.
@@ -44,17 +56,18 @@
 	Likely, Sure time.Duration
 }
 
-// known reports whether the estimate is based on any answers, sure whether on enough of them.
+// known reports whether the estimate is based on any answers.
 func (es Estimate) known() bool { return es.Count > 0 }
-func (es Estimate) sure() bool  { return es.Count >= enough }
 
-// Record records the time that an answer took from when its request was sent to the backend server. The size is the
-// expected number of tokens of the answer, zero if it is not known.
-func (ti *Times) Record(route string, size int, took time.Duration) {
+// sure reports whether the estimate is based on enough answers.
+func (es Estimate) sure() bool { return es.Count >= enough }
+
+// Record records the time that a whole answer took from when its request was sent to the backend server.
+func (ti *Times) Record(rq Request, took time.Duration) {
 	if ti.groups == nil {
 		ti.groups = map[group]*ring{}
 	}
-	gr := group{route: route, bits: bits.Len(uint(max(0, size)))}
+	gr := rq.group()
 	ri := ti.groups[gr]
 	if ri == nil {
 		if len(ti.groups) >= groupsMax {
@@ -76,12 +89,12 @@
 	ri.next = (ri.next + 1) % timesKept
 }
 
-// Estimate returns how long an answer of a route may take. Where too few answers of its size are known, the next larger ones
-// tell as well.
-func (ti *Times) Estimate(route string, size int) Estimate {
+// Estimate returns how long the answer to a request may take. Where too few answers of its size are known, the next larger
+// ones tell as well, and where its size is not known, all of its route.
+func (ti *Times) Estimate(rq Request) Estimate {
 	list := []time.Duration(nil)
-	for length := bits.Len(uint(max(0, size))); length <= bits.UintSize && len(list) < enough; length++ {
-		if ri := ti.groups[group{route: route, bits: length}]; ri != nil {
+	for gr := rq.group(); gr.bits <= bits.UintSize && (len(list) < enough || rq.Size <= 0); gr.bits++ {
+		if ri := ti.groups[gr]; ri != nil {
 			list = append(list, ri.times...)
 		}
 	}
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -60,6 +60,7 @@
 	no.recordSuccess(at, took)
 	if an.Status < http.StatusMultipleChoices {
 		no.crashes.recordPartsAnswered(rq)
+		rq.recordAnswerTime(at)
 	}
 	rq.deliverAnswer(at, ans)
 	// The outcome only makes release report the grant as done.
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -44,8 +44,10 @@
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
 	start     time.Time
-	// sentAt is when the request was sent to the server, zero before.
+	// sentAt is when the request was sent to the server, zero before; goesOn is true if the caller then had the beginning of
+	// the stream.
 	sentAt time.Time
+	goesOn bool
 	// firstEventAt and lastEventAt are when the first and the last event arrived, longestPause is the
 	// longest time between two events.
 	firstEventAt, lastEventAt time.Time
@@ -97,8 +99,7 @@
 			rq.stream.broken = rq.stream.broken || re.reason != reasonEndNotConfirmed
 		}
 		st = st.WithOutcome(re.outcome)
-		rq.mayHaveRun = st.PossibleRuns > 0
-		st.TimeLeft = time.Until(no.drain.latestStart(rq.startTerms()))
+		st.TimeLeft = time.Until(no.drain.latestStart(rq.terms()))
 		if ctx.Err() != nil {
 			st.TimeLeft = 0
 		}
@@ -131,7 +132,7 @@
 	if retryDelay <= 0 {
 		retryDelay = defaultRetryAfter
 	}
-	if rq.no.drain.begun() && ctx.Err() == nil && !rq.mayBegin(0, time.Now()) || stopsNode(ctx) {
+	if rq.no.drain.begun() && ctx.Err() == nil && !rq.checkStart(0, time.Now()) || stopsNode(ctx) {
 		return rq.no.stoppingError()
 	}
 	kind := fault.Overloaded
@@ -178,7 +179,7 @@
 	if !ok {
 		return nil, no.noServerError(sr, now)
 	}
-	if !rq.mayBegin(ch.QueueWait, now) {
+	if !rq.checkStart(ch.Wait, now) {
 		return nil, no.stoppingError()
 	}
 	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -72,18 +72,18 @@
 	}
 }
 
-// recordAnswer records how long the answer of a route took.
-func (dr *draining) recordAnswer(route string, size int, took time.Duration) {
+// recordAnswer records how long the whole answer to a request took.
+func (dr *draining) recordAnswer(rq drain.Request, took time.Duration) {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	dr.times.Record(route, size, took)
+	dr.times.Record(rq, took)
 }
 
-// estimate returns how long the answer to an attempt may take.
-func (dr *draining) estimate(sr startTerms) drain.Estimate {
+// estimate returns how long the answer to a request may take.
+func (dr *draining) estimate(rq drain.Request) drain.Estimate {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	return dr.times.Estimate(sr.route, sr.size)
+	return dr.times.Estimate(rq)
 }
 
 // boundAnswer returns a context that also ends when no request may run any more.
@@ -98,18 +98,21 @@
 
 // startTerms is what decides until when an attempt may be sent.
 type startTerms struct {
-	route string
-	size  int
-	// goesOn is true if the request may have run or its answer has begun.
-	goesOn            bool
+	request drain.Request
+	// answerBegun is true if the caller has a part of the answer.
+	answerBegun bool
+	// wholeAt is when the body was there, zero while it is being read.
 	wholeAt, deadline time.Time
 }
 
-// startTerms returns what decides until when the next attempt may be sent.
-func (rq *request) startTerms() startTerms {
-	return startTerms{
-		route: rq.route.Name, size: rq.info.answerSize(), goesOn: rq.mayHaveRun || rq.answerStarted, wholeAt: rq.wholeAt, deadline: rq.deadline,
-	}
+// terms returns what decides until when the next attempt may be sent.
+func (rq *request) terms() startTerms {
+	return startTerms{request: rq.drainRequest(), answerBegun: rq.answerStarted, wholeAt: rq.wholeAt, deadline: rq.deadline}
+}
+
+// drainRequest returns what the time of the answer depends on.
+func (rq *request) drainRequest() drain.Request {
+	return drain.Request{Service: rq.service.Name, Route: rq.route.Name, Size: rq.info.answerSize()}
 }
 
 // latestStart returns until when an attempt may be sent: until the deadline, and while the node stops only as long as its
@@ -117,13 +120,15 @@
 func (dr *draining) latestStart(sr startTerms) time.Time {
 	dr.mu.Lock()
 	defer dr.mu.Unlock()
-	if !dr.stop.Begun() {
+	switch {
+	case !dr.stop.Begun():
 		return sr.deadline
+	case sr.answerBegun:
+		return dr.stop.LatestResume(sr.deadline)
+	case sr.wholeAt.IsZero():
+		return dr.stop.LatestWhole(dr.times.Estimate(sr.request), sr.deadline)
 	}
-	if sr.goesOn {
-		return dr.stop.LatestRetry(sr.deadline)
-	}
-	return dr.stop.LatestStart(dr.times.Estimate(sr.route, sr.size), sr.wholeAt, sr.deadline)
+	return dr.stop.LatestStart(dr.times.Estimate(sr.request), sr.wholeAt, sr.deadline)
 }
 
 // boundWait returns a context that also ends when the attempt may no longer be sent because the node is stopping.
@@ -142,28 +147,31 @@
 	}
 }
 
-// mayBegin reports whether an attempt may still be sent after a wait that is expected before it. It logs what a stop does not
-// let begin.
-func (rq *request) mayBegin(wait time.Duration, now time.Time) bool {
-	sr := rq.startTerms()
+// checkStart reports whether an attempt may still be sent after a wait that is expected before it, and logs what a stop does
+// not let begin.
+func (rq *request) checkStart(wait time.Duration, now time.Time) bool {
+	if !rq.no.drain.begun() {
+		return true
+	}
+	sr := rq.terms()
 	latest := rq.no.drain.latestStart(sr)
-	if !rq.no.drain.begun() || !now.Add(wait).After(latest) {
+	if !now.Add(wait).After(latest) {
 		return true
 	}
-	es := rq.no.drain.estimate(sr)
-	ev := rq.no.logger.Info().Str("request", rq.info.ID).Dur("wait", wait).Dur("latest_start_in", latest.Sub(now)).Int("size", sr.size).
+	es := rq.no.drain.estimate(sr.request)
+	ev := rq.no.logger.Info().Str("request", rq.info.ID).Dur("wait", wait).Dur("latest_start_in", latest.Sub(now)).Int("size", sr.request.Size).
 		Int("answers_known", es.Count).Dur("likely", es.Likely).Dur("sure", es.Sure).Dur("left", rq.timeLeft())
 	rq.no.drain.logStage(ev)
 	ev.Msg("start_too_late")
 	return false
 }
 
-// recordAnswerTime records how long the answer to an attempt took, if it was whole or ended only because time was over.
-func (rq *request) recordAnswerTime(at *attempt, re result, delivered bool) {
-	if at.sentAt.IsZero() || !delivered && re.reason != reasonTimeOver && re.reason != reasonNodeStopping {
-		return
+// recordAnswerTime records how long an attempt took whose answer is whole. An answer to a stream that was taken up is only
+// a part of one.
+func (rq *request) recordAnswerTime(at *attempt) {
+	if !at.goesOn {
+		rq.no.drain.recordAnswer(rq.drainRequest(), time.Since(at.sentAt))
 	}
-	rq.no.drain.recordAnswer(rq.route.Name, rq.info.answerSize(), time.Since(at.sentAt))
 }
 
 // answerSize returns the expected number of tokens of the answer, zero if it is not known.
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -21,6 +21,7 @@
 	"github.com/bambooladder/bambooladder/core/poison"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/conns"
 	"github.com/bambooladder/bambooladder/entry/internal/memory"
 	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
@@ -32,10 +33,6 @@
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 	sweepPeriod    = time.Second
-	// idleBeforeStop is how long the node must have had no request in flight before a planned
-	// stop ends.
-	idleBeforeStop = 300 * time.Millisecond
-	idlePollPeriod = 50 * time.Millisecond
 )
 
 // Options configures an entry node.
@@ -68,8 +65,8 @@
 
 	drain    *draining
 	inFlight atomic.Int64
-	waiting  waitingConns
-	// callerListener accepts the connections of callers.
+	// callers holds the connections of callers, callerListener accepts them.
+	callers        *conns.Set
 	callerListener net.Listener
 
 	// syncing is held while the list of servers is passed on, so that an older one never follows a newer one.
@@ -110,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, drain: newDraining(), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.memory.SetBytes(no.callersBytes())
 	no.held.budget = &no.memory
@@ -138,7 +135,7 @@
 		peers:   newHTTPServer(no.peerHandler()),
 		metrics: newHTTPServer(expvar.Handler()),
 	}
-	sv.callers.ConnState = no.waiting.record
+	sv.callers.ConnState = no.callers.ConnState
 	sv.callers.ConnContext = callerConnContext
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return no.start(sv) },
@@ -164,13 +161,15 @@
 		if li.address == "" {
 			continue
 		}
-		ls, err := no.listen(li.hs, li.address)
+		ls, err := no.options.Network.Listen(li.address)
 		if err != nil {
-			return err
+			return errors.Wrapf(err, "direct: listen on %s", li.address)
 		}
 		if li.hs == sv.callers {
+			ls = no.callers.Listener(ls)
 			no.callerListener = ls
 		}
+		go no.serveHTTP(li.hs, ls)
 	}
 	for _, fo := range no.feeds.followers {
 		go fo.run(no.ctx)
@@ -183,18 +182,11 @@
 	return nil
 }
 
-// listen serves HTTP on an address.
-func (no *Node) listen(hs *http.Server, address string) (net.Listener, error) {
-	ls, err := no.options.Network.Listen(address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "direct: listen on %s", address)
+// serveHTTP serves HTTP until the listener is closed.
+func (no *Node) serveHTTP(hs *http.Server, ls net.Listener) {
+	if err := hs.Serve(ls); !errors.Is(err, http.ErrServerClosed) && !no.drain.begun() {
+		no.logger.Error().Stringer("address", ls.Addr()).Str("error", err.Error()).Msg("server_stopped")
 	}
-	go func() {
-		if err := hs.Serve(ls); !errors.Is(err, http.ErrServerClosed) && !no.drain.begun() {
-			no.logger.Error().Str("address", address).Str("error", err.Error()).Msg("server_stopped")
-		}
-	}()
-	return ls, nil
 }
 
 // sweepIdleConnections periodically closes connections to backend servers that have been idle
--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -21,8 +21,6 @@
 	reasonQuarantined    = "quarantined"
 	// reasonVersionOutdated means that the time of the granted version of the adapter was over once the grant came.
 	reasonVersionOutdated = "version_outdated"
-	// reasonTimeOver means that the deadline of the request has passed.
-	reasonTimeOver = "time_over"
 	// reasonNodeStopping means that the attempt ended because this node is stopping.
 	reasonNodeStopping = "node_stopping"
 )
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -37,7 +37,6 @@
 	re, delivered := result{outcome: retry.Unknown}, false
 	defer func() { rq.release(at, re) }()
 	re, delivered = rq.send(ctx, at)
-	rq.recordAnswerTime(at, re, delivered)
 	if re.outcome == retry.Unsent {
 		rq.no.recordUnsent(at.server)
 	}
@@ -46,7 +45,7 @@
 
 // awaitServer waits until the attempt may be sent, and reports whether it may.
 func (rq *request) awaitServer(ctx context.Context, at *attempt) (result, bool) {
-	ctx, endWait := rq.no.drain.boundWait(ctx, rq.startTerms())
+	ctx, endWait := rq.no.drain.boundWait(ctx, rq.terms())
 	defer endWait()
 	if re, ok := rq.takeLease(ctx, at); !ok {
 		return re, false
@@ -64,7 +63,7 @@
 // reserve requests a grant for the attempt and reports whether it was given.
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
 	versionMin := rq.versionMin(time.Now())
-	budget := spread.WaitBudget(time.Until(rq.no.drain.latestStart(rq.startTerms())))
+	budget := spread.WaitBudget(time.Until(rq.no.drain.latestStart(rq.terms())))
 	if rq.stream.endCounts {
 		budget = min(budget, confirmWaitMax)
 	}
@@ -140,12 +139,16 @@
 		}
 		return result{outcome: retry.Unsent, reason: reason}, false
 	}
+	if !rq.checkStart(0, time.Now()) {
+		co.PutBack()
+		return result{outcome: retry.Unsent, reason: reasonNodeStopping}, false
+	}
 	left := time.Until(rq.deadline)
 	fi := &ForwardInfo{Server: at.server, TimeLeft: left, Rank: rq.route.Rank, LastEvent: rq.lastEventID()}
 	if rq.info.Adapter != "" {
 		fi.Version = at.version
 	}
-	at.connection, at.reused, at.sentAt = co.Number, co.Reused, time.Now()
+	at.connection, at.reused, at.sentAt, at.goesOn = co.Number, co.Reused, time.Now(), rq.goesOn()
 	rq.connections = append(rq.connections, co.Number)
 	ctx, stop := rq.watchServer(ctx, at)
 	defer stop()
@@ -198,7 +201,7 @@
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		reason, callerGone = reasonCallerGone, true
 	case ctx.Err() != nil:
-		reason = reasonTimeOver
+		reason = "time_over"
 	case errors.Is(err, pool.ErrHeadTooLong):
 		reason = "head_too_long"
 	case errors.Is(err, pool.ErrHeadInvalid):
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -62,8 +62,6 @@
 	redirected bool
 	// contentFingerprint is the result of fingerprint, empty until it is first needed.
 	contentFingerprint string
-	// mayHaveRun is true once an attempt may have run.
-	mayHaveRun bool
 	// answerStarted is true once any part of an answer has been written.
 	answerStarted bool
 	// connections holds the numbers of the connections that the request was sent on.
@@ -119,7 +117,7 @@
 
 // prepare reads the body and finds out what began the stream that the request takes up, if it does.
 func (rq *request) prepare(ctx context.Context, hr *http.Request) error {
-	ctx, endWait := rq.no.drain.boundWait(ctx, rq.startTerms())
+	ctx, endWait := rq.no.drain.boundWait(ctx, rq.terms())
 	defer endWait()
 	if err := rq.readBody(ctx, hr); err != nil {
 		return err
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -217,6 +217,7 @@
 func (rq *request) finishStream(at *attempt, an *pool.Answer) (result, bool) {
 	rq.writeStreamHeader(an)
 	rq.no.crashes.recordAnswered(rq)
+	rq.recordAnswerTime(at)
 	if !at.firstEventAt.IsZero() {
 		rq.no.crashes.recordPartsAnswered(rq)
 	}
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,7 +25,8 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	timer := (*time.Timer)(nil)
-	timer = time.AfterFunc(watchPeriod, func() {
+	// The first check begins only once the timer is assigned.
+	timer = time.AfterFunc(math.MaxInt64, func() {
 		if rq.no.serverSilent(at.server) {
 			rq.no.recordAbandoned(at.server)
 			cancel(errServerSilent)
@@ -34,6 +36,7 @@
 			timer.Reset(watchPeriod)
 		}
 	})
+	timer.Reset(watchPeriod)
 	return ctx, func() {
 		timer.Stop()
 		cancel(nil)
--- a/entry/internal/conns/conns.go
+++ b/entry/internal/conns/conns.go
@@ -10,23 +10,31 @@
 	"github.com/rs/zerolog"
 )
 
-const (
-	// idleMax is how long a connection of a server that stops may wait for its next request. An answer that began before the
-	// stop did not tell that it is the last one.
-	idleMax    = time.Second
-	pollPeriod = 20 * time.Millisecond
-)
+const pollPeriod = 20 * time.Millisecond
+
+// Limits bounds how long a server that stops waits for requests.
+type Limits struct {
+	// Idle is how long a connection may wait for its next request. An answer that began before the stop did not tell that
+	// it is the last one.
+	Idle time.Duration
+	// Unread is how long after it was opened the first request of a connection is waited for, zero for as long as the
+	// server's time to read a head.
+	Unread time.Duration
+}
 
 // Set holds the open connections of a server.
 type Set struct {
-	lg zerolog.Logger
+	lg     zerolog.Logger
+	limits Limits
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
 // NewSet returns a set without connections.
-func NewSet(lg zerolog.Logger) *Set { return &Set{lg: lg, conns: map[*conn]struct{}{}} }
+func NewSet(limits Limits, lg zerolog.Logger) *Set {
+	return &Set{lg: lg, limits: limits, conns: map[*conn]struct{}{}}
+}
 
 // Counts has the number of connections without a request yet, between two requests and with a request.
 type Counts struct {
@@ -39,6 +47,7 @@
 // conn is a connection that a server has accepted.
 type conn struct {
 	net.Conn
+	openedAt time.Time
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -71,9 +80,9 @@
 	}
 }
 
-// endIdle makes the connection end by itself if it has been idle for idleMax, and reports for how long it has been. It
+// endIdle makes the connection end by itself if it has been idle for a time, and reports for how long it has been. It
 // sets a read deadline, which a server that has just read a part of a request replaces by another one.
-func (co *conn) endIdle(now time.Time) (time.Duration, bool) {
+func (co *conn) endIdle(now time.Time, idleMax time.Duration) (time.Duration, bool) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	if co.state != http.StateIdle || co.heard || now.Sub(co.idleSince) < idleMax {
@@ -96,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	co := &conn{Conn: nc, state: http.StateNew}
+	co := &conn{Conn: nc, openedAt: time.Now(), state: http.StateNew}
 	ls.se.mu.Lock()
 	defer ls.se.mu.Unlock()
 	ls.se.conns[co] = struct{}{}
@@ -120,14 +129,14 @@
 	}
 }
 
-// Drain waits until every connection has ended, or the context has. It ends the idle ones. Those without a request end
-// when the server's time to read a head is over, and the others with their request. It returns what is left.
+// Drain waits until every connection has ended, or the context has. It ends the idle ones. Those without a request are waited
+// for as the limits say, and the others until their request has ended. It returns what is left.
 func (se *Set) Drain(ctx context.Context) Counts {
 	ticker := time.NewTicker(pollPeriod)
 	defer ticker.Stop()
 	for {
 		se.endIdle(time.Now())
-		if left := se.Counts(); left.All() == 0 || ctx.Err() != nil {
+		if left := se.Counts(); !se.waits(left, time.Now()) || ctx.Err() != nil {
 			return left
 		}
 		select {
@@ -137,12 +146,27 @@
 	}
 }
 
+// waits reports whether a drain waits for any of the connections that are left.
+func (se *Set) waits(left Counts, now time.Time) bool {
+	if left.Idle+left.Active > 0 || left.Unread == 0 || se.limits.Unread == 0 {
+		return left.All() > 0
+	}
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	for co := range se.conns {
+		if now.Sub(co.openedAt) < se.limits.Unread {
+			return true
+		}
+	}
+	return false
+}
+
 // endIdle makes idle connections end by themselves.
 func (se *Set) endIdle(now time.Time) {
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	for co := range se.conns {
-		if idle, ended := co.endIdle(now); ended {
+		if idle, ended := co.endIdle(now, se.limits.Idle); ended {
 			se.lg.Debug().Stringer("remote", co.RemoteAddr()).Dur("idle", idle).Msg("idle_connection_ended")
 		}
 	}
--- a/entry/internal/conns/conns_test.go
+++ b/entry/internal/conns/conns_test.go
@@ -37,6 +37,9 @@
 
 func (pl *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// idleMax is how long idle connections are left open.
+const idleMax = time.Second
+
 // served is a server whose connections a set follows.
 type served struct {
 	se *Set
@@ -45,8 +48,8 @@
 }
 
 // serve starts a server with a time to read heads.
-func serve(headTime time.Duration, ha http.Handler) *served {
-	sv := &served{se: NewSet(zerolog.Nop()), pl: &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}}
+func serve(limits Limits, headTime time.Duration, ha http.Handler) *served {
+	sv := &served{se: NewSet(limits, zerolog.Nop()), pl: &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}}
 	sv.hs = &http.Server{Handler: ha, ReadHeaderTimeout: headTime, IdleTimeout: time.Hour, ConnState: sv.se.ConnState}
 	go func() { _ = sv.hs.Serve(sv.se.Listener(sv.pl)) }()
 	return sv
@@ -85,7 +88,7 @@
 func TestDrainClosesNoConnectionUnderARequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const answerTime, headTime = 3 * time.Second, 5 * time.Second
-		sv := serve(headTime, http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		sv := serve(Limits{Idle: idleMax}, headTime, http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
 			time.Sleep(answerTime)
 			wr.WriteHeader(http.StatusOK)
 		}))
@@ -128,7 +131,7 @@
 // A drain whose time is over tells what is left.
 func TestDrainEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sv := serve(time.Minute, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Second) }))
+		sv := serve(Limits{Idle: idleMax}, time.Minute, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(10 * time.Second) }))
 		defer func() { _ = sv.hs.Close() }()
 		first, firstAnswers := sv.dial()
 		_, _ = sv.dial()
@@ -149,7 +152,7 @@
 // A connection that is used again and again is not ended between two requests that follow each other.
 func TestDrainLeavesAConnectionThatIsInUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sv := serve(time.Minute, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(300 * time.Millisecond) }))
+		sv := serve(Limits{Idle: idleMax}, time.Minute, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(300 * time.Millisecond) }))
 		defer func() { _ = sv.hs.Close() }()
 		nc, answers := sv.dial()
 		answered := make(chan int)
--- a/entry/node/server.go
+++ b/entry/node/server.go
@@ -27,10 +27,13 @@
 	ended chan struct{}
 }
 
+// idleMax is how long a kept connection waits for its next request in a planned stop.
+const idleMax = time.Second
+
 // newServer returns an HTTP server that limits the size of headers and the time to read them, but
 // not the duration of a response.
 func newServer(ha http.Handler, lg zerolog.Logger) *server {
-	set := conns.NewSet(lg)
+	set := conns.NewSet(conns.Limits{Idle: idleMax}, lg)
 	return &server{
 		hs: &http.Server{
 			Handler: ha, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/proofs/direct_late_stop_test.go
+++ b/proofs/direct_late_stop_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -181,3 +182,53 @@
 	}
 	wg.Wait()
 }
+
+// Errors of a server are no answers that tell how long a call takes: after some quick ones calls were begun too late.
+func TestDirectStopIsNotMisledByQuickErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ds := newDirectSimulation(t, 1, 0)
+		defer ds.close()
+		ds.patientRoutes()
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			if strings.HasPrefix(rq.Header.Get(headerID), "before") {
+				writeSealHeaders(wr, rq)
+				wr.WriteHeader(http.StatusConflict)
+				return
+			}
+			time.Sleep(longAnswer)
+			defaultAnswer(wr, rq)
+		})
+		ds.serveBefore("entry-1", "/unsafe/x", "")
+		stopped := ds.stopEntry(len(ds.apps) - 1)
+		lr := &lateRequest{id: "late", target: "/unsafe/x", head: noticeEnd, body: 4 * time.Second, mustBeRefused: true}
+		lr.sendAt(t.Context(), ds, "entry-1")
+		<-stopped
+		lr.check(t, ds.runs(), stopTime)
+	})
+}
+
+// A call that may be repeated is not begun once more if the stop would cut it; its caller was told nothing until the end.
+func TestDirectStopBeginsNoSecondAttemptThatItWouldCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ds := newDirectSimulation(t, 2, 0)
+		defer ds.close()
+		ds.patientRoutes()
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			time.Sleep(time.Second)
+			if rq.Header.Get(headerID) == "late" {
+				hijack(wr, func(*bufio.ReadWriter) {})
+				return
+			}
+			defaultAnswer(wr, rq)
+		})
+		ds.serveBefore("entry-1", "/safe/x", "")
+		stopped := ds.stopEntry(len(ds.apps) - 1)
+		lr := &lateRequest{id: "late", target: "/safe/x", head: noticeEnd, body: 5500 * time.Millisecond}
+		lr.sendAt(t.Context(), ds, "entry-1")
+		<-stopped
+		took := lr.reply.took - (lr.body - lr.head)
+		if lr.reply.status != http.StatusBadGateway || took > time.Second+promptRejection || ds.runs()["late"] != 1 {
+			t.Errorf("status %d %v after its last byte, %d runs, want 502 once the first attempt has failed", lr.reply.status, took, ds.runs()["late"])
+		}
+	})
+}
--- a/proofs/direct_stop_test.go
+++ b/proofs/direct_stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -114,15 +115,15 @@
 		}
 		time.Sleep(2 * time.Second)
 		stopped := ds.stopEntry(1)
-		replies := make([]directReply, callCount)
+		replies, wg := make([]directReply, callCount), sync.WaitGroup{}
 		for number := range callCount {
 			time.Sleep(300 * time.Millisecond)
-			go func() {
+			wg.Go(func() {
 				replies[number] = ds.sendPatiently(t.Context(), "entry-1", fmt.Sprintf("call-%d", number), "/stream/x", "a9", nil)
-			}()
+			})
 		}
 		<-stopped
-		time.Sleep(time.Second)
+		wg.Wait()
 		for number, re := range replies {
 			checkNotRun(t, fmt.Sprintf("call-%d", number), re, ds.runs(), stopTime)
 		}
