Ask an engine without an agent which run it is in before a stream goes on there

The server's ID, which requests name, stays over a start in place, and answers name no run; the server's report does (born).

An attempt without a grant asks an engine for its report once the attempt's connection is open: before it is sent if a stream goes on, and before the first event is passed on if one begins. As a run ends all of its connections, the answer holds for that connection. If the engine does not answer, a read of the servers' records that begins after that counts; if neither tells, the attempt is not sent, and a stream that began has an unknown origin. The servers of the tests now answer with their report, as the platform's do.

--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -55,6 +55,8 @@
 	demands
 	hash uint64
 	load Load
+	// answeredRun is the start of the run that the server itself has named, zero if it was not asked.
+	answeredRun int64
 	// agentAvailable is true while the agent reports and gives grants.
 	agentAvailable bool
 	// resident holds the adapters that are loaded or being loaded, as the agent last reported them.
@@ -108,6 +110,9 @@
 		fl.services[se.Service] = slices.Insert(group, ix, me)
 	}
 	me.demands = me.ofRun(se.Born)
+	if se.Born != me.Born {
+		me.answeredRun = 0
+	}
 	me.Server = se
 }
 
@@ -139,14 +144,14 @@
 	return Server{}, false
 }
 
-// RunStart returns when a server's present run started, in Unix milliseconds: the later of what its
-// record and its agent say, zero if neither does.
+// RunStart returns when a server's present run started, in Unix milliseconds: the latest of what its record, its
+// agent and itself say, zero if none does.
 func (fl *Fleet) RunStart(id string) int64 {
 	me := fl.members[id]
 	if me == nil {
 		return 0
 	}
-	return max(me.Born, me.load.Born)
+	return max(me.Born, me.load.Born, me.answeredRun)
 }
 
 // AgentReported applies an agent's report on its engine; resident is nil if the report
--- a/core/spread/software.go
+++ b/core/spread/software.go
@@ -1,5 +1,7 @@
 package spread
 
+import "slices"
+
 // compatible returns the servers whose software version a request allows.
 func compatible(group []*member, rq *Request) []*member {
 	if !rq.SoftwareRequired {
@@ -15,14 +17,36 @@
 }
 
 // software returns the version of the software of the server's present run. It is empty while only the agent
-// has reported that run: the record is that of an earlier one.
+// or the server itself has named that run: the record is that of an earlier one.
 func (me *member) software() string {
-	if me.load.Born > me.Born {
+	if me.startedAgain() {
 		return ""
 	}
 	return me.Software
 }
 
+// startedAgain reports whether the server has started again since its record was written.
+func (me *member) startedAgain() bool { return max(me.load.Born, me.answeredRun) > me.Born }
+
+// RestartedService returns the service of a server, and whether the server has started again, so that its software version
+// is not known.
+func (fl *Fleet) RestartedService(id string) (string, bool) {
+	if me := fl.members[id]; me != nil {
+		return me.Service, me.startedAgain()
+	}
+	return "", false
+}
+
+// StartedAgain reports whether a server of some services has started again, so that its software version is not known.
+func (fl *Fleet) StartedAgain(services []string) bool {
+	for _, service := range services {
+		if slices.ContainsFunc(fl.services[service], (*member).startedAgain) {
+			return true
+		}
+	}
+	return false
+}
+
 // Software returns the version of the software of a server's present run, empty if it is not known.
 func (fl *Fleet) Software(id string) string {
 	if me := fl.members[id]; me != nil {
@@ -44,6 +68,13 @@
 	return me.software()
 }
 
+// RunAnswered records the start of the present run that a server itself has named.
+func (fl *Fleet) RunAnswered(id string, born int64) {
+	if me := fl.members[id]; me != nil {
+		me.answeredRun = born
+	}
+}
+
 // HasSoftware reports whether a server of a service, leaving ones aside, runs a version of its software.
 func (fl *Fleet) HasSoftware(service, software string) bool {
 	for _, me := range fl.services[service] {
--- a/core/spread/software_test.go
+++ b/core/spread/software_test.go
@@ -68,3 +68,27 @@
 		t.Errorf("software %q of a server that is gone since, want what was believed", got)
 	}
 }
+
+func TestSoftwareIsUnknownOnceTheServerNamesAnotherRun(t *testing.T) {
+	fl := &Fleet{}
+	fl.Put(Server{ID: "s", Service: "advice", Born: 5, Software: "v1", Engine: true})
+	fl.Put(Server{ID: "t", Service: "other", Born: 5, Software: "v1"})
+	fl.RunAnswered("s", 5)
+	if fl.Software("s") != "v1" || fl.StartedAgain([]string{"advice"}) {
+		t.Error("the run of the record, which the server has named, is not known")
+	}
+	fl.RunAnswered("s", 6)
+	if fl.Software("s") != "" || fl.SoftwareOfRun("s", 5, "v1") != "" || fl.HasSoftware("advice", "v1") || fl.RunStart("s") != 6 {
+		t.Error("a run that only the server has named has the software of the run before it")
+	}
+	if service, again := fl.RestartedService("s"); !again || service != "advice" || !fl.StartedAgain([]string{"other", "advice"}) {
+		t.Error("the server does not count as started again")
+	}
+	if _, again := fl.RestartedService("t"); again || fl.StartedAgain([]string{"other"}) {
+		t.Error("a server counts as started again because another one has")
+	}
+	fl.Put(Server{ID: "s", Service: "advice", Born: 6, Software: "v2", Engine: true})
+	if fl.Software("s") != "v2" || fl.StartedAgain([]string{"advice"}) {
+		t.Error("the record of the later run is not used")
+	}
+}
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
 const (
@@ -37,9 +38,10 @@
 	choice   spread.Choice
 	version  int
 	granted  bool
-	// connection is the number of the connection that the attempt was sent on, zero if it was not sent; reused
+	// conn is the connection that the attempt was sent on, connection its number, zero if it was not sent; reused
 	// is true if that connection had carried other requests before.
 	connection uint64
+	conn       *pool.Conn
 	reused     bool
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -198,6 +198,13 @@
 	}
 }
 
+// lost reports whether the last read of the log failed.
+func (fo *follower) lost() bool {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.logLost
+}
+
 // sleep waits for a period or until the context ends.
 func (fo *follower) sleep(ctx context.Context, period time.Duration) {
 	select {
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -49,6 +49,8 @@
 	// because it can go on nowhere.
 	metricTakenUp      = newCounter("streams_taken_up")
 	metricNotResumable = newCounter("streams_not_resumable")
+	// metricRunsAsked counts the times that a server was asked which of its runs it is in.
+	metricRunsAsked = newCounter("server_runs_asked")
 	// metricUnconfirmedEnds counts the streams that ended with the connection of their server, which no other server
 	// confirmed.
 	metricUnconfirmedEnds = newCounter("unconfirmed_stream_ends")
--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -116,6 +116,9 @@
 	return len(ors.groupVersions(service, now)) > 1 || software == "" && ors.history.States(service, now)
 }
 
+// logLost reports whether the servers' records cannot be read.
+func (ors *origins) logLost() bool { return ors.no.feeds.followers[ServersTopic.String()].lost() }
+
 // record records what began the stream of a request, before the caller gets the first event.
 func (ors *origins) record(rq *request) {
 	now := time.Now()
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -100,6 +100,10 @@
 	// Demands reads what a server asks for in the headers of an answer. If it also returns an
 	// error, values were invalid and are bounded or left out.
 	Demands(status int, hd http.Header) (Demands, error)
+	// ReportTarget returns the target at which a server says what it knows of itself.
+	ReportTarget() string
+	// ReportedRun reads when the run of a server started, in Unix milliseconds, from what it says of itself.
+	ReportedRun(status int, report []byte) (int64, error)
 }
 
 // Topic is one topic of the platform's log.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -144,8 +144,11 @@
 	if rq.info.Adapter != "" {
 		fi.Version = at.version
 	}
-	at.connection, at.reused = co.Number, co.Reused
+	at.conn, at.connection, at.reused = co, co.Number, co.Reused
 	rq.connections = append(rq.connections, co.Number)
+	if re, ok := rq.confirmRun(ctx, at); !ok {
+		return re, false
+	}
 	ctx, stop := rq.watchServer(ctx, at)
 	defer stop()
 	an, err := co.Do(ctx, &pool.Request{
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -118,7 +118,7 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
-		if reason := rq.passOnEvent(at, an, ev); reason != "" {
+		if reason := rq.passOnEvent(ctx, at, an, ev); reason != "" {
 			return result{outcome: retry.Unknown, reason: reason}, false
 		}
 		buf = ev
@@ -127,7 +127,7 @@
 
 // passOnEvent writes an event to the caller if it comes next in the stream, or returns the reason why the attempt ends. It
 // leaves out what only keeps the connection open until the server goes on.
-func (rq *request) passOnEvent(at *attempt, an *pool.Answer, ev []byte) string {
+func (rq *request) passOnEvent(ctx context.Context, at *attempt, an *pool.Answer, ev []byte) string {
 	first := at.firstEventAt.IsZero()
 	if first && rq.goesOn() && !hasData(ev) {
 		return ""
@@ -136,7 +136,7 @@
 	if !follows {
 		return reasonOutOfOrder
 	}
-	if first && !rq.admitFirstEvent(at) {
+	if first && !rq.admitFirstEvent(ctx, at) {
 		rq.stream.moreFollows()
 		return reasonSoftwareChanged
 	}
--- a/entry/direct/takeup.go
+++ b/entry/direct/takeup.go
@@ -83,9 +83,10 @@
 }
 
 // admitFirstEvent decides whether the first event of an attempt may be passed on. The first of all fixes the
-// software version of the stream; later ones must come from that version.
-func (rq *request) admitFirstEvent(at *attempt) bool {
+// software version of the stream, none if it is not sure which run of the server sent it; later ones must come from that version.
+func (rq *request) admitFirstEvent(ctx context.Context, at *attempt) bool {
 	no := rq.no
+	known := rq.begun || !rq.route.Resumable || rq.beganAtRun(ctx, at)
 	no.mu.Lock()
 	software := no.fleet.SoftwareOfRun(at.server, at.born, at.software)
 	no.mu.Unlock()
@@ -93,6 +94,9 @@
 		rq.logAttempt(at, "first_event_rejected").Str("software", software).Str("begun_at", rq.origin.Software).Int64("born", at.born).Send()
 		return false
 	}
+	if !known {
+		software = ""
+	}
 	if !rq.begun {
 		rq.setOrigin(origin.Origin{Service: rq.service.Name, Software: software})
 	}
--- a/entry/direct/versions.go
+++ b/entry/direct/versions.go
@@ -99,6 +99,11 @@
 	return ors.groupVersions(service, now)
 }
 
+// statesVersions reports whether servers at which a stream may have begun that is taken up at a service state software versions.
+func (ors *origins) statesVersions(service string, now time.Time) bool {
+	return slices.ContainsFunc(ors.versions(service, now), func(software string) bool { return software != "" })
+}
+
 // groupVersions returns the versions of all services of a service's group, sorted. The caller must hold ors.mu.
 func (ors *origins) groupVersions(service string, now time.Time) []string {
 	members := ors.groups.Of(service, now)
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -82,6 +82,8 @@
 	Number uint64
 	// Reused is true after the first exchange.
 	Reused bool
+	// ServerRun is for the users of the connection: the start of the run of the server that it leads to, zero if they do not know.
+	ServerRun int64
 	// idleTimeout is how long the server keeps an idle connection open.
 	idleTimeout time.Duration
 	idleSince   time.Time
--- a/proofs/direct_drawn_server_test.go
+++ b/proofs/direct_drawn_server_test.go
@@ -116,7 +116,7 @@
 	extra := ""
 	for ok := true; ok && rq != nil; rq = nextRequest(bw) {
 		_, _ = io.WriteString(nc, extra)
-		ra := sv.answer(parseStreamRequest(rq))
+		ra := sv.respond(rq)
 		if ok = ra.write(nc); !ok {
 			break
 		}
@@ -155,6 +155,14 @@
 	_ = nc.Close()
 }
 
+// respond returns the server's answer to any request.
+func (sv *drawnServer) respond(rq *http.Request) rawAnswer {
+	if report, ok := sv.ba.report(rq); ok {
+		return rawAnswer{status: "200 OK", cutAt: -1, framing: sizedFraming, parts: []string{report}}
+	}
+	return sv.answer(parseStreamRequest(rq))
+}
+
 // answer returns the server's answer to a request.
 func (sv *drawnServer) answer(sr *streamRequest) rawAnswer {
 	ra := sv.soundAnswer(sr)
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -100,6 +100,25 @@
 	return de, nil
 }
 
+// reportTarget is where servers say what they know of themselves: the start of their run.
+const reportTarget = "/report"
+
+func (testProtocol) ReportTarget() string { return reportTarget }
+
+func (testProtocol) ReportedRun(status int, report []byte) (int64, error) {
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("status %d instead of a report", status)
+	}
+	return strconv.ParseInt(string(report), 10, 64)
+}
+
+// report returns what the server says of itself, and whether a request asks for that.
+func (ba *backend) report(rq *http.Request) (string, bool) {
+	ba.mu.Lock()
+	defer ba.mu.Unlock()
+	return strconv.FormatInt(ba.born, 10), rq.RequestURI == reportTarget
+}
+
 // testSource implements direct.Source in memory.
 type testSource struct {
 	mu      sync.Mutex
@@ -255,6 +274,10 @@
 // ServeHTTP records a request and answers it by the script.
 func (ba *backend) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
 	body, _ := io.ReadAll(rq.Body)
+	if report, ok := ba.report(rq); ok {
+		_, _ = io.WriteString(wr, report)
+		return
+	}
 	ba.mu.Lock()
 	ba.requests = append(ba.requests, rq.Header.Get(headerID)+" "+rq.Method+" "+rq.RequestURI+" "+string(body))
 	script := ba.script
