--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -139,17 +139,20 @@
 		}
 		return result{outcome: retry.Unsent, reason: reason}, false
 	}
+	at.conn, at.connection, at.reused = co, co.Number, co.Reused
+	rq.connections = append(rq.connections, co.Number)
+	if re, ok := rq.confirmRun(ctx, at); !ok {
+		return re, false
+	}
 	if !rq.checkStart(0, time.Now()) {
 		co.PutBack()
 		return result{outcome: retry.Unsent, reason: reasonNodeStopping}, false
 	}
-	left := time.Until(rq.deadline)
-	fi := &ForwardInfo{Server: at.server, TimeLeft: left, Rank: rq.route.Rank, LastEvent: rq.lastEventID()}
+	at.sentAt, at.goesOn = time.Now(), rq.goesOn()
+	fi := &ForwardInfo{Server: at.server, TimeLeft: time.Until(rq.deadline), Rank: rq.route.Rank, LastEvent: rq.lastEventID()}
 	if rq.info.Adapter != "" {
 		fi.Version = at.version
 	}
-	at.connection, at.reused, at.sentAt, at.goesOn = co.Number, co.Reused, time.Now(), rq.goesOn()
-	rq.connections = append(rq.connections, co.Number)
 	ctx, stop := rq.watchServer(ctx, at)
 	defer stop()
 	an, err := co.Do(ctx, &pool.Request{
