Draw planned stops, and requests that come at any moment of one, in drawn histories

Operators saw requests that came late in a planned stop cut at its end without an answer. The drawn histories stopped entry nodes, but their callers came to one only in the first 2 s, with short requests, and answers to streams that broke off were not judged.

--- a/proofs/direct_drawn_caller_test.go
+++ b/proofs/direct_drawn_caller_test.go
@@ -107,6 +107,8 @@
 // send sends one request and reads its answer.
 func (dc *drawnCaller) send(ctx context.Context, rq drawnRequest, id, begunBy string, last int) drawnReply {
 	dr := drawnReply{id: id, entry: dc.world.pickEntry(dc.random), last: last, start: time.Now(), timeout: rq.timeout}
+	// The request is short, so that its last byte is sent at once.
+	dr.sent = dr.start
 	ctx, cancel := context.WithTimeout(ctx, rq.timeout+giveUpTime)
 	defer cancel()
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+dr.entry+":1"+rq.target, strings.NewReader("prompt"))
--- a/proofs/direct_drawn_plan_test.go
+++ b/proofs/direct_drawn_plan_test.go
@@ -34,6 +34,9 @@
 	// Breaks is the share of answers of engines that are cut all the time.
 	Breaks float64
 	Faults []timedFault
+	// Patient makes routes let requests take patientTimeout. Visits are the callers that are drawn for planned stops.
+	Patient bool
+	Visits  []drawnVisit
 }
 
 // timedFault is a fault and when it begins.
@@ -58,6 +61,12 @@
 	for _, tf := range dp.Faults {
 		lines = append(lines, "  "+tf.String())
 	}
+	for ix, dv := range dp.Visits {
+		lines = append(lines, fmt.Sprintf("  v%d at %s, patient routes: %t", ix, dv.Entry, dp.Patient))
+		for _, vs := range dv.Steps {
+			lines = append(lines, fmt.Sprintf("    %s a%d for %v: %T%+v %T%+v %T%+v", vs.Kind, vs.Adapter, vs.Timeout, vs.When, vs.When, vs.Body, vs.Body, vs.Answer, vs.Answer))
+		}
+	}
 	return strings.Join(lines, "\n")
 }
 
@@ -93,6 +102,8 @@
 	for range 1 + pd.IntN(faultsMax) {
 		pd.plan.Faults = append(pd.plan.Faults, timedFault{At: upTo(pd.Rand, faultTimeMax), Fault: pd.fault()})
 	}
+	pd.Rand = stopRandom(seed)
+	pd.drawStops()
 	return pd.plan
 }
 
--- a/proofs/direct_drawn_routes_test.go
+++ b/proofs/direct_drawn_routes_test.go
@@ -16,8 +16,13 @@
 	// advice and canary are the weights of the services of streams, zero for none of both.
 	advice, canary int
 	removed        []string
+	// patient makes requests take up to patientTimeout.
+	patient bool
 }
 
+// impatientTimeout is the time limit of routes that are not patient.
+const impatientTimeout = 5 * time.Second
+
 // table returns the routes as a table.
 func (dr drawnRoutes) table() *paths.Table {
 	ta := routeTable(dr.version)
@@ -25,6 +30,12 @@
 		ta = canaryTable(dr.version, dr.advice, dr.canary)
 	}
 	ta.Routes = slices.DeleteFunc(ta.Routes, func(ro paths.Route) bool { return slices.Contains(dr.removed, ro.Prefix) })
+	for ix := range ta.Routes {
+		ta.Routes[ix].Timeout = impatientTimeout
+		if dr.patient {
+			ta.Routes[ix].Timeout = patientTimeout
+		}
+	}
 	return ta.Build()
 }
 
