Answer what is in flight in a stop shorter than its grace

What callers saw: with a drain_grace_ms of ten minutes or more, or a stop that was given less time than drain_grace_ms, all requests were cut off with no answer.

Cause: the end of answers was set only after the wait for the balancer.

Evidence: TestOwnStopShorterThanItsGraceAnswers failed in 2 of 4 cases in each of three plays ("error EOF"), and passes in three.

Why it works: the end of answers is set when the stop begins.

--- a/entry/node/stop.go
+++ b/entry/node/stop.go
@@ -35,16 +35,16 @@
 func (co components) stop(ctx context.Context, callers, operators *server) error {
 	co.Lifetime.draining.Store(true)
 	co.logStop(ctx, "entry_draining", callers.conns.Counts())
-	select {
-	case <-time.After(time.Duration(co.Options.Settings.DrainGraceMs) * time.Millisecond):
-	case <-ctx.Done():
-	}
 	if end, ok := ctx.Deadline(); ok {
 		defer time.AfterFunc(time.Until(end)-answerMargin, func() {
 			co.logStop(ctx, "drain_answers_ended", callers.conns.Counts())
 			co.Lifetime.endRequests(relay.ErrStopping)
 		}).Stop()
 	}
+	select {
+	case <-time.After(time.Duration(co.Options.Settings.DrainGraceMs) * time.Millisecond):
+	case <-ctx.Done():
+	}
 	co.logStop(ctx, "drain_grace_ended", callers.conns.Counts())
 	left := callers.drain(ctx)
 	_ = callers.hs.Close()
--- a/proofs/own_stop_test.go
+++ b/proofs/own_stop_test.go
@@ -371,3 +371,29 @@
 		}
 	})
 }
+
+// A stop that has less time than drain_grace_ms still answers what is in flight before it ends.
+func TestOwnStopShorterThanItsGraceAnswers(t *testing.T) {
+	for _, stopTimeout := range []time.Duration{100 * time.Millisecond, ownDrainGrace - 50*time.Millisecond, ownDrainGrace + 50*time.Millisecond, 2 * time.Second} {
+		op := smallSimulation()
+		op.serviceCallTime = time.Minute
+		runOwnCase(t, stopTimeout.String(), op, func(t *testing.T, sm *simulation) {
+			done := make(chan reply, 2)
+			go func() {
+				done <- sm.postRelease("caller", entryName(0), newIdempotencyKey(), `{"batch":1}`, ownPatience)
+			}()
+			go func() {
+				done <- sm.sendChat("caller", entryName(0), ownModel, ownPrompt, 1500, false, ownPatience)
+			}()
+			time.Sleep(200 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(t.Context(), stopTimeout)
+			defer cancel()
+			_ = sm.currentRun(entryName(0)).app.Stop(ctx)
+			for range cap(done) {
+				if re := <-done; re.err != nil || re.status != http.StatusBadGateway || re.outcome != "unknown" {
+					t.Errorf("status %d, error %v, outcome %q after %v, want an unknown outcome", re.status, re.err, re.outcome, re.took)
+				}
+			}
+		})
+	}
+}
