--- a/proofs/direct_drawn_stop_visit_test.go
+++ b/proofs/direct_drawn_stop_visit_test.go
@@ -18,6 +18,9 @@
 // slowBodyText is the body of requests whose body comes in parts.
 const slowBodyText = "prompt in parts that come one after the other"
 
+// shownPeriod is the time between the events of the longest streams.
+const shownPeriod = 100 * time.Millisecond
+
 // drawnVisit is a caller that keeps its connection, and sends its requests on it one after the other.
 type drawnVisit struct {
 	Entry string
@@ -123,6 +126,39 @@
 	return fmt.Sprintf("length=%d&period=%d&work=%d&head=%t", length, la.Period.Milliseconds(), la.Works.Milliseconds(), la.Head), length
 }
 
+// within returns the answer shortened to a time.
+func (la longAnswerDrawn) within(most time.Duration, streams bool) longAnswerDrawn {
+	if !streams {
+		la.Works = min(la.Works, most)
+		return la
+	}
+	la.Works, la.Period = min(la.Works, most/2), min(la.Period, most/8)
+	la.Lasts = min(la.Lasts, most-la.Works-2*la.Period)
+	return la
+}
+
+// visitKinds are the kinds of requests of visits.
+var visitKinds = []drawnKind{askStream, askOnce, askSafe, askUnsafe}
+
+// showLongest lets each entry node see the longest answer of each kind.
+func (dw *drawnWorld) showLongest(ctx context.Context) {
+	wg := sync.WaitGroup{}
+	for ix := range dw.plan.Entries {
+		for number, kind := range visitKinds {
+			la := longAnswerDrawn{Works: dw.plan.Longest[kind]}
+			if kind.streams() {
+				// A server that is silent for long may be given up.
+				la = longAnswerDrawn{Period: shownPeriod, Lasts: dw.plan.Longest[kind]}
+			}
+			vi := dw.newVisitor(1000+10*ix+number, drawnVisit{
+				Entry: entryName(ix + 1), Steps: []visitStep{{Kind: kind, When: afterAnswer{}, Body: wholeBody{}, Answer: la, Timeout: patientTimeout}},
+			})
+			wg.Go(func() { vi.run(ctx, time.Now()) })
+		}
+	}
+	wg.Wait()
+}
+
 // visitor plays a drawnVisit.
 type visitor struct {
 	world  *drawnWorld
--- a/proofs/direct_drawn_world_test.go
+++ b/proofs/direct_drawn_world_test.go
@@ -242,6 +242,9 @@
 func (dw *drawnWorld) play(ctx context.Context) *drawnHistory {
 	wg := sync.WaitGroup{}
 	dw.history.patient = dw.plan.Patient
+	if dw.plan.foreseen() {
+		dw.showLongest(ctx)
+	}
 	for _, tf := range dw.plan.Faults {
 		wg.Go(func() { dw.suffer(tf) })
 	}
