Begin no stream late in a planned stop that its own time limit does not end

Streams that came later than 3 s after SIGTERM were cut where they took longer than all that their node had seen of the route: no estimate bounds a stream, and one that is cut can't be told so any more, while a call gets an answer. Late streams are now told that they have not run, unless their time limit ends before the stop does.

--- a/core/drain/stop.go
+++ b/core/drain/stop.go
@@ -53,7 +53,8 @@
 // LatestStart returns until when a request with a deadline may be sent to a backend server, given the estimate of its
 // answer and when it had been read whole: what is sent later would be cut off. A request whose deadline comes before the
 // end of answers is not cut by the stop. One that came before the load balancer could know of the stop needs only be likely to
-// end in time; a later one, whose caller can use another node, must be sure to.
+// end in time. A later one, whose caller can use another node, must be sure to, and no stream is: how long one takes is not
+// known before its end.
 func (st Stop) LatestStart(es Estimate, wholeAt, deadline time.Time) time.Time {
 	if !st.Begun() || !deadline.After(st.AnswersEndAt) {
 		return deadline
--- a/core/drain/times.go
+++ b/core/drain/times.go
@@ -24,6 +24,8 @@
 	Service, Route string
 	// Size is the expected number of tokens of the answer, zero if it is not known.
 	Size int
+	// Streams is true if the answer is passed on as it comes. One that is ended cannot be told so any more.
+	Streams bool
 }
 
 // Times holds how long the last answers took, by service, route and expected size. The zero value is empty.
@@ -54,13 +56,15 @@
 	Count int
 	// Likely is not exceeded by most answers, Sure by hardly any, if enough are known.
 	Likely, Sure time.Duration
+	// Streams is that of the request.
+	Streams bool
 }
 
 // known reports whether the estimate is based on any answers.
 func (es Estimate) known() bool { return es.Count > 0 }
 
-// sure reports whether the estimate is based on enough answers.
-func (es Estimate) sure() bool { return es.Count >= enough }
+// sure reports whether the estimate is based on enough answers, and an answer that exceeds it nevertheless can be told so.
+func (es Estimate) sure() bool { return es.Count >= enough && !es.Streams }
 
 // Record records the time that a whole answer took from when its request was sent to the backend server.
 func (ti *Times) Record(rq Request, took time.Duration) {
@@ -98,7 +102,9 @@
 			list = append(list, ri.times...)
 		}
 	}
-	return estimateOf(list)
+	es := estimateOf(list)
+	es.Streams = rq.Streams
+	return es
 }
 
 // estimateOf returns the estimate by a list of times, which it sorts.
--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooladder/bambooladder/core/drain"
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/paths"
 )
 
 const (
@@ -112,7 +113,7 @@
 
 // drainRequest returns what the time of the answer depends on.
 func (rq *request) drainRequest() drain.Request {
-	return drain.Request{Service: rq.service.Name, Route: rq.route.Name, Size: rq.info.answerSize()}
+	return drain.Request{Service: rq.service.Name, Route: rq.route.Name, Size: rq.info.answerSize(), Streams: rq.route.Kind == paths.Stream}
 }
 
 // latestStart returns until when an attempt may be sent: until the deadline, and while the node stops only as long as its
