--- a/proofs/direct_drawn_stop_test.go
+++ b/proofs/direct_drawn_stop_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 )
@@ -77,6 +79,43 @@
 	dw.restartEntry(de, host, from)
 }
 
+// resettingNetwork is a host's network whose listeners reset what they have not accepted when they close, as kernels do.
+type resettingNetwork struct{ *hostNetwork }
+
+// Listen starts a listener.
+func (rn *resettingNetwork) Listen(address string) (net.Listener, error) {
+	ls, err := rn.hostNetwork.Listen(address)
+	if inner, ok := ls.(*listener); ok && err == nil {
+		return &resettingListener{listener: inner}, nil
+	}
+	return ls, err
+}
+
+// resettingListener is a listener of a resettingNetwork.
+type resettingListener struct {
+	*listener
+	once sync.Once
+}
+
+// Close stops accepting. A dial of the same instant may still come.
+func (rl *resettingListener) Close() error {
+	err := rl.listener.Close()
+	rl.once.Do(func() { go rl.resetUnaccepted() })
+	return err
+}
+
+// resetUnaccepted resets the connections that wait to be accepted.
+func (rl *resettingListener) resetUnaccepted() {
+	for {
+		select {
+		case nc := <-rl.accept:
+			endConn(nc, true)
+		case <-time.After(closeTime):
+			return
+		}
+	}
+}
+
 // restartEntry starts an entry node again that is gone since a time.
 func (dw *drawnWorld) restartEntry(de *drawnEntry, host string, gone time.Time) {
 	ix := dw.openSpan(drawnSpan{entry: de.name, from: gone, to: gone.Add(time.Hour)})
--- a/proofs/direct_drawn_world_test.go
+++ b/proofs/direct_drawn_world_test.go
@@ -185,7 +185,7 @@
 			LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500, RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 2000,
 			Regions: conf.DirectEntrySettingsRegions{directZone: "region-1"}, FirstStart: firstStart,
 		},
-		Network: dw.ds.net.forHost(host), LogReader: de.reader, Protocol: drawnProtocol{}, Logger: dw.ds.lg.With().Str("node", host).Logger(),
+		Network: &resettingNetwork{dw.ds.net.forHost(host)}, LogReader: de.reader, Protocol: drawnProtocol{}, Logger: dw.ds.lg.With().Str("node", host).Logger(),
 		Random: dw.randomOf(host),
 	})
 	dw.ds.start(app)
