--- a/entry/internal/conns/tcp_test.go
+++ b/entry/internal/conns/tcp_test.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	set, draining := NewSet(zerolog.Nop()), atomic.Bool{}
+	set, draining := NewSet(Limits{Idle: idleMax}, zerolog.Nop()), atomic.Bool{}
 	hs := &http.Server{
 		ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, ConnState: set.ConnState,
 		Handler: http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
