--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
+	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
 const (
@@ -37,15 +38,18 @@
 	choice   spread.Choice
 	version  int
 	granted  bool
-	// connection is the number of the connection that the attempt was sent on, zero if it was not sent; reused
+	// conn is the connection that the attempt was sent on, connection its number, zero if it was not sent; reused
 	// is true if that connection had carried other requests before.
 	connection uint64
+	conn       *pool.Conn
 	reused     bool
 	// grantWait is how long the agent took to grant the attempt.
 	grantWait time.Duration
 	start     time.Time
-	// sentAt is when the request was sent to the server, zero before.
+	// sentAt is when the request was sent to the server, zero before; goesOn is true if the caller then had the beginning of
+	// the stream.
 	sentAt time.Time
+	goesOn bool
 	// firstEventAt and lastEventAt are when the first and the last event arrived, longestPause is the
 	// longest time between two events.
 	firstEventAt, lastEventAt time.Time
@@ -97,8 +101,7 @@
 			rq.stream.broken = rq.stream.broken || re.reason != reasonEndNotConfirmed
 		}
 		st = st.WithOutcome(re.outcome)
-		rq.mayHaveRun = st.PossibleRuns > 0
-		st.TimeLeft = time.Until(no.drain.latestStart(rq.startTerms()))
+		st.TimeLeft = time.Until(no.drain.latestStart(rq.terms()))
 		if ctx.Err() != nil {
 			st.TimeLeft = 0
 		}
@@ -131,7 +134,7 @@
 	if retryDelay <= 0 {
 		retryDelay = defaultRetryAfter
 	}
-	if rq.no.drain.begun() && ctx.Err() == nil && !rq.mayBegin(0, time.Now()) || stopsNode(ctx) {
+	if rq.no.drain.begun() && ctx.Err() == nil && !rq.checkStart(0, time.Now()) || stopsNode(ctx) {
 		return rq.no.stoppingError()
 	}
 	kind := fault.Overloaded
@@ -178,7 +181,7 @@
 	if !ok {
 		return nil, no.noServerError(sr, now)
 	}
-	if !rq.mayBegin(ch.QueueWait, now) {
+	if !rq.checkStart(ch.Wait, now) {
 		return nil, no.stoppingError()
 	}
 	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
--- a/proofs/direct_drawn_server_test.go
+++ b/proofs/direct_drawn_server_test.go
@@ -126,10 +126,7 @@
 	extra := ""
 	for ok := true; ok && rq != nil; rq = nextRequest(bw) {
 		_, _ = io.WriteString(nc, extra)
-		sr := parseStreamRequest(rq)
-		sv.world.recordArrival(drawnArrival{id: sr.id, server: sv.ba.id, at: time.Now()})
-		sv.awaitPlace()
-		ra := sv.answer(sr)
+		ra := sv.respond(rq)
 		ok = ra.write(nc)
 		sv.world.endRun(&ra)
 		if !ok {
@@ -170,6 +167,17 @@
 	_ = nc.Close()
 }
 
+// respond returns the server's answer to any request.
+func (sv *drawnServer) respond(rq *http.Request) rawAnswer {
+	if report, ok := sv.ba.report(rq); ok {
+		return rawAnswer{status: "200 OK", cutAt: -1, framing: sizedFraming, parts: []string{report}}
+	}
+	sr := parseStreamRequest(rq)
+	sv.world.recordArrival(drawnArrival{id: sr.id, server: sv.ba.id, at: time.Now()})
+	sv.awaitPlace()
+	return sv.answer(sr)
+}
+
 // answer returns the server's answer to a request.
 func (sv *drawnServer) answer(sr *streamRequest) rawAnswer {
 	ra := sv.soundAnswer(sr)
