Tell an agent of grants in use before their releases, and let no late Hello replace a connection

An entry node sent what it reports in use on a new connection by a goroutine of its own, after releases could be sent there; a release that came first left the grant at the agent for good. It is queued under the lock now.

A Hello on a connection that the entry node had given up replaced a later connection, and all that was reserved on that was ignored as late. Agents number connections as they accept them; an earlier one replaces none.

--- a/agent/direct/agent.go
+++ b/agent/direct/agent.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,13 +39,16 @@
 	Logger   zerolog.Logger
 }
 
-// agent is one run of the agent process; ctx is canceled once it has drained.
+// agent is one run of the agent process; ctx is canceled once it has drained. The field accepted is the number of
+// connections that it has accepted from entry nodes.
 type agent struct {
 	op     Options
 	br     *Broker
 	lg     zerolog.Logger
 	ctx    context.Context
 	cancel context.CancelFunc
+
+	accepted atomic.Int64
 }
 
 // New returns an agent that serves once it is started and drains when it is stopped.
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -178,9 +178,14 @@
 }
 
 // openSession handles a new connection of an entry node. An earlier one that has fallen silent may not have been given up
-// yet; its end changes nothing any more, so that its grants are marked now.
+// yet; its end changes nothing any more, so that its grants are marked now. A connection that the entry node gave up before
+// its Hello was here replaces no later one.
 func (br *Broker) openSession(ctx context.Context, se *session, now time.Time) {
-	_, replaces := br.sessions[se.name]
+	earlier, replaces := br.sessions[se.name]
+	if replaces && earlier.number > se.number {
+		br.lg.Info().Str("dependency", "entry").Str("entry", se.name).Msg("late_hello_ignored")
+		return
+	}
 	br.sessions[se.name] = se
 	br.sessionsChanged()
 	br.markHoldingsStale()
--- a/agent/direct/link.go
+++ b/agent/direct/link.go
@@ -22,13 +22,14 @@
 		ag.lg.Warn().Str("error", err.Error()).Msg("link_refused")
 		return
 	}
+	number := ag.accepted.Add(1)
 	hello, err := ag.exchangeHello(co)
 	if err != nil {
 		co.ForceClose()
 		ag.lg.Warn().Str("error", err.Error()).Msg("link_hello_failed")
 		return
 	}
-	se := newSession(co, hello, &ag.op.Settings.Place)
+	se := newSession(co, number, hello, &ag.op.Settings.Place)
 	ag.lg.Info().Str("dependency", "entry").Str("entry", hello.Entry).Str("entry_boot", hello.EntryBoot).Msg("dependency_regained")
 	ag.br.postEvent(ag.ctx, event{sessionOpened: se})
 	err = co.Run(ag.ctx, &frameReceiver{ag: ag, se: se})
--- a/agent/direct/session.go
+++ b/agent/direct/session.go
@@ -28,6 +28,8 @@
 // session is the connection of one entry node.
 type session struct {
 	co *link.Conn
+	// number counts the connections of all entry nodes in the order in which they were accepted.
+	number int64
 	// name is the entry node's name followed by its boot ID.
 	name string
 	// peer is how other entry nodes reach the entry node.
@@ -47,9 +49,9 @@
 }
 
 // newSession returns the session of an entry node that sent hello to the agent at a place.
-func newSession(co *link.Conn, hello *wire.Hello, place *conf.Place) *session {
+func newSession(co *link.Conn, number int64, hello *wire.Hello, place *conf.Place) *session {
 	return &session{
-		co: co, name: hello.Entry + "/" + hello.EntryBoot, peer: wire.Peer{Name: hello.Entry, Address: hello.PeerAddress},
+		co: co, number: number, name: hello.Entry + "/" + hello.EntryBoot, peer: wire.Peer{Name: hello.Entry, Address: hello.PeerAddress},
 		sameZone: hello.Zone == place.Zone, otherRegion: hello.Region != "" && hello.Region != place.Region,
 	}
 }
--- a/core/link/write.go
+++ b/core/link/write.go
@@ -29,14 +29,17 @@
 
 // TrySend queues a frame for the background writer. It never blocks, and returns false if the queue
 // is full.
-func (co *Conn) TrySend(fr *wire.Frame) bool {
+func (co *Conn) TrySend(fr *wire.Frame) bool { return co.TrySendBatch([]*wire.Frame{fr}) }
+
+// TrySendBatch is TrySend for frames that belong together; they take one place in the queue.
+func (co *Conn) TrySendBatch(frames []*wire.Frame) bool {
 	select {
 	case co.queueSlots <- struct{}{}:
 	default:
 		return false
 	}
 	co.mu.Lock()
-	co.queued = append(co.queued, []*wire.Frame{fr})
+	co.queued = append(co.queued, frames)
 	co.mu.Unlock()
 	select {
 	case co.wake <- struct{}{}:
--- a/entry/direct/dial.go
+++ b/entry/direct/dial.go
@@ -45,7 +45,7 @@
 	if we.EnginePort > 0 {
 		ac.enginePort = strconv.Itoa(we.EnginePort)
 	}
-	as.addConnection(ctx, ho.Name, ac)
+	as.addConnection(ho.Name, ac)
 	err = co.Run(ctx, &frameReceiver{as: as, host: ho.Name, ac: ac})
 	as.no.logger.Info().Str("dependency", "agent").Str("agent", ho.Name).Str("reason", err.Error()).Msg("dependency_lost")
 	as.removeConnection(ho.Name, ac)
@@ -65,8 +65,8 @@
 }
 
 // addConnection registers a new connection and reports to the agent the grants that are still in
-// use.
-func (as *agents) addConnection(ctx context.Context, host string, ac *agentConn) {
+// use. Those are queued before a release can be: the agent would keep a grant that it is told of after its release.
+func (as *agents) addConnection(host string, ac *agentConn) {
 	frames := []*wire.Frame(nil) // the Prepare frame, if any, and the grants in use
 	as.mu.Lock()
 	as.members.Connected(host)
@@ -82,20 +82,13 @@
 			frames = append(frames, &wire.Frame{Reserve: &re})
 		}
 	}
+	sent := len(frames) == 0 || ac.co.TrySendBatch(frames)
 	as.mu.Unlock()
-	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("frames", len(frames)).Msg("dependency_regained")
+	as.no.logger.Info().Str("dependency", "agent").Str("agent", host).Str("agent_boot", ac.boot).Int("frames", len(frames)).Bool("sent", sent).Msg("dependency_regained")
 	as.no.origins.sendVersions(ac)
 	if ac.keepsOrigins {
 		as.restoreOrigins(host, as.no.origins.mixedStreams(as.no.view.services(), time.Now()))
 	}
-	if len(frames) == 0 {
-		return
-	}
-	go func() {
-		if err := ac.co.Send(ctx, frames...); err != nil {
-			as.no.logger.Debug().Str("agent", host).Str("error", err.Error()).Msg("frames_not_sent")
-		}
-	}()
 }
 
 // removeConnection records a failed dial or a lost connection and schedules the next dial.
--- a/proofs/direct_grants_test.go
+++ b/proofs/direct_grants_test.go
@@ -161,3 +161,125 @@
 		})
 	}
 }
+
+// The ends of a connection check it at times of their own, so that an entry node may have given up a silent connection long
+// before the agent does, or long after. Whenever its new one opens, the grants of the old one must end.
+func TestDirectGrantsOfAReplacedConnectionEndWheneverItsEndsCheck(t *testing.T) {
+	const (
+		latestOpening = 5 * time.Second
+		openingStep   = 250 * time.Millisecond
+	)
+	for opens := time.Duration(0); opens <= latestOpening; opens += openingStep {
+		t.Run(fmt.Sprintf("new one after %v", opens), func(t *testing.T) {
+			runDirectSimulation(t, 0, 1, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				earlier := ds.connectAgent(ctx)
+				for _, adapter := range []string{"a1", "a2"} {
+					re := &wire.Reserve{Attempt: "held-" + adapter, Model: testModel, Adapter: adapter, Budget: 4000, PromptTokens: 500, OutputTokens: 20}
+					if err := earlier.Send(ctx, &wire.Frame{Reserve: re}); err != nil {
+						t.Fatal(err)
+					}
+				}
+				time.Sleep(2 * time.Second)
+				ds.net.silenceOpenConnections("entry-9", "engine-0:7")
+				time.Sleep(opens)
+				ds.connectAgent(ctx)
+				time.Sleep(grantsExpiry)
+				for number := 3; number <= 6; number++ {
+					re := cl.send(t.Context(), http.MethodPost, "/once/x", fmt.Sprintf("a%d", number), "prompt")
+					if re.status != http.StatusOK || re.body != completeStream() {
+						t.Errorf("a%d: status %d, error %v, want the stream", number, re.status, re.err)
+					}
+				}
+			})
+		})
+	}
+}
+
+// grantFrames passes on the grants that an agent gives.
+type grantFrames struct {
+	idleFrames
+	grants chan string
+}
+
+// HandleFrame passes a grant on.
+func (gf grantFrames) HandleFrame(fr *wire.Frame) {
+	if fr.Grant != nil {
+		gf.grants <- fr.Grant.Attempt
+	}
+}
+
+// An entry node has given up a connection before the agent had its Hello, which arrives after that of the next one. What
+// the entry node reserves on the next one must still be granted.
+func TestDirectLateHelloReplacesNoLaterConnection(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		t.Run(fmt.Sprintf("closes %t", closes), func(t *testing.T) {
+			runDirectSimulation(t, 0, 1, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				he := &wire.Hello{Entry: "entry-9", EntryBoot: "boot", Zone: directZone}
+				givenUp, err := link.Dial(ctx, ds.net.forHost("entry-9"), "engine-0:7")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer givenUp.ForceClose()
+				later, _, err := link.Connect(ctx, ds.net.forHost("entry-9"), "engine-0:7", he)
+				if err != nil {
+					t.Fatal(err)
+				}
+				gf := grantFrames{grants: make(chan string, 10)}
+				go func() { _ = later.Run(ctx, gf) }()
+				time.Sleep(100 * time.Millisecond)
+				if err := givenUp.WriteFrame(ctx, &wire.Frame{Hello: he}); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(100 * time.Millisecond)
+				if closes {
+					givenUp.ForceClose()
+				}
+				time.Sleep(time.Second)
+				re := &wire.Reserve{Attempt: "after", Model: testModel, Adapter: "a1", Budget: 4000, PromptTokens: 500, OutputTokens: 20}
+				if err := later.Send(ctx, &wire.Frame{Reserve: re}); err != nil {
+					t.Fatal(err)
+				}
+				select {
+				case <-gf.grants:
+				case <-time.After(4 * time.Second):
+					t.Error("no grant on the connection in use")
+				}
+			})
+		})
+	}
+}
+
+// Callers leave at the very time at which the connection to the agent is replaced. What the entry node reports in use on the
+// new one must not follow its release: the adapters stayed on the engine for good.
+func TestDirectGrantReleasedAsItsConnectionIsReplacedEnds(t *testing.T) {
+	const (
+		// The entry node's new connection opens 104 ms after the end of the earlier one, as the log of the simulation shows,
+		// and it learns 1 ms later that callers have left.
+		leavesAfter = 103 * time.Millisecond
+		rounds      = 40
+	)
+	for round := range rounds {
+		t.Run(fmt.Sprintf("round %d", round), func(t *testing.T) {
+			runDirectSimulation(t, 0, 1, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				ds.patientRoutes()
+				leave := ds.holdAdapters("a1", "a2")
+				for _, co := range ds.net.connsWhere(func(co *conn) bool { return co.address == "engine-0:7" && co.hosts == hostPair("entry-1", "engine-0") }) {
+					co.cut()
+				}
+				time.Sleep(leavesAfter)
+				leave()
+				time.Sleep(grantsExpiry)
+				for number := 3; number <= 6; number++ {
+					re := cl.send(t.Context(), http.MethodPost, "/once/x", fmt.Sprintf("a%d", number), "prompt")
+					if re.status != http.StatusOK || re.body != completeStream() {
+						t.Errorf("a%d: status %d, error %v, want the stream", number, re.status, re.err)
+					}
+				}
+			})
+		})
+	}
+}
