Count a server that has started again as a further version while the log is lost

While the log could not be read, a node that was linked to most agents let a stream without a record go on at the one version of its list, though agents had reported that servers had started again, at versions that no node had read. takeUp took what nodes had told the agents (becomeInStep) for all that there was.

A stream without a record now goes on only while no server of its group has started again since its record. So that others still go on, streams of such a service get records while the log is lost, also those under way.

--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -62,6 +62,7 @@
 	}
 	if lo != nil {
 		as.no.recordEngineReport(id, load, holds)
+		as.no.origins.recordRun(id, time.Now())
 	}
 	if gw != nil && !gw.tryDeliver(fr) {
 		as.no.logger.Warn().Str("attempt", attempt).Msg("frame_dropped")
--- a/entry/direct/origins.go
+++ b/entry/direct/origins.go
@@ -36,6 +36,8 @@
 	// begun holds the streams whose first event, or whose first event after they were taken up, this node has
 	// passed on.
 	begun origin.Table
+	// startedRuns holds the runs of servers, by their starts, that have become known while the log was lost.
+	startedRuns map[string]int64
 }
 
 // recordServers records the software versions of all servers in the log.
@@ -112,8 +114,9 @@
 // software version.
 func (ors *origins) needsRecord(service, software string, now time.Time) bool {
 	ors.mu.Lock()
-	defer ors.mu.Unlock()
-	return len(ors.groupVersions(service, now)) > 1 || software == "" && ors.history.States(service, now)
+	several := len(ors.groupVersions(service, now)) > 1 || software == "" && ors.history.States(service, now)
+	ors.mu.Unlock()
+	return several || ors.logLost() && ors.startedAgain(service, now)
 }
 
 // logLost reports whether the servers' records cannot be read.
--- a/entry/direct/takeup.go
+++ b/entry/direct/takeup.go
@@ -30,7 +30,7 @@
 		rq.no.logger.Info().Str("request", rq.info.ID).Str("resumes", rq.info.Resumes).Str("service", or.Service).Msg("stream_changes_service")
 	}
 	ca := rq.candidates(known && rq.service.Name == or.Service, time.Now())
-	complete := ca.Complete
+	complete := ca.Complete && !rq.no.origins.startedAgain(rq.service.Name, time.Now())
 	ca.Complete = complete && fd.inStep
 	software, verdict := origin.Decide(or, known, ca)
 	rq.no.logger.Info().Str("request", rq.info.ID).Str("resumes", rq.info.Resumes).Str("last_event", rq.info.LastEvent).Str("source", source).
--- a/entry/direct/takeup_run.go
+++ b/entry/direct/takeup_run.go
@@ -78,6 +78,7 @@
 		rq.no.mu.Lock()
 		rq.no.fleet.RunAnswered(at.server, born)
 		rq.no.mu.Unlock()
+		rq.no.origins.recordRun(at.server, start)
 	}
 	rq.logAttempt(at, "server_run_asked").Int64("believed", at.born).Int64("born", born).AnErr("error", err).Dur("took", time.Since(start)).Send()
 	return born
--- a/entry/direct/versions.go
+++ b/entry/direct/versions.go
@@ -99,6 +99,46 @@
 	return ors.groupVersions(service, now)
 }
 
+// recordRun gives agents the records of the streams under way of a service once a server has started again at a software
+// version that the lost log does not tell.
+func (ors *origins) recordRun(server string, now time.Time) {
+	ors.no.mu.Lock()
+	service, again := ors.no.fleet.RestartedService(server)
+	born := ors.no.fleet.RunStart(server)
+	ors.no.mu.Unlock()
+	if !again || !ors.logLost() || !ors.addRun(server, born) {
+		return
+	}
+	for member := range ors.membersOf(map[string]bool{service: true}, now) {
+		ors.no.agents.shareOrigins(ors.streamsOf(member, now))
+	}
+}
+
+// addRun records a run of a server that has become known while the log was lost, and reports whether it is new.
+func (ors *origins) addRun(server string, born int64) bool {
+	ors.mu.Lock()
+	defer ors.mu.Unlock()
+	if ors.startedRuns[server] == born {
+		return false
+	}
+	if ors.startedRuns == nil {
+		ors.startedRuns = map[string]int64{}
+	}
+	ors.startedRuns[server] = born
+	return true
+}
+
+// startedAgain reports whether a server at which a stream may have begun that is taken up at a service has started again, at
+// a software version that the node does not know.
+func (ors *origins) startedAgain(service string, now time.Time) bool {
+	ors.mu.Lock()
+	services := ors.groups.Of(service, now)
+	ors.mu.Unlock()
+	ors.no.mu.Lock()
+	defer ors.no.mu.Unlock()
+	return ors.no.fleet.StartedAgain(services)
+}
+
 // statesVersions reports whether servers at which a stream may have begun that is taken up at a service state software versions.
 func (ors *origins) statesVersions(service string, now time.Time) bool {
 	return slices.ContainsFunc(ors.versions(service, now), func(software string) bool { return software != "" })
