--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -87,6 +87,7 @@
 		gc.Header("Connection", "close")
 	}
 	if err := rq.parse(gc.Request); err != nil {
+		rq.answerBeforeBody()
 		rq.respondError(err)
 		return
 	}
@@ -107,6 +108,13 @@
 	rq.runAttempts(ctx)
 }
 
+// answerBeforeBody lets the server send an answer before it has read the body, which may come slowly.
+func (rq *request) answerBeforeBody() {
+	if err := http.NewResponseController(rq.wr).EnableFullDuplex(); err != nil {
+		rq.no.logger.Warn().Str("request", rq.info.ID).Str("error", err.Error()).Msg("answer_waits_for_body")
+	}
+}
+
 // logTakenInStop logs a request that was read whole, or waits, while the node is stopping.
 func (rq *request) logTakenInStop(connRequests int64, connAge time.Duration) {
 	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("kind", rq.route.Kind.String()).Dur("body_took", time.Since(rq.start)).Int("body", len(rq.body)).
--- a/proofs/direct_late_stop_test.go
+++ b/proofs/direct_late_stop_test.go
@@ -232,3 +232,21 @@
 		}
 	})
 }
+
+// A request that is refused by its head must be told so at once. The answer waited for the body, which may come slowly.
+func TestDirectRefusalByTheHeadDoesNotWaitForTheBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ds := newDirectSimulation(t, 1, 0)
+		defer ds.close()
+		body, fill := io.Pipe()
+		defer func() { _ = fill.Close() }()
+		reply := make(chan directReply, 1)
+		go func() { reply <- ds.sendPatiently(t.Context(), "entry-1", "lost", "/nowhere/x", "", body) }()
+		_, _ = io.WriteString(fill, "part")
+		time.Sleep(time.Second)
+		_ = fill.Close()
+		if re := <-reply; re.err != nil || re.status != http.StatusNotFound || re.took > promptRejection {
+			t.Errorf("status %d, %v, after %v, want 404 at once", re.status, re.err, re.took)
+		}
+	})
+}
