--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -219,10 +219,10 @@
 
 // logCut logs an attempt that ends because the node is stopping.
 func (rq *request) logCut(at *attempt) {
-	ev := rq.logAttempt(at, "attempt_cut").Str("kind", rq.route.Kind.String()).Dur("read_ago", time.Since(rq.start)).Dur("sent_ago", time.Since(at.sentAt)).
+	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server).Str("kind", rq.route.Kind.String()).Dur("read_ago", time.Since(rq.start)).Dur("sent_ago", time.Since(at.sentAt)).
 		Int("events", rq.stream.count).Int("output_tokens", rq.info.OutputTokens).Dur("left", rq.timeLeft())
 	rq.no.drain.logStage(ev)
-	ev.Send()
+	ev.Msg("attempt_cut")
 }
 
 // canceledForPart returns the result of an attempt that was canceled because a part of its prompt crashes
--- a/entry/node/stop.go
+++ b/entry/node/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/bambooladder/bambooladder/entry/internal/conns"
 	"github.com/bambooladder/bambooladder/entry/internal/relay"
@@ -34,10 +35,10 @@
 // takes every request that comes.
 func (co components) stop(ctx context.Context, callers, operators *server) error {
 	co.Lifetime.draining.Store(true)
-	co.logStop(ctx, "entry_draining", callers.conns.Counts())
+	co.stopLog(ctx, callers.conns.Counts()).Msg("entry_draining")
 	if end, ok := ctx.Deadline(); ok {
 		defer time.AfterFunc(time.Until(end)-answerMargin, func() {
-			co.logStop(ctx, "drain_answers_ended", callers.conns.Counts())
+			co.stopLog(ctx, callers.conns.Counts()).Msg("drain_answers_ended")
 			co.Lifetime.endRequests(relay.ErrStopping)
 		}).Stop()
 	}
@@ -45,7 +46,7 @@
 	case <-time.After(time.Duration(co.Options.Settings.DrainGraceMs) * time.Millisecond):
 	case <-ctx.Done():
 	}
-	co.logStop(ctx, "drain_grace_ended", callers.conns.Counts())
+	co.stopLog(ctx, callers.conns.Counts()).Msg("drain_grace_ended")
 	left := callers.drain(ctx)
 	_ = callers.hs.Close()
 	co.stopOperators(ctx, operators)
@@ -53,7 +54,7 @@
 		co.awaitAppends()
 	}
 	co.Lifetime.cancel()
-	co.logStop(ctx, "entry_stopped", left)
+	co.stopLog(ctx, left).Msg("entry_stopped")
 	if left.All() > 0 {
 		return errors.Wrap(ctx.Err(), "node: drain")
 	}
@@ -80,11 +81,11 @@
 	_ = operators.hs.Close()
 }
 
-// logStop logs a stage of the stop with the callers' connections that it finds and the time that is left.
-func (co components) logStop(ctx context.Context, event string, cs conns.Counts) {
+// stopLog returns a log line for a stage of the stop, with the callers' connections that it finds and the time that is left.
+func (co components) stopLog(ctx context.Context, cs conns.Counts) *zerolog.Event {
 	ev := co.Options.Logger.Info().Int("unread", cs.Unread).Int("idle", cs.Idle).Int("active", cs.Active)
 	if end, ok := ctx.Deadline(); ok {
 		ev = ev.Dur("ends_in", time.Until(end))
 	}
-	ev.Msg(event)
+	return ev
 }
