--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -27,6 +28,10 @@
 	answerMargin = 40 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies until the operators' limits are known.
 	defaultMaxBodyBytes = 4 << 20
+	// refusedBodyMax is how long the body of a request that is refused by its head is waited for, refusedBodyBytes how much
+	// of it is read.
+	refusedBodyMax   = 100 * time.Millisecond
+	refusedBodyBytes = 256 << 10
 )
 
 // request is a caller's request while the node handles it.
@@ -87,7 +92,7 @@
 		gc.Header("Connection", "close")
 	}
 	if err := rq.parse(gc.Request); err != nil {
-		rq.answerBeforeBody()
+		rq.awaitRefusedBody(gc.Request)
 		rq.respondError(err)
 		return
 	}
@@ -108,11 +113,20 @@
 	rq.runAttempts(ctx)
 }
 
-// answerBeforeBody lets the server send an answer before it has read the body, which may come slowly.
-func (rq *request) answerBeforeBody() {
-	if err := http.NewResponseController(rq.wr).EnableFullDuplex(); err != nil {
-		rq.no.logger.Warn().Str("request", rq.info.ID).Str("error", err.Error()).Msg("answer_waits_for_body")
+// awaitRefusedBody drops the body of a request that is refused by its head. If it does not arrive soon, the connection ends with
+// the answer: else net/http would read what is left of the body before it sends the answer.
+func (rq *request) awaitRefusedBody(hr *http.Request) {
+	if hr.ContentLength == 0 || hr.Header.Get("Expect") != "" {
+		return
+	}
+	rc := http.NewResponseController(rq.wr)
+	// A connection whose deadline cannot be set has ended.
+	_ = rc.SetReadDeadline(time.Now().Add(refusedBodyMax))
+	if _, err := io.Copy(io.Discard, io.LimitReader(hr.Body, refusedBodyBytes)); err != nil {
+		rq.wr.Header().Set("Connection", "close")
+		return
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 }
 
 // logTakenInStop logs a request that was read whole, or waits, while the node is stopping.
