Wait for the callers' server to end before it is closed in a stop

A node with no connection left closed its server right after it had closed the listener, before the server had noticed, which then closed it once more. The wait for idle connections had covered that before. The stop now waits for the server's end, as on the product's own interface.

--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -68,6 +68,8 @@
 	// callers holds the connections of callers, callerListener accepts them.
 	callers        *conns.Set
 	callerListener net.Listener
+	// callersEnded is closed once no connection of callers is accepted any more.
+	callersEnded chan struct{}
 
 	// syncing is held while the list of servers is passed on, so that an older one never follows a newer one.
 	syncing sync.Mutex
@@ -107,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), callersEnded: make(chan struct{}), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.memory.SetBytes(no.callersBytes())
 	no.held.budget = &no.memory
@@ -168,6 +170,8 @@
 		if li.hs == sv.callers {
 			ls = no.callers.Listener(ls)
 			no.callerListener = ls
+			go no.serveCallers(li.hs, ls)
+			continue
 		}
 		go no.serveHTTP(li.hs, ls)
 	}
@@ -182,6 +186,12 @@
 	return nil
 }
 
+// serveCallers serves callers until the listener is closed, and tells when it has ended.
+func (no *Node) serveCallers(hs *http.Server, ls net.Listener) {
+	defer close(no.callersEnded)
+	no.serveHTTP(hs, ls)
+}
+
 // serveHTTP serves HTTP until the listener is closed.
 func (no *Node) serveHTTP(hs *http.Server, ls net.Listener) {
 	if err := hs.Serve(ls); !errors.Is(err, http.ErrServerClosed) && !no.drain.begun() {
--- a/entry/direct/stop.go
+++ b/entry/direct/stop.go
@@ -40,7 +40,10 @@
 	}
 	if err := no.callerListener.Close(); err != nil {
 		no.logger.Warn().Str("error", err.Error()).Msg("listener_not_closed")
+		return
 	}
+	// Until its server has ended, it would close the listener once more, which fails.
+	<-no.callersEnded
 }
 
 // logAnswersEnded logs the number of requests that still ran at the end of answers.
