Show that nothing is sent too late after a wait for a connection

TestDirectStopSendsNothingTooLateAfterAWaitForAConnection fails without the second question before a request is sent: 502, cut at the end of the stop.

--- a/proofs/direct_late_stop_test.go
+++ b/proofs/direct_late_stop_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -233,6 +235,44 @@
 	})
 }
 
+// slowDial is a network whose connections take a while to open once a delay is set.
+type slowDial struct {
+	*hostNetwork
+	delay atomic.Int64
+}
+
+// DialContext opens a connection after the delay.
+func (sd *slowDial) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	time.Sleep(time.Duration(sd.delay.Load()))
+	return sd.hostNetwork.DialContext(ctx, network, address)
+}
+
+// A call that has waited for a connection is asked anew whether it can end: it was sent too late and cut.
+func TestDirectStopSendsNothingTooLateAfterAWaitForAConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ds := newDirectSimulation(t, 1, 0)
+		defer ds.close()
+		ds.patientRoutes()
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			time.Sleep(shortAnswer)
+			defaultAnswer(wr, rq)
+		})
+		sd := &slowDial{hostNetwork: ds.net.forHost("entry-3")}
+		ds.network = sd
+		ds.startEntry("entry-3")
+		ds.serveBefore("entry-3", "/unsafe/x", "")
+		time.Sleep(20 * time.Second) // no connection is kept
+		sd.delay.Store(int64(450 * time.Millisecond))
+		stopped := ds.stopEntry(len(ds.apps) - 1)
+		lr := &lateRequest{id: "late", target: "/unsafe/x", head: noticeEnd, body: 6600 * time.Millisecond}
+		lr.sendAt(t.Context(), ds, "entry-3")
+		<-stopped
+		if lr.reply.status != http.StatusServiceUnavailable || ds.runs()["late"] != 0 {
+			t.Errorf("status %d, %v, %d runs, want 503 and none", lr.reply.status, lr.reply.err, ds.runs()["late"])
+		}
+	})
+}
+
 // A request that is refused by its head must be told so at once. The answer waited for the body, which may come slowly.
 func TestDirectRefusalByTheHeadDoesNotWaitForTheBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -404,6 +404,8 @@
 	backends map[string]*backend
 	// readers holds the log as single entry nodes see it, by name; others see source.
 	readers map[string]direct.LogReader
+	// network is that of entry nodes that are started from now on, nil for the one of their host.
+	network direct.Network
 	// tune changes the settings of entry nodes that are started from now on, nil for none.
 	tune func(se *conf.DirectEntrySettings)
 	// renamed makes crashed servers start again under other IDs.
@@ -577,9 +579,13 @@
 	if ds.tune != nil {
 		ds.tune(&se)
 	}
+	network := direct.Network(ds.net.forHost(name))
+	if ds.network != nil {
+		network = ds.network
+	}
 	app := direct.New(direct.Options{
 		Settings: se,
-		Network:  ds.net.forHost(name), LogReader: logReader, Protocol: testProtocol{}, Logger: ds.lg.With().Str("node", name).Logger(),
+		Network:  network, LogReader: logReader, Protocol: testProtocol{}, Logger: ds.lg.With().Str("node", name).Logger(),
 	})
 	ds.start(app)
 	time.Sleep(1500 * time.Millisecond)
