--- a/entry/direct/drain.go
+++ b/entry/direct/drain.go
@@ -188,6 +188,7 @@
 
 // stoppingError returns the error for a request that no server has got before the node stops.
 func (no *Node) stoppingError() *fault.Error {
+	metricTooLate.Add(1)
 	retryAfter := stopRetryAfterMin + time.Duration(no.options.Random()*float64(stopRetryAfterMax-stopRetryAfterMin))
 	return fault.New(fault.Unavailable, "the node is stopping and no backend server has run the request", "send it again to another node").
 		WithRetryAfter(retryAfter)
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -51,6 +51,10 @@
 	metricNotResumable = newCounter("streams_not_resumable")
 	// metricRunsAsked counts the times that a server was asked which of its runs it is in.
 	metricRunsAsked = newCounter("server_runs_asked")
+	// metricTooLate counts the requests that a stopping node rejected because they could not end in time, metricCut the
+	// attempts that it ended.
+	metricTooLate = newCounter("requests_too_late_in_stop")
+	metricCut     = newCounter("attempts_cut_by_stop")
 	// metricUnconfirmedEnds counts the streams that ended with the connection of their server, which no other server
 	// confirmed.
 	metricUnconfirmedEnds = newCounter("unconfirmed_stream_ends")
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -219,6 +219,7 @@
 
 // logCut logs an attempt that ends because the node is stopping.
 func (rq *request) logCut(at *attempt) {
+	metricCut.Add(1)
 	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server).Str("kind", rq.route.Kind.String()).Dur("read_ago", time.Since(rq.start)).Dur("sent_ago", time.Since(at.sentAt)).
 		Int("events", rq.stream.count).Int("output_tokens", rq.info.OutputTokens).Dur("left", rq.timeLeft())
 	rq.no.drain.logStage(ev)
