--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -38,7 +38,7 @@
 		}
 		wholeAt, deadline := st.NoticedAt.Add(time.Duration(whole)*time.Millisecond), now.Add(time.Hour)
 		latest := st.LatestStart(ti.Estimate(Request{Route: "route", Size: 90}), wholeAt, deadline)
-		if len(took) < enough {
+		if len(took) < sureCountMin {
 			return !latest.After(now)
 		}
 		return !latest.Add(longest).After(st.AnswersEndAt)
@@ -49,26 +49,26 @@
 // What a node that is not stopping, a request's own deadline and a broken answer allow is not bounded by estimates.
 func TestLatestStartOfRequestsThatAStopDoesNotCut(t *testing.T) {
 	now := time.Unix(1000, 0)
-	st, slow := NewStop(now, 8*time.Second), Estimate{Count: enough, Likely: time.Minute, Sure: time.Hour}
+	st, slow := NewStop(now, 8*time.Second), Estimate{Count: sureCountMin, Likely: time.Minute, Sure: time.Hour}
 	soon, far := now.Add(5*time.Second), now.Add(time.Hour)
 	for name, tc := range map[string]struct{ got, want time.Time }{
-		"body, sure to fit":           {st.LatestWhole(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second}, far), st.AnswersEndAt.Add(-3 * time.Second)},
-		"body, likely to fit":         {st.LatestWhole(Estimate{Count: enough, Likely: 3 * time.Second, Sure: 6 * time.Second}, far), st.NoticedAt},
-		"body, unlikely to fit":       {st.LatestWhole(Estimate{Count: enough, Likely: 6 * time.Second, Sure: 9 * time.Second}, far), st.AnswersEndAt.Add(-6 * time.Second)},
+		"body, sure to fit":           {st.LatestWhole(Estimate{Count: sureCountMin, Likely: time.Second, Sure: 3 * time.Second}, far), st.AnswersEndAt.Add(-3 * time.Second)},
+		"body, likely to fit":         {st.LatestWhole(Estimate{Count: sureCountMin, Likely: 3 * time.Second, Sure: 6 * time.Second}, far), st.NoticedAt},
+		"body, unlikely to fit":       {st.LatestWhole(Estimate{Count: sureCountMin, Likely: 6 * time.Second, Sure: 9 * time.Second}, far), st.AnswersEndAt.Add(-6 * time.Second)},
 		"body, nothing known":         {st.LatestWhole(Estimate{}, far), st.NoticedAt},
 		"not stopping":                {Stop{}.LatestStart(slow, now, far), far},
 		"deadline before the end":     {st.LatestStart(slow, now, soon), soon},
 		"nothing known, early":        {st.LatestStart(Estimate{}, now, far), st.UnknownEndAt},
-		"too little known, late":      {st.LatestStart(Estimate{Count: enough - 1}, st.NoticedAt, far), now},
-		"stream, late":                {st.LatestStart(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second, Streams: true}, st.NoticedAt, far), now},
-		"stream, early":               {st.LatestStart(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second, Streams: true}, now, far), st.AnswersEndAt.Add(-time.Second)},
+		"too little known, late":      {st.LatestStart(Estimate{Count: sureCountMin - 1}, st.NoticedAt, far), now},
+		"stream, late":                {st.LatestStart(Estimate{Count: sureCountMin, Likely: time.Second, Sure: 3 * time.Second, Streams: true}, st.NoticedAt, far), now},
+		"stream, early":               {st.LatestStart(Estimate{Count: sureCountMin, Likely: time.Second, Sure: 3 * time.Second, Streams: true}, now, far), st.AnswersEndAt.Add(-time.Second)},
 		"stream, late, deadline":      {st.LatestStart(Estimate{Streams: true}, st.NoticedAt, soon), soon},
 		"nothing known, late":         {st.LatestStart(Estimate{}, st.NoticedAt, far), now},
 		"broken answer":               {st.LatestResume(far), st.AnswersEndAt},
 		"broken answer, deadline":     {st.LatestResume(soon), soon},
 		"broken answer, no stop":      {Stop{}.LatestResume(far), far},
-		"answers known, early":        {st.LatestStart(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second}, now, far), st.AnswersEndAt.Add(-time.Second)},
-		"answers known, late request": {st.LatestStart(Estimate{Count: enough, Likely: time.Second, Sure: 3 * time.Second}, st.NoticedAt, far), st.AnswersEndAt.Add(-3 * time.Second)},
+		"answers known, early":        {st.LatestStart(Estimate{Count: sureCountMin, Likely: time.Second, Sure: 3 * time.Second}, now, far), st.AnswersEndAt.Add(-time.Second)},
+		"answers known, late request": {st.LatestStart(Estimate{Count: sureCountMin, Likely: time.Second, Sure: 3 * time.Second}, st.NoticedAt, far), st.AnswersEndAt.Add(-3 * time.Second)},
 	} {
 		if tc.got != tc.want {
 			t.Errorf("%s: %v after the signal, want %v", name, tc.got.Sub(now), tc.want.Sub(now))
@@ -82,7 +82,7 @@
 	for number := range 100 {
 		ti.Record(Request{Route: "route", Size: 20}, time.Duration(number+1)*10*time.Millisecond)
 	}
-	for range enough - 1 {
+	for range sureCountMin - 1 {
 		ti.Record(Request{Route: "route", Size: 300}, 8*time.Second)
 	}
 	ti.Record(Request{Route: "route", Size: 3000}, 20*time.Second)
@@ -91,10 +91,10 @@
 		want Estimate
 	}{
 		"same size":   {31, Estimate{Count: 100, Likely: 950 * time.Millisecond, Sure: 1500 * time.Millisecond}},
-		"too few":     {500, Estimate{Count: enough, Likely: 20 * time.Second, Sure: 30 * time.Second}},
+		"too few":     {500, Estimate{Count: sureCountMin, Likely: 20 * time.Second, Sure: 30 * time.Second}},
 		"next larger": {2100, Estimate{Count: 1, Likely: 20 * time.Second, Sure: 30 * time.Second}},
 		"smaller":     {1, Estimate{Count: 100, Likely: 950 * time.Millisecond, Sure: 1500 * time.Millisecond}},
-		"unknown":     {0, Estimate{Count: 100 + enough, Likely: 8 * time.Second, Sure: 30 * time.Second}},
+		"unknown":     {0, Estimate{Count: 100 + sureCountMin, Likely: 8 * time.Second, Sure: 30 * time.Second}},
 		"too large":   {6000, Estimate{}},
 	} {
 		if got := ti.Estimate(Request{Route: "route", Size: tc.size}); got != tc.want {
--- a/core/drain/times.go
+++ b/core/drain/times.go
@@ -15,8 +15,8 @@
 	likelyOneIn = 20
 	// sureMargin is by what part of it the sure time exceeds the longest known one.
 	sureMargin = 0.5
-	// enough is the number of answers that tell how long another one may take.
-	enough = 16
+	// sureCountMin is the number of answers that tell how long another one may take.
+	sureCountMin = 16
 )
 
 // Request describes what the time of an answer depends on.
@@ -64,7 +64,7 @@
 func (es Estimate) known() bool { return es.Count > 0 }
 
 // sure reports whether the estimate is based on enough answers, and an answer that exceeds it nevertheless can be told so.
-func (es Estimate) sure() bool { return es.Count >= enough && !es.Streams }
+func (es Estimate) sure() bool { return es.Count >= sureCountMin && !es.Streams }
 
 // Record records the time that a whole answer took from when its request was sent to the backend server.
 func (ti *Times) Record(rq Request, took time.Duration) {
@@ -97,7 +97,7 @@
 // ones tell as well, and where its size is not known, all of its route.
 func (ti *Times) Estimate(rq Request) Estimate {
 	list := []time.Duration(nil)
-	for gr := rq.group(); gr.bits <= bits.UintSize && (len(list) < enough || rq.Size <= 0); gr.bits++ {
+	for gr := rq.group(); gr.bits <= bits.UintSize && (len(list) < sureCountMin || rq.Size <= 0); gr.bits++ {
 		if ri := ti.groups[gr]; ri != nil {
 			list = append(list, ri.times...)
 		}
