--- a/agent/direct/frames.go
+++ b/agent/direct/frames.go
@@ -62,10 +62,14 @@
 
 // requestFromFrame converts a Reserve frame to a grant request.
 func requestFromFrame(se *session, re *wire.Reserve, now time.Time) grant.Request {
+	goalAt := time.Time{}
+	if re.Goal > 0 {
+		goalAt = now.Add(time.Duration(re.Goal) * time.Millisecond)
+	}
 	return grant.Request{
 		Attempt: re.Attempt, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
 		Version: re.Version, VersionMin: versionMin(re), Urgency: re.Urgency, PromptTokens: re.PromptTokens,
-		OutputTokens: re.OutputTokens, BacklogMax: time.Duration(re.BacklogMax) * time.Millisecond, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
+		OutputTokens: re.OutputTokens, Organisation: re.Organisation, GoalAt: goalAt, BacklogMax: time.Duration(re.BacklogMax) * time.Millisecond, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
 		Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
 }
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -76,6 +76,10 @@
 	// PauseMax is the longest gap between the events of its stream that the caller tolerates,
 	// zero for no bound.
 	PauseMax time.Duration
+	// Organisation is the organisation that sends the request, empty if the deployment has none.
+	Organisation string
+	// GoalAt is when the first event should have come, zero for no goal.
+	GoalAt   time.Time
 	Arrived  time.Time
 	Deadline time.Time
 }
@@ -172,6 +176,12 @@
 	// BurstMax is the number of prompt tokens that are granted without a break, zero for no
 	// limit.
 	BurstMax int
+	// PrefillRate is the measured number of prompt tokens that the engine prefills in a second, zero if it is
+	// not known.
+	PrefillRate int
+	// EventTime is the measured time between two events of a stream that runs on the engine, zero if it is not
+	// known.
+	EventTime time.Duration
 	// LoadTime is the moving average of adapter load times from the weight store.
 	LoadTime   time.Duration
 	Running    int
--- a/core/paths/table.go
+++ b/core/paths/table.go
@@ -51,6 +51,8 @@
 	// Resumable streams may be continued by another backend server after the last event
 	// that was delivered.
 	Resumable bool
+	// Anonymous is true if requests need no key of an organisation.
+	Anonymous bool
 	Splits    []Split
 }
 
@@ -117,6 +119,8 @@
 	Limits   Limits
 	Routes   []Route
 	Services map[string]Service
+	// Organisations holds those whose callers send a key. Without any, no request needs one.
+	Organisations []Organisation
 	// index holds the routes by host and prefix. It is nil until Build is called.
 	index map[string]map[string]*Route
 }
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -158,6 +158,10 @@
 	// Entries is the number of entry nodes connected to the agent.
 	Entries int `json:"entries" yaml:"entries" cbor:"10,keyasint,omitempty"`
 
+	// EventUs is the measured time between two events of a stream that runs on the
+	// engine, in microseconds, zero if it is not known.
+	EventUs int64 `json:"event_us" yaml:"event_us" cbor:"15,keyasint,omitempty"`
+
 	// Known is false while the engine has not answered its agent.
 	Known bool `json:"known" yaml:"known" cbor:"1,keyasint,omitempty"`
 
@@ -175,6 +179,10 @@
 	// Model is the base model that the engine has loaded, empty for none.
 	Model string `json:"model" yaml:"model" cbor:"2,keyasint,omitempty"`
 
+	// PrefillRate is the measured number of prompt tokens that the engine prefills in
+	// a second, zero if it is not known.
+	PrefillRate int `json:"prefill_rate" yaml:"prefill_rate" cbor:"14,keyasint,omitempty"`
+
 	// Running is the number of requests with a grant.
 	Running int `json:"running" yaml:"running" cbor:"7,keyasint,omitempty"`
 
@@ -250,6 +258,12 @@
 	// Queued corresponds to the JSON schema field "queued".
 	Queued *Queued `json:"queued,omitempty,omitzero" yaml:"queued,omitempty" cbor:"17,keyasint,omitempty"`
 
+	// QuotaAnswer corresponds to the JSON schema field "quota_answer".
+	QuotaAnswer *QuotaAnswer `json:"quota_answer,omitempty,omitzero" yaml:"quota_answer,omitempty" cbor:"32,keyasint,omitempty"`
+
+	// QuotaQuery corresponds to the JSON schema field "quota_query".
+	QuotaQuery *QuotaQuery `json:"quota_query,omitempty,omitzero" yaml:"quota_query,omitempty" cbor:"31,keyasint,omitempty"`
+
 	// Refusal corresponds to the JSON schema field "refusal".
 	Refusal *Refusal `json:"refusal,omitempty,omitzero" yaml:"refusal,omitempty" cbor:"10,keyasint,omitempty"`
 
@@ -519,6 +533,51 @@
 	Reason string `json:"reason" yaml:"reason" cbor:"2,keyasint,omitempty"`
 }
 
+// QuotaAnswer answers a QuotaQuery.
+type QuotaAnswer struct {
+	// Amount is the number of units that the entry node may use, zero for none.
+	Amount int64 `json:"amount" yaml:"amount" cbor:"2,keyasint,omitempty"`
+
+	// Query is the id of the query.
+	Query string `json:"query" yaml:"query" cbor:"1,keyasint,omitempty"`
+
+	// Wait is the time after which there should be room again, in milliseconds, if
+	// Amount is zero.
+	Wait int64 `json:"wait" yaml:"wait" cbor:"3,keyasint,omitempty"`
+}
+
+// QuotaQuery asks the agent that keeps the account of an organisation for a part
+// of its quota.
+type QuotaQuery struct {
+	// Amount is the number of units that the entry node asks for.
+	Amount int64 `json:"amount" yaml:"amount" cbor:"6,keyasint,omitempty"`
+
+	// Burst is the number of units that it may use at once in excess of that.
+	Burst float64 `json:"burst" yaml:"burst" cbor:"5,keyasint,omitempty"`
+
+	// Needed is the least number of units with which the entry node can admit a
+	// request, zero if Amount is.
+	Needed int64 `json:"needed" yaml:"needed" cbor:"7,keyasint,omitempty"`
+
+	// Organisation is the name of the organisation.
+	Organisation string `json:"organisation" yaml:"organisation" cbor:"2,keyasint,omitempty"`
+
+	// PerSecond is the number of units that the organisation may use in a second over
+	// all entry nodes.
+	PerSecond float64 `json:"per_second" yaml:"per_second" cbor:"4,keyasint,omitempty"`
+
+	// Query is the globally unique id of this query.
+	Query string `json:"query" yaml:"query" cbor:"1,keyasint,omitempty"`
+
+	// Returned is the number of units of earlier answers that the entry node has not
+	// used and gives back.
+	Returned int64 `json:"returned" yaml:"returned" cbor:"8,keyasint,omitempty"`
+
+	// Version is the version of the routes from which the quota is; the agent goes by
+	// the highest one that it was told.
+	Version int64 `json:"version" yaml:"version" cbor:"3,keyasint,omitempty"`
+}
+
 // Refusal reports that the attempt has not run and will not run.
 type Refusal struct {
 	// Attempt is the id of the attempt.
@@ -608,6 +667,10 @@
 	// milliseconds.
 	Budget int64 `json:"budget" yaml:"budget" cbor:"10,keyasint,omitempty"`
 
+	// Goal is the time that is left until the first event should have come, in
+	// milliseconds, zero for no goal. It is sent only with an organisation.
+	Goal int64 `json:"goal" yaml:"goal" cbor:"15,keyasint,omitempty"`
+
 	// Held is true for an attempt that was granted on an earlier connection and is
 	// still running.
 	Held bool `json:"held" yaml:"held" cbor:"11,keyasint,omitempty"`
@@ -615,6 +678,10 @@
 	// Model is the name of the base model.
 	Model string `json:"model" yaml:"model" cbor:"2,keyasint,omitempty"`
 
+	// Organisation is the organisation that sends the request, empty if the
+	// deployment has none.
+	Organisation string `json:"organisation" yaml:"organisation" cbor:"14,keyasint,omitempty"`
+
 	// OutputTokens is the maximum number of tokens to generate.
 	OutputTokens int `json:"output_tokens" yaml:"output_tokens" cbor:"8,keyasint,omitempty"`
 
@@ -763,6 +830,10 @@
 	// earlier version does not know the frames for that.
 	KeepsOrigins bool `json:"keeps_origins" yaml:"keeps_origins" cbor:"10,keyasint,omitempty"`
 
+	// KeepsQuotas is true when the agent keeps the accounts of organisations with a
+	// quota. An agent of an earlier version does not know the frames for that.
+	KeepsQuotas bool `json:"keeps_quotas" yaml:"keeps_quotas" cbor:"13,keyasint,omitempty"`
+
 	// KeepsVersions is true when the agent keeps the software versions of services.
 	// An agent of an earlier version does not know the frames for that.
 	KeepsVersions bool `json:"keeps_versions" yaml:"keeps_versions" cbor:"11,keyasint,omitempty"`
