Identify organisations by their keys and tell the servers

On the direct way every request counted alike, whoever sent it. With organisations in the record of the routes, a request now needs a key unless its route is anonymous, is refused with 401 by its head otherwise, and the server is told the organisation's name. The organisation's rank goes before the route's in the engines' header and in reservations, which also carry the organisation and the time left until the route's target.

Without organisations nothing changes.

--- a/core/paths/table.go
+++ b/core/paths/table.go
@@ -123,10 +123,15 @@
 	Organisations []Organisation
 	// index holds the routes by host and prefix. It is nil until Build is called.
 	index map[string]map[string]*Route
+	// holders holds the organisations by the digests of their keys, nil until Build is called.
+	holders map[Digest]*Organisation
+	// organisationRankMax and routeRankMax are the highest ranks of the organisations and the routes.
+	organisationRankMax, routeRankMax int
 }
 
-// Build creates the index that Match needs and returns the table itself.
+// Build creates the indexes that Match and OrganisationOf need and returns the table itself.
 func (ta *Table) Build() *Table {
+	ta.buildOrganisations()
 	ta.index = map[string]map[string]*Route{}
 	for ix := range ta.Routes {
 		ro := &ta.Routes[ix]
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -101,6 +101,7 @@
 			rq.stream.broken = rq.stream.broken || re.reason != reasonEndNotConfirmed
 		}
 		st = st.WithOutcome(re.outcome)
+		rq.mayHaveRun = st.PossibleRuns > 0
 		st.TimeLeft = time.Until(no.drain.latestStart(rq.terms()))
 		if ctx.Err() != nil {
 			st.TimeLeft = 0
@@ -137,6 +138,9 @@
 	if rq.no.drain.begun() && ctx.Err() == nil && !rq.checkStart(0, time.Now()) || stopsNode(ctx) {
 		return rq.no.stoppingError()
 	}
+	if re.reason == reasonKeyWithdrawn {
+		return rq.keyError(reasonKeyWithdrawn)
+	}
 	kind := fault.Overloaded
 	if ctx.Err() != nil {
 		kind = fault.Unavailable
@@ -164,6 +168,9 @@
 // or the expected wait is too long for the caller.
 func (rq *request) chooseServer(number int, exclude []string) (*attempt, error) {
 	no := rq.no
+	if rq.keyWithdrawn() {
+		return nil, rq.keyError(reasonKeyWithdrawn)
+	}
 	if err := no.crashes.verdict(rq); err != nil {
 		metricQuarantined.Add(1)
 		return nil, err
@@ -223,5 +230,7 @@
 
 // logAttempt starts a log line with the fields that identify an attempt.
 func (rq *request) logAttempt(at *attempt, event string) *zerolog.Event {
-	return rq.no.logger.Info().Str(zerolog.MessageFieldName, event).Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server)
+	ev := rq.no.logger.Info().Str(zerolog.MessageFieldName, event).Str("request", rq.info.ID).Str("attempt", at.id).Str("server", at.server)
+	rq.logOrganisation(ev)
+	return ev
 }
--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -205,6 +205,13 @@
 	return fo.logLost
 }
 
+// age returns the time since a read last returned all records of the topic.
+func (fo *follower) age(now time.Time) time.Duration {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return now.Sub(fo.confirmedAt)
+}
+
 // sleep waits for a period or until the context ends.
 func (fo *follower) sleep(ctx context.Context, period time.Duration) {
 	select {
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -25,6 +25,8 @@
 var (
 	metrics        = expvar.NewMap("direct_entry")
 	metricFailures = newCounterMap("failures")
+	// metricKeysRefused counts the requests refused because of their key, by reason.
+	metricKeysRefused = newCounterMap("keys_refused")
 	// metricLogReads counts this node's own reads of the log, metricForwardedReads those that another
 	// node forwarded to it.
 	metricLogReads       = newCounter("log_reads")
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -35,8 +35,23 @@
 	// Resumes is the ID of the request that brought the first event of the stream that this one takes up,
 	// empty if it takes up none.
 	Resumes string
+	// Key is the key by which the caller identifies its organisation, empty if the request has no valid one.
+	Key string
+	// KeyFault states why Key is empty.
+	KeyFault KeyFault
 }
 
+// KeyFault states why a request has no valid key, the zero value that it has none at all.
+type KeyFault string
+
+// Faults of keys.
+const (
+	KeyMissing  KeyFault = ""
+	KeyRepeated KeyFault = "repeated"
+	KeyScheme   KeyFault = "scheme"
+	KeyEmpty    KeyFault = "empty"
+)
+
 // ForwardInfo holds what the entry node adds to a request that it forwards to a backend server.
 type ForwardInfo struct {
 	// Server is the ID of the only server that may run the request.
@@ -50,6 +65,11 @@
 	// LastEvent is the ID of the event after which the stream resumes, empty to start from the
 	// beginning.
 	LastEvent string
+	// Identified is true if the deployment has organisations, so that what a caller says of its organisation is not
+	// forwarded.
+	Identified bool
+	// Organisation is the name of the caller's organisation, empty if it is not known.
+	Organisation string
 }
 
 // AnswerKind classifies a backend server's answer.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -69,7 +69,7 @@
 	}
 	gr := rq.no.agents.reserve(ctx, at.server, wire.Reserve{
 		Attempt: at.id, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: at.version, VersionRequired: versionMin > 0 && versionMin == at.version, VersionMin: versionMin,
-		Urgency: maxUrgency - rq.route.Rank, PromptTokens: rq.info.PromptTokens, OutputTokens: rq.info.OutputTokens,
+		Urgency: maxUrgency - rq.rank, Organisation: rq.organisationName(), Goal: rq.goal(time.Now()), PromptTokens: rq.info.PromptTokens, OutputTokens: rq.info.OutputTokens,
 		PauseMax: rq.route.PauseMax.Milliseconds(), Budget: budget.Milliseconds(), BacklogMax: rq.backlogMax(at).Milliseconds(),
 	})
 	rq.redirected = rq.redirected || gr.reason == grant.ReasonEngineBusy
@@ -148,8 +148,12 @@
 		co.PutBack()
 		return result{outcome: retry.Unsent, reason: reasonNodeStopping}, false
 	}
+	if rq.keyWithdrawn() {
+		co.PutBack()
+		return result{outcome: retry.Unsent, reason: reasonKeyWithdrawn}, false
+	}
 	at.sentAt, at.goesOn = time.Now(), rq.goesOn()
-	fi := &ForwardInfo{Server: at.server, TimeLeft: time.Until(rq.deadline), Rank: rq.route.Rank, LastEvent: rq.lastEventID()}
+	fi := &ForwardInfo{Server: at.server, TimeLeft: time.Until(rq.deadline), Rank: rq.rank, LastEvent: rq.lastEventID(), Identified: rq.identified, Organisation: rq.organisationName()}
 	if rq.info.Adapter != "" {
 		fi.Version = at.version
 	}
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -49,6 +49,15 @@
 	body          []byte
 	// hold is the memory that counts for the body.
 	hold memory.Hold
+	// identified is true if the routing table has organisations. key is the digest of the caller's key, and organisation the
+	// holder of the key, nil if there is none.
+	identified   bool
+	key          paths.Digest
+	organisation *paths.Organisation
+	// rank orders the request by urgency, zero being the most urgent.
+	rank int
+	// mayHaveRun is true once an attempt may have run.
+	mayHaveRun bool
 	// bodyBytesMax is the operators' limit on the size of the body, zero for the default.
 	bodyBytesMax int64
 	// start is when the head of the request was read, wholeAt when its body was, zero before.
@@ -133,6 +142,7 @@
 func (rq *request) logTakenInStop(connRequests int64, connAge time.Duration) {
 	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("kind", rq.route.Kind.String()).Dur("body_took", time.Since(rq.start)).Int("body", len(rq.body)).
 		Dur("left", rq.timeLeft()).Int64("connection_requests", connRequests).Dur("connection_age", connAge)
+	rq.logOrganisation(ev)
 	rq.no.drain.logStage(ev)
 	ev.Msg("request_taken_in_stop")
 }
@@ -174,6 +184,9 @@
 	}
 	rq.route = route
 	rq.deadline = rq.start.Add(rq.timeout())
+	if err := rq.identify(ta); err != nil {
+		return err
+	}
 	service, ok := ta.Services[route.Service(no.options.Random())]
 	if !ok {
 		return fault.New(fault.Unavailable, "the route's service is not known", "ask an operator").WithRetryAfter(notReadyRetryAfter)
@@ -258,6 +271,7 @@
 	metricFailures.Add(string(fe.Kind), 1)
 	ev := rq.no.logger.Info().Str("request", rq.info.ID).Str("reason", string(fe.Kind)).Str("outcome", string(fe.Outcome)).
 		Str("detail", fe.Message).Dur("retry_after", fe.RetryAfter).Dur("took", time.Since(rq.start)).Dur("left", rq.timeLeft()).Int64("routes_version", rq.routesVersion)
+	rq.logOrganisation(ev)
 	if rq.answerStarted {
 		ev.Msg("answer_aborted")
 		abort.Answer(rq.hr)
@@ -267,6 +281,9 @@
 	if fe.RetryAfter > 0 {
 		hd.Set("Retry-After", strconv.FormatFloat(math.Ceil(fe.RetryAfter.Seconds()*100)/100, 'f', -1, 64))
 	}
+	if fe.Kind == fault.Unauthorized {
+		hd.Set("WWW-Authenticate", "Bearer")
+	}
 	body := `{"error":{"type":` + strconv.Quote(string(fe.Kind)) + `,"message":` + strconv.Quote(fe.Error()) +
 		`,"outcome":` + strconv.Quote(string(fe.Outcome)) + "}}\n"
 	hd.Set("Content-Type", "application/json")
