Enforce the quotas of organisations over all entry nodes

One organisation may send several times what it may use, through a few entry nodes that change from second to second. An agent chosen by rendezvous hashing keeps the account of each organisation, entry nodes lease units of it for 500 ms and use their share of the quota while the keeper does not answer. Nothing calls for it yet: request.organisation is nil until callers are identified.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -83,6 +83,8 @@
 	crashes, parts []passedReport
 	// buckets holds what may be sent to servers with limits whose entry nodes ask this agent.
 	buckets map[poison.Run]lease.Bucket
+	// accounts holds the quotas of the organisations whose entry nodes ask this agent.
+	accounts quotaAccounts
 	// origins holds what began streams of which this agent is a home.
 	origins origin.Table
 	// history holds the software versions of services, as entry nodes tell.
@@ -161,6 +163,7 @@
 	case ev.sessionClosed != nil:
 		if br.sessions[ev.sessionClosed.name] == ev.sessionClosed {
 			delete(br.sessions, ev.sessionClosed.name)
+			br.accounts.sessionClosed(ev.sessionClosed, now)
 			br.sessionsChanged()
 			br.en.EntryDisconnected(ev.sessionClosed.name, now)
 		}
@@ -187,6 +190,7 @@
 		return
 	}
 	br.sessions[se.name] = se
+	br.accounts.sessionOpened(se)
 	br.sessionsChanged()
 	br.markHoldingsStale()
 	if replaces {
--- a/agent/direct/frames.go
+++ b/agent/direct/frames.go
@@ -33,8 +33,7 @@
 	case fr.PartReport != nil:
 		br.passParts(ctx, se, fr.PartReport, now)
 		return
-	case fr.LeaseQuery != nil:
-		br.answerLeaseQuery(ctx, se, fr.LeaseQuery, now)
+	case br.answerQuery(ctx, se, fr, now):
 		return
 	case fr.Origins != nil:
 		br.keepOrigins(fr.Origins, now)
@@ -42,11 +41,23 @@
 	case fr.Versions != nil:
 		br.keepVersions(ctx, se, fr.Versions, now)
 		return
+	}
+	br.markHoldingsStale()
+}
+
+// answerQuery answers a frame that asks for something other than a grant, and reports whether it is one.
+func (br *Broker) answerQuery(ctx context.Context, se *session, fr *wire.Frame, now time.Time) bool {
+	switch {
+	case fr.LeaseQuery != nil:
+		br.answerLeaseQuery(ctx, se, fr.LeaseQuery, now)
+	case fr.QuotaQuery != nil:
+		br.answerQuotaQuery(ctx, se, fr.QuotaQuery, now)
 	case fr.OriginQuery != nil:
 		br.answerOriginQuery(ctx, se, fr.OriginQuery, now)
-		return
+	default:
+		return false
 	}
-	br.markHoldingsStale()
+	return true
 }
 
 // release ends the grant or the wait of an attempt. The ending Missing means that the engine did not
--- a/agent/direct/link.go
+++ b/agent/direct/link.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
@@ -33,6 +35,7 @@
 	ag.lg.Info().Str("dependency", "entry").Str("entry", hello.Entry).Str("entry_boot", hello.EntryBoot).Msg("dependency_regained")
 	ag.br.postEvent(ag.ctx, event{sessionOpened: se})
 	err = co.Run(ag.ctx, &frameReceiver{ag: ag, se: se})
+	se.fellSilent = errors.Is(err, link.ErrSilent)
 	ag.br.postEvent(ag.ctx, event{sessionClosed: se})
 	ag.lg.Info().Str("dependency", "entry").Str("entry", hello.Entry).Str("reason", err.Error()).Msg("dependency_lost")
 }
@@ -43,7 +46,7 @@
 	defer cancel()
 	place := ag.op.Settings.Place
 	return co.Welcome(ctx, &wire.Welcome{
-		Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region, KeepsOrigins: true, KeepsVersions: true,
+		Runner: place.Name, Boot: ag.br.boot, Zone: place.Zone, Region: place.Region, KeepsOrigins: true, KeepsVersions: true, KeepsQuotas: true,
 		EnginePort: portOf(ag.op.Settings.BackendAddress),
 	})
 }
--- a/agent/direct/metrics.go
+++ b/agent/direct/metrics.go
@@ -17,6 +17,8 @@
 	metricWaiting   = newMetric("waiting")
 	metricBacklog   = newMetric("backlog_ms")
 	metricBurstMax  = newMetric("burst_max_tokens")
+	// metricAccounts is the number of organisations whose quota the agent keeps.
+	metricAccounts = newMetric("kept_quotas")
 	// metricOrigins is the number of streams of which the agent keeps what began them.
 	metricOrigins = newMetric("kept_origins")
 )
--- a/agent/direct/session.go
+++ b/agent/direct/session.go
@@ -44,6 +44,8 @@
 	holdingsStale  bool
 	// versionsTold is true once the entry node has been told the software versions of services.
 	versionsTold bool
+	// fellSilent is true if the connection ended because nothing came from the entry node any more.
+	fellSilent bool
 	// peersDueAt is when the next Peers frame is due, the zero time if none is.
 	peersDueAt time.Time
 }
--- a/entry/direct/agents.go
+++ b/entry/direct/agents.go
@@ -36,6 +36,8 @@
 	keepsOrigins bool
 	// keepsVersions is true if the agent keeps the software versions of services.
 	keepsVersions bool
+	// keepsQuotas is true if the agent keeps the accounts of organisations.
+	keepsQuotas bool
 	// enginePort is the port of the agent's engine, empty if the agent does not tell it.
 	enginePort string
 	// silent is true from an unanswered reservation until the agent sends anything.
@@ -58,6 +60,9 @@
 	servers map[string]string
 	records map[string][]engineRecord
 	reports map[string]engineReport
+	// hosts holds the hosts of servers; it is replaced, not changed. hostsNumber counts its versions.
+	hosts       []string
+	hostsNumber int64
 	// listOutdated is true if an agent has reported another run than that of the only server with an address on its host.
 	listOutdated bool
 	// waiting holds the attempts that wait for a grant, granted those that have one; both are
@@ -140,6 +145,7 @@
 	for host := range records {
 		as.servers[host] = as.serverBeside(host, previous[host])
 	}
+	as.setHosts()
 	maps.DeleteFunc(as.reports, func(host string, _ engineReport) bool { return records[host] == nil })
 	for host := range as.links {
 		if previous[host] != as.servers[host] {
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -89,7 +89,7 @@
 			rq.respondError(err)
 			return
 		}
-		re, delivered := rq.makeAttempt(ctx, at)
+		re, delivered := rq.makeChargedAttempt(ctx, at)
 		if delivered {
 			return
 		}
--- a/entry/direct/dial.go
+++ b/entry/direct/dial.go
@@ -41,7 +41,7 @@
 		as.removeConnection(ho.Name, nil)
 		return
 	}
-	ac := &agentConn{co: co, boot: we.Boot, keepsOrigins: we.KeepsOrigins, keepsVersions: we.KeepsVersions}
+	ac := &agentConn{co: co, boot: we.Boot, keepsOrigins: we.KeepsOrigins, keepsVersions: we.KeepsVersions, keepsQuotas: we.KeepsQuotas}
 	if we.EnginePort > 0 {
 		ac.enginePort = strconv.Itoa(we.EnginePort)
 	}
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -83,6 +83,8 @@
 		return "", &fr.Holdings.Load
 	case fr.LeaseAnswer != nil:
 		return fr.LeaseAnswer.Attempt, nil
+	case fr.QuotaAnswer != nil:
+		return fr.QuotaAnswer.Query, nil
 	case fr.OriginAnswer != nil:
 		return fr.OriginAnswer.Attempt, nil
 	}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -55,6 +55,7 @@
 	feeds   *feeds
 	crashes *crashes
 	origins *origins
+	quotas  *quotas
 	held    heldBytes
 	memory  memory.Budget
 	pool    *pool.Pool
@@ -118,6 +119,7 @@
 	no.agents = newAgents(no)
 	no.crashes = newCrashes(no)
 	no.origins = &origins{no: no, startedAt: time.Now()}
+	no.quotas = newQuotas(no)
 	no.feeds = newFeeds(no, newFollower(no, OperatorsTopic), newFollower(no, ServersTopic))
 	return no
 }
@@ -181,6 +183,7 @@
 	go no.feeds.run(no.ctx)
 	go no.agents.run(no.ctx)
 	go no.agents.tellPeriodically(no.ctx)
+	go no.quotas.run(no.ctx)
 	go no.sweepIdleConnections()
 	no.logger.Info().Str("callers", se.CallerAddress).Str("boot", no.boot).Str("log", se.LogAddress).Msg("entry_started")
 	return nil
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -40,6 +40,9 @@
 	info    RequestInfo
 	route   *paths.Route
 	service *paths.Service
+	// organisation is the caller's organisation, nil if it has none; charge is what it was charged for the request.
+	organisation *paths.Organisation
+	charge       quotaCharge
 	// routesVersion is the version of the routing table that matched the request.
 	routesVersion int64
 	method        string
@@ -101,6 +104,12 @@
 	ctx, cancel := context.WithDeadline(ctx, rq.deadline)
 	defer cancel()
 	defer rq.hold.Release()
+	if err := rq.takeQuota(ctx); err != nil {
+		rq.awaitRefusedBody(gc.Request)
+		rq.respondError(err)
+		return
+	}
+	defer rq.returnQuota()
 	if err := rq.prepare(ctx, gc.Request); err != nil {
 		rq.respondError(err)
 		rq.hold.Linger(rq.wr, gc.Request)
