Expect waits at an engine's own reported speed

Entry nodes assumed 17,000 prompt tokens a second of every engine. The ratio is divided by a change of the reported slowness, and requests that were chosen before the change are not counted in it. Engines without a report are treated as before.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -82,8 +82,9 @@
 	ReportAge      time.Duration
 	Candidates     [candidatesMax]Candidate
 	CandidateCount int
-	// estimate is that of the chosen server.
-	estimate estimate
+	// estimate is that of the chosen server, ratedSlowness the reported slowness that it was made with.
+	estimate      estimate
+	ratedSlowness float64
 }
 
 // passes are the rounds in which Choose looks for candidates until it finds one. Each field
@@ -152,6 +153,7 @@
 	ca := Candidate{ID: me.ID, Cost: es.cost()}
 	if ch.CandidateCount == 0 || ca.Cost < ch.Cost {
 		ch.ID, ch.Reason, ch.Cost, ch.ReportAge, ch.estimate = me.ID, es.reason, ca.Cost, 0, es
+		ch.ratedSlowness = me.ratedSlowness
 		ch.Wait = time.Duration(es.wait * float64(time.Second))
 		ch.QueueWait = time.Duration(es.queueWait * float64(time.Second))
 		if me.agentAvailable {
--- a/core/spread/estimate.go
+++ b/core/spread/estimate.go
@@ -1,10 +1,6 @@
 package spread
 
-import (
-	"time"
-
-	"github.com/bambooladder/bambooladder/core/grant"
-)
+import "time"
 
 // estimate is the expected wait and the penalty of a candidate.
 type estimate struct {
@@ -63,13 +59,15 @@
 
 // promptWait returns the seconds until the engine is expected to have prefilled the request's
 // prompt: the time to prefill the backlog and this prompt, a share for each running request and
-// the wait for engine memory, scaled by the latency ratio.
+// the wait for engine memory, all at the engine's own speed and scaled by the latency ratio. A load of engines
+// with different speeds calls for that: at the usual speed, a slow engine appears idle as soon as a fast one.
 func (me *member) promptWait(rq *Request, now time.Time) float64 {
-	prefill := me.expectedBacklog(now) + grant.PrefillTime(rq.PromptTokens)
-	seconds := prefill.Seconds() + runningSeconds*float64(max(me.load.Running, me.inFlight))
+	prefill := me.expectedBacklog(now) + me.load.prefillTime(rq.PromptTokens)
+	decoding := runningSeconds * float64(max(me.load.Running, me.inFlight))
 	if me.agentAvailable && me.load.MemoryFree < rq.PromptTokens {
-		seconds += memoryWaitSeconds
+		decoding += memoryWaitSeconds
 	}
+	seconds := prefill.Seconds() + decoding*me.load.decodeSlowness()
 	return seconds * me.latencyRatio
 }
 
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -73,6 +73,8 @@
 	silenceBackoffUntil time.Time
 	// latencyRatio is the moving average of the measured over the expected time to the first byte.
 	latencyRatio float64
+	// ratedSlowness is the reported slowness that latencyRatio applies to, zero for none.
+	ratedSlowness float64
 	// failureShare is the moving average of failures, from 0 to 1.
 	failureShare        float64
 	consecutiveFailures int
@@ -167,6 +169,7 @@
 	}
 	// An agent that shuts down gives no grants, but its engine continues to serve.
 	me.load, me.agentAvailable, me.addedPrefillTime = lo, !lo.Leaving, 0
+	me.applySpeed()
 	me.markSeen(lo.ReportedAt)
 	if resident == nil {
 		return
@@ -201,7 +204,7 @@
 			me.lastSeen = now
 		}
 		me.inFlight++
-		me.addedPrefillTime += grant.PrefillTime(promptTokens)
+		me.addedPrefillTime += me.load.prefillTime(promptTokens)
 	}
 }
 
--- a/core/spread/outcome.go
+++ b/core/spread/outcome.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// MeasuredFirstByte records the time from sending a request to the chosen server to its first byte. A request that
+// was sent before the reported speed of the server changed says nothing on what remains beside it.
+func (fl *Fleet) MeasuredFirstByte(ch *Choice, took time.Duration) {
+	if me := fl.members[ch.ID]; me != nil && me.ratedSlowness == ch.ratedSlowness {
+		fl.MeasuredLatency(ch.ID, took, ch.QueueWait)
+	}
+}
+
 // MeasuredLatency records the time from sending a request to its first byte, together with the
 // expected time.
 func (fl *Fleet) MeasuredLatency(id string, took, expected time.Duration) {
--- a/entry/direct/accounting.go
+++ b/entry/direct/accounting.go
@@ -40,7 +40,7 @@
 	no.mu.Lock()
 	defer no.mu.Unlock()
 	no.fleet.Succeeded(at.server)
-	no.fleet.MeasuredLatency(at.server, took-at.grantWait, at.choice.QueueWait)
+	no.fleet.MeasuredFirstByte(&at.choice, took-at.grantWait)
 }
 
 // countRequest counts a new request in the retry budget of its service.
