Place adapters by the capacity of engines

Rendezvous hashing chose the engines that load an adapter regardless of speed: of 40 engines, 13 slow ones were home to a third of the adapters. The hash is now weighted by three capacity classes (full, half, quarter) of the reported prefill rate, with a margin of 10 % for a change. A popular adapter gets engines by their capacity, so a slow engine alone is not enough for it.

--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -75,6 +75,8 @@
 	latencyRatio float64
 	// ratedSlowness is the reported slowness that latencyRatio applies to, zero for none.
 	ratedSlowness float64
+	// class is the capacity class by the reported prefill rate.
+	class capacityClass
 	// failureShare is the moving average of failures, from 0 to 1.
 	failureShare        float64
 	consecutiveFailures int
--- a/core/spread/prefer.go
+++ b/core/spread/prefer.go
@@ -8,22 +8,25 @@
 
 const (
 	// usersPerEngine is the number of requests that use an adapter at the same time from which on
-	// one more engine of the region should load it.
+	// one more engine of usual speed in the region should load it.
 	usersPerEngine = 4
 	// preferredMax limits the engines of a region that load an adapter without a penalty.
 	preferredMax = 12
 )
 
 // preference tells which engines load an adapter without the penalty for an extra fetch: those
-// with the highest rendezvous hashes, so that all entry nodes agree on them. For most adapters it
+// with the highest rendezvous hashes, weighted by the capacity of the engines, so that all entry nodes agree on them. For most adapters it
 // is one engine of all zones and regions, so that few engines fetch the adapter. A popular adapter
 // is loaded on engines of the request's own region, because sending so many requests to another
 // region costs more than a further fetch, and on one more engine for each usersPerEngine requests
-// that use it there, because a single engine would make them wait.
+// that use it there, because a single engine would make them wait. Engines of a lower capacity class
+// count for less, so a popular adapter that a slow engine should load gets a faster one as well.
 type preference struct {
 	// scores holds the hashes of the preferred engines, the highest first.
 	scores [preferredMax]uint64
-	count  int
+	// classes holds the capacity classes of the preferred engines.
+	classes [preferredMax]capacityClass
+	count   int
 }
 
 // preferredEngines returns the engines that should load the request's adapter. There are none if
@@ -34,18 +37,33 @@
 	if rq.Adapter == "" || !rq.Popular && slices.ContainsFunc(group, func(me *member) bool { return me.hasAdapter(rq) }) {
 		return pr
 	}
-	wanted := 1
+	limit := 1
 	if rq.Popular {
-		wanted = min(preferredMax, 1+regionUsers(group, rq)/usersPerEngine)
+		limit = preferredMax
 	}
 	for _, me := range group {
 		if pr.qualifies(me, rq) {
-			pr.add(me.score(rq), wanted)
+			pr.add(me.score(rq), me.class, limit)
 		}
 	}
+	if rq.Popular {
+		pr.trim(min(preferredMax, 1+regionUsers(group, rq)/usersPerEngine))
+	}
 	return pr
 }
 
+// trim keeps the first engines that have the capacity of a number of engines of usual speed together.
+func (pr *preference) trim(engines int) {
+	missing := engines * fullCapacity.units()
+	for ix := range pr.count {
+		if missing <= 0 {
+			pr.count = ix
+			return
+		}
+		missing -= pr.classes[ix].units()
+	}
+}
+
 // regionUsers returns the number of requests that use the adapter on the engines of the request's
 // region.
 func regionUsers(group []*member, rq *Request) int {
@@ -63,24 +81,30 @@
 	return users
 }
 
-// score returns the rendezvous hash of an engine for the request's adapter.
-func (me *member) score(rq *Request) uint64 { return xxh3.HashStringSeed(rq.Adapter, me.hash) }
+// score returns the weighted rendezvous hash of an engine for the request's adapter.
+func (me *member) score(rq *Request) uint64 {
+	return me.class.weighted(xxh3.HashStringSeed(rq.Adapter, me.hash))
+}
 
 // qualifies reports whether an engine may be preferred.
 func (pr *preference) qualifies(me *member, rq *Request) bool {
 	return !me.Leaving && (!rq.Popular || me.Region == rq.Region)
 }
 
-// add keeps a score if it is among the highest that are wanted.
-func (pr *preference) add(score uint64, wanted int) {
-	for ix := range wanted {
+// add keeps a score if it is among the highest, up to a limit.
+func (pr *preference) add(score uint64, class capacityClass, limit int) {
+	if pr.count == limit && score <= pr.scores[limit-1] {
+		return
+	}
+	for ix := range limit {
 		if ix >= pr.count {
-			pr.scores[ix] = score
+			pr.scores[ix], pr.classes[ix] = score, class
 			pr.count++
 			return
 		}
 		if score > pr.scores[ix] {
 			pr.scores[ix], score = score, pr.scores[ix]
+			pr.classes[ix], class = class, pr.classes[ix]
 		}
 	}
 }
--- a/core/spread/speed.go
+++ b/core/spread/speed.go
@@ -51,6 +51,7 @@
 // rate now says; without a correction, the slowness of an engine that begins to report would count twice. The ratio
 // only moves towards one: an engine that ceases to report is at its usual speed again.
 func (me *member) applySpeed() {
+	me.class = me.class.next(me.load.PrefillRate)
 	earlier, slowness := max(1, me.ratedSlowness), me.load.slowness()
 	change := slowness / earlier
 	if change < rescaleStep && change > 1/rescaleStep {
