Add a penalty for streams that a request would make pause for too long

On engines that are 3 to 4 times slower, one long prompt stalls all running streams for longer than the route's bound. Choose now gets the bound (Request.Goals.PauseMax) and adds the existing penalty for each late stream where the prompt and a decoding step take longer at the reported speed, and for the request's own stream too where an event takes longer.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -25,7 +25,9 @@
 	// VersionMin is the oldest version that may still be used, zero for any.
 	VersionMin int
 	// Popular is true for an adapter that this node often gets requests for.
-	Popular      bool
+	Popular bool
+	// Goals are what the callers of the request's route expect.
+	Goals        Goals
 	PromptTokens int
 	Zone         string
 	Region       string
--- a/core/spread/estimate.go
+++ b/core/spread/estimate.go
@@ -46,9 +46,7 @@
 	me.addAdapterWait(&es, rq, preferred)
 	es.queueWait = me.promptWait(rq, now)
 	es.wait += es.queueWait
-	if me.load.BurstMax > 0 && rq.PromptTokens > me.load.BurstMax {
-		es.penalty += min(streamPausesMaxSeconds, streamPauseSeconds*float64(me.load.Running))
-	}
+	es.penalty += me.latePenalty(rq)
 	return es
 }
 
--- a/core/spread/speed_test.go
+++ b/core/spread/speed_test.go
@@ -29,7 +29,8 @@
 	engine         *replayEngine
 	sentAt, readAt time.Time
 	endAt          time.Time
-	measured       bool
+	// measured is true once the first event has come, paused once the stream has paused for too long.
+	measured, paused bool
 }
 
 // speedReplay is a load on engines of different speeds whose reports reach the entry nodes late.
@@ -40,12 +41,18 @@
 	fleets     []*Fleet
 	requests   []*replayRequest
 	// told is true if the agents report the speeds of their engines.
-	told               bool
+	told bool
+	// goals are those of the route.
+	goals              Goals
 	reportEvery, delay time.Duration
 	warmUp             time.Duration
-	total, late        int
+	// paused is the number of streams that paused for longer than replayPauseMax.
+	total, late, paused int
 }
 
+// replayPauseMax is the longest pause of a stream that callers accept.
+const replayPauseMax = 400 * time.Millisecond
+
 func newSpeedReplay(seed uint64, entries int, told bool, slowness ...float64) *speedReplay {
 	sr := &speedReplay{now: start, start: start, rng: rand.New(rand.NewPCG(seed, 1)), told: told, reportEvery: 300 * time.Millisecond, delay: 100 * time.Millisecond}
 	for range entries {
@@ -130,7 +137,7 @@
 // the first one's agent refuses it as busier than expected. Each engine has the adapter of its own name.
 func (sr *speedReplay) arrive(entry int, adapter string) *replayEngine {
 	fl := sr.fleets[entry]
-	rq := Request{Service: "advice", Model: "m", Adapter: adapter, PromptTokens: 500 + sr.rng.IntN(3600), Zone: "z1", Region: "r1"}
+	rq := Request{Service: "advice", Model: "m", Adapter: adapter, PromptTokens: 500 + sr.rng.IntN(3600), Goals: sr.goals, Zone: "z1", Region: "r1"}
 	ch, re := sr.choose(fl, rq)
 	if lo := sr.report(re); ch.BacklogMax > 0 && lo.Backlog > ch.BacklogMax {
 		fl.Done(re.id)
@@ -140,6 +147,7 @@
 	if sr.now.Sub(sr.start) >= sr.warmUp {
 		sr.total++
 	}
+	sr.stall(re, time.Duration(re.slowness*float64(grant.PrefillTime(rq.PromptTokens)+usualEventTime)))
 	re.readyAt = later(re.readyAt, sr.now).Add(time.Duration(re.slowness * float64(grant.PrefillTime(rq.PromptTokens))))
 	readAt := re.readyAt.Add(time.Duration(re.slowness * runningSeconds * float64(re.running) * float64(time.Second)))
 	streams := time.Duration(re.slowness * float64(400+sr.rng.IntN(1600)) * float64(time.Millisecond))
@@ -147,6 +155,16 @@
 	return re
 }
 
+// stall counts the streams of an engine that a prompt stalls for too long.
+func (sr *speedReplay) stall(re *replayEngine, pause time.Duration) {
+	for _, rq := range sr.requests {
+		if rq.engine == re && rq.measured && !rq.paused && pause > replayPauseMax {
+			rq.paused = true
+			sr.paused++
+		}
+	}
+}
+
 // choose chooses an engine and counts the request there.
 func (sr *speedReplay) choose(fl *Fleet, rq Request) (Choice, *replayEngine) {
 	ch, ok := fl.Choose(rq, sr.now)
--- a/core/spread/weights.go
+++ b/core/spread/weights.go
@@ -27,9 +27,9 @@
 	inFlightSeconds = 0.02
 	// failureSeconds is the penalty for a server whose requests all fail.
 	failureSeconds = 0.6
-	// streamPauseSeconds is the penalty for each running stream that a prompt above the engine's
-	// burst limit would pause for longer than its caller tolerates. streamPausesMaxSeconds limits
-	// the sum for one engine, so that it stays below extraFetchSeconds.
+	// streamPauseSeconds is the penalty for each stream that a request would make pause for longer than
+	// its caller tolerates. streamPausesMaxSeconds limits the sum for one engine, so that it stays below
+	// extraFetchSeconds.
 	streamPauseSeconds     = 0.1
 	streamPausesMaxSeconds = 0.5
 	// sameServerRetrySeconds is the penalty for a server that has failed the same request.
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -234,10 +234,18 @@
 	version, versionMin := rq.no.view.version(rq.info.adapterKey(), rq.no.versionSettleTime(), now)
 	return spread.Request{
 		Service: rq.service.Name, Model: rq.info.Model, Adapter: rq.info.Adapter, Version: version, VersionMin: versionMin,
-		Popular: rq.popular, PromptTokens: rq.info.PromptTokens, Zone: place.Zone, Region: place.Region, Exclude: exclude,
+		Popular: rq.popular, PromptTokens: rq.info.PromptTokens, Goals: rq.goals(), Zone: place.Zone, Region: place.Region, Exclude: exclude,
 	}
 }
 
+// goals returns what the request's caller expects of a stream.
+func (rq *request) goals() spread.Goals {
+	if rq.route.Kind != paths.Stream {
+		return spread.Goals{}
+	}
+	return spread.Goals{PauseMax: rq.route.PauseMax}
+}
+
 // versionSettleTime returns how long after a version's announcement the node may still use
 // older ones: half of version_ms.
 func (no *Node) versionSettleTime() time.Duration {
