Admit requests for as long as the callers of their route wait

One constant bounded the expected wait on all routes (3.5 s), and a first byte was on time after 0.5 s. Both follow from the route's goals for streams now: callers leave after 2 s, four times the goal or eight times the longest pause, and a first byte is on time within half of the goal. Routes without a goal, other kinds of routes and plain services keep the values of before, and so does a goal of 1 s.

--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -87,6 +87,8 @@
 	// estimate is that of the chosen server, ratedSlowness the reported slowness that it was made with.
 	estimate      estimate
 	ratedSlowness float64
+	// goals are those of the request at the chosen server.
+	goals Goals
 }
 
 // passes are the rounds in which Choose looks for candidates until it finds one. Each field
@@ -118,7 +120,9 @@
 			ch.addCandidate(me, es, now)
 		}
 		if ch.CandidateCount > 0 {
-			ch.limitBacklog(fl.members[ch.ID], now)
+			chosen := fl.members[ch.ID]
+			ch.goals = chosen.goals(&rq)
+			ch.limitBacklog(chosen, now)
 			return ch, true
 		}
 	}
--- a/core/spread/estimate.go
+++ b/core/spread/estimate.go
@@ -11,27 +11,29 @@
 	wait float64
 	// penalty is the cost beyond the wait, in seconds.
 	penalty float64
-	reason  Reason
+	// onTime is the longest wait after which the first byte is still on time, in seconds.
+	onTime float64
+	reason Reason
 }
 
-// cost returns the value by which candidates are compared. Up to onTimeWaitSeconds a wait
-// counts for less than the same penalty, beyond it for more.
+// cost returns the value by which candidates are compared. Up to onTime a wait counts for less than
+// the same penalty, beyond it for more.
 func (es estimate) cost() float64 {
-	return es.wait*waitWeight + max(0, es.wait-onTimeWaitSeconds)*lateWeight + es.penalty
+	return es.wait*waitWeight + max(0, es.wait-es.onTime)*lateWeight + es.penalty
 }
 
 // waitAtCost returns the wait, in seconds, at which the estimate would have the given cost.
 func (es estimate) waitAtCost(cost float64) float64 {
 	weighted := cost - es.penalty
-	if weighted <= onTimeWaitSeconds*waitWeight {
+	if weighted <= es.onTime*waitWeight {
 		return weighted / waitWeight
 	}
-	return (weighted + onTimeWaitSeconds*lateWeight) / (waitWeight + lateWeight)
+	return (weighted + es.onTime*lateWeight) / (waitWeight + lateWeight)
 }
 
 // estimate returns the expected wait and the penalty of sending the request to the server.
 func (me *member) estimate(rq *Request, preferred *preference, now time.Time) estimate {
-	es := estimate{penalty: me.failureShare * failureSeconds, reason: PlainService}
+	es := estimate{penalty: me.failureShare * failureSeconds, onTime: me.goals(rq).onTimeSeconds(), reason: PlainService}
 	switch {
 	case rq.Region != me.Region:
 		es.penalty += crossRegionSeconds
@@ -50,6 +52,14 @@
 	return es
 }
 
+// goals returns those of the request at the server. Plain services have none.
+func (me *member) goals(rq *Request) Goals {
+	if !me.Engine {
+		return Goals{}
+	}
+	return rq.Goals
+}
+
 // plainServiceWait returns the expected wait at a plain service in seconds.
 func (me *member) plainServiceWait() float64 {
 	return inFlightSeconds*float64(me.inFlight)*me.latencyRatio + excessRequestSeconds*float64(max(0, me.inFlight+1-me.Places))
--- a/core/spread/goals.go
+++ b/core/spread/goals.go
@@ -4,10 +4,45 @@
 
 // Goals are what the callers of a route expect of its streams. The zero value is for routes without such goals.
 type Goals struct {
+	// FirstEvent is the time within which the first event should come, zero for no goal.
+	FirstEvent time.Duration
 	// PauseMax is the longest pause between two events that callers accept, zero for no bound.
 	PauseMax time.Duration
 }
 
+const (
+	// firstByteWaitMax is the longest expected wait that is admitted on a route without a goal for the first event.
+	firstByteWaitMax = 3500 * time.Millisecond
+	// patienceMin is the shortest time after which callers leave a stream that delivers nothing. They stay for
+	// patienceGoals times the goal for the first event and patiencePauses times the longest pause they accept, if
+	// that is longer. A wait that is admitted ends patienceMargin earlier.
+	patienceMin    = 2 * time.Second
+	patienceGoals  = 4
+	patiencePauses = 8
+	patienceMargin = 500 * time.Millisecond
+	// onTimeWait is the longest wait after which the first byte is still on time on a route without a goal.
+	onTimeWait = 500 * time.Millisecond
+)
+
+// WaitBudget returns how long a request may wait for its first byte, given the time remaining until its deadline.
+// It follows from how long callers wait. It answers a load of routes with different goals: with one budget for all,
+// requests are refused although their callers would have waited, or wait for an answer that nobody reads.
+func (gl Goals) WaitBudget(remaining time.Duration) time.Duration {
+	if gl.FirstEvent <= 0 {
+		return min(firstByteWaitMax, remaining)
+	}
+	return min(max(patienceMin, patienceGoals*gl.FirstEvent, patiencePauses*gl.PauseMax)-patienceMargin, remaining)
+}
+
+// onTimeSeconds returns the longest wait after which the first byte is still on time, in seconds: half of the goal.
+// The other half is left for what isn't known of the server, and for the way of the answer.
+func (gl Goals) onTimeSeconds() float64 {
+	if gl.FirstEvent <= 0 {
+		return onTimeWait.Seconds()
+	}
+	return gl.FirstEvent.Seconds() / 2
+}
+
 // latePenalty returns the penalty for the streams that would pause for too long if the engine got the request. A
 // prompt stalls the running streams while it is prefilled, and an engine on which a single event takes too long
 // stalls the request's own stream as well. It answers a load of unequal engines, where one long prompt on a
--- a/core/spread/weights.go
+++ b/core/spread/weights.go
@@ -40,10 +40,8 @@
 	// unreachable or shutting down.
 	unavailableAgentSeconds = 0.15
 
-	// onTimeWaitSeconds is the longest wait after which the first byte is still on time.
-	onTimeWaitSeconds = 0.5
-	// waitWeight is the weight of the whole wait; lateWeight is added to it for the part beyond
-	// onTimeWaitSeconds.
+	// waitWeight is the weight of the whole wait; lateWeight is added to it for the part after which the
+	// first byte is not on time.
 	waitWeight = 0.4
 	lateWeight = 1.2
 )
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -63,7 +63,7 @@
 // reserve requests a grant for the attempt and reports whether it was given.
 func (rq *request) reserve(ctx context.Context, at *attempt) (result, bool) {
 	versionMin := rq.versionMin(time.Now())
-	budget := spread.WaitBudget(time.Until(rq.no.drain.latestStart(rq.terms())))
+	budget := rq.goals().WaitBudget(time.Until(rq.no.drain.latestStart(rq.terms())))
 	if rq.stream.endCounts {
 		budget = min(budget, confirmWaitMax)
 	}
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -243,7 +243,7 @@
 	if rq.route.Kind != paths.Stream {
 		return spread.Goals{}
 	}
-	return spread.Goals{PauseMax: rq.route.PauseMax}
+	return spread.Goals{FirstEvent: rq.route.Target, PauseMax: rq.route.PauseMax}
 }
 
 // versionSettleTime returns how long after a version's announcement the node may still use
