--- a/core/spread/speed_test.go
+++ b/core/spread/speed_test.go
@@ -42,6 +42,13 @@
 	requests   []*replayRequest
 	// told is true if the agents report the speeds of their engines.
 	told bool
+	// uncounted is true if entry nodes don't count what they have sent since the last report, unlimited if agents
+	// don't refuse requests beyond the expected backlog.
+	uncounted, unlimited bool
+	// zones is the number of zones, zero for one.
+	zones int
+	// freeCrossing is true if entry nodes prefer no zone, noCrossing if they use only engines of their own.
+	freeCrossing, noCrossing bool
 	// goals are those of the route.
 	goals              Goals
 	reportEvery, delay time.Duration
@@ -137,9 +144,10 @@
 // the first one's agent refuses it as busier than expected. Each engine has the adapter of its own name.
 func (sr *speedReplay) arrive(entry int, adapter string) *replayEngine {
 	fl := sr.fleets[entry]
-	rq := Request{Service: "advice", Model: "m", Adapter: adapter, PromptTokens: 500 + sr.rng.IntN(3600), Goals: sr.goals, Zone: "z1", Region: "r1"}
+	rq := Request{Service: "advice", Model: "m", Adapter: adapter, PromptTokens: 500 + sr.rng.IntN(3600), Goals: sr.goals, Zone: sr.zone(entry), Region: "r1"}
+	sr.limitCrossing(&rq)
 	ch, re := sr.choose(fl, rq)
-	if lo := sr.report(re); ch.BacklogMax > 0 && lo.Backlog > ch.BacklogMax {
+	if lo := sr.report(re); ch.BacklogMax > 0 && !sr.unlimited && lo.Backlog > ch.BacklogMax {
 		fl.Done(re.id)
 		fl.AgentReported(re.id, lo, nil)
 		ch, re = sr.choose(fl, rq)
@@ -165,13 +173,30 @@
 	}
 }
 
+// zone returns the zone of an engine or entry node.
+func (sr *speedReplay) zone(nr int) string { return fmt.Sprintf("z%d", 1+nr%max(1, sr.zones)) }
+
+// limitCrossing changes a request where entry nodes do not weigh a crossing of zones.
+func (sr *speedReplay) limitCrossing(rq *Request) {
+	for _, re := range sr.engines {
+		if sr.noCrossing && re.zone != rq.Zone {
+			rq.Exclude = append(rq.Exclude, re.id)
+		}
+	}
+	if sr.freeCrossing {
+		rq.Zone = ""
+	}
+}
+
 // choose chooses an engine and counts the request there.
 func (sr *speedReplay) choose(fl *Fleet, rq Request) (Choice, *replayEngine) {
 	ch, ok := fl.Choose(rq, sr.now)
 	if !ok {
 		panic("no engine can be chosen")
 	}
-	fl.Sent(ch.ID, rq.PromptTokens, sr.now)
+	if !sr.uncounted {
+		fl.Sent(ch.ID, rq.PromptTokens, sr.now)
+	}
 	ix := slices.IndexFunc(sr.engines, func(re *replayEngine) bool { return re.id == ch.ID })
 	return ch, sr.engines[ix]
 }
