Spread the retries of callers that are refused together

All callers that were refused in a burst got the same Retry-After and returned as a second burst. The entry node adds a random part: up to a second or the time there is to wait, at most the wait budget.

--- a/core/spread/goals.go
+++ b/core/spread/goals.go
@@ -28,10 +28,15 @@
 // It follows from how long callers wait. It answers a load of routes with different goals: with one budget for all,
 // requests are refused although their callers would have waited, or wait for an answer that nobody reads.
 func (gl Goals) WaitBudget(remaining time.Duration) time.Duration {
+	return min(gl.waitMax(), remaining)
+}
+
+// waitMax returns the longest expected wait that is admitted.
+func (gl Goals) waitMax() time.Duration {
 	if gl.FirstEvent <= 0 {
-		return min(firstByteWaitMax, remaining)
+		return firstByteWaitMax
 	}
-	return min(max(patienceMin, patienceGoals*gl.FirstEvent, patiencePauses*gl.PauseMax)-patienceMargin, remaining)
+	return max(patienceMin, patienceGoals*gl.FirstEvent, patiencePauses*gl.PauseMax) - patienceMargin
 }
 
 // onTimeSeconds returns the longest wait after which the first byte is still on time, in seconds: half of the goal.
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -186,7 +186,7 @@
 	}
 	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
-			WithRetryAfter(retryAfter)
+			WithRetryAfter(ch.SpreadRetry(retryAfter, no.options.Random()))
 	}
 	at := &attempt{
 		id: rq.attemptID(number), server: ch.ID, software: no.fleet.Software(ch.ID), address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
