--- a/core/spread/capacity_test.go
+++ b/core/spread/capacity_test.go
@@ -166,3 +166,22 @@
 		}
 	}
 }
+
+// A rare adapter whose only engine is slow is fetched to another engine once the wait there costs more than the fetch.
+// By the usual speed, the wait appears short and all requests stay.
+func TestAdapterOfABusySlowEngineIsFetchedToOneMore(t *testing.T) {
+	for rate, want := range map[int]string{0: "e1", usualPrefillRate / 4: "e2"} {
+		fl, rq := fleetOf("e1", "e2"), requestFor("x")
+		report(fl, "e1", AdapterSlot{Adapter: "x", Version: 1, Ready: true})
+		reportRate(fl, "e1", rate, start)
+		if ch := mustChoose(t, fl, rq, start); ch.ID != "e1" {
+			t.Errorf("rate %d: chose %s while the engine with the adapter is idle", rate, ch.ID)
+		}
+		for range 3 {
+			fl.Sent("e1", 2400, start)
+		}
+		if ch := mustChoose(t, fl, rq, start); ch.ID != want {
+			t.Errorf("rate %d: chose %s with a wait of %s, want %s", rate, ch.ID, ch.Wait, want)
+		}
+	}
+}
