--- a/core/spread/choose.go
+++ b/core/spread/choose.go
@@ -25,7 +25,9 @@
 	// VersionMin is the oldest version that may still be used, zero for any.
 	VersionMin int
 	// Popular is true for an adapter that this node often gets requests for.
-	Popular      bool
+	Popular bool
+	// Goals are what the callers of the request's route expect.
+	Goals        Goals
 	PromptTokens int
 	Zone         string
 	Region       string
@@ -82,8 +84,11 @@
 	ReportAge      time.Duration
 	Candidates     [candidatesMax]Candidate
 	CandidateCount int
-	// estimate is that of the chosen server.
-	estimate estimate
+	// estimate is that of the chosen server, ratedSlowness the reported slowness that it was made with.
+	estimate      estimate
+	ratedSlowness float64
+	// goals are those of the request at the chosen server.
+	goals Goals
 }
 
 // passes are the rounds in which Choose looks for candidates until it finds one. Each field
@@ -115,7 +120,9 @@
 			ch.addCandidate(me, es, now)
 		}
 		if ch.CandidateCount > 0 {
-			ch.limitBacklog(fl.members[ch.ID], now)
+			chosen := fl.members[ch.ID]
+			ch.goals = chosen.goals(&rq)
+			ch.limitBacklog(chosen, now)
 			return ch, true
 		}
 	}
@@ -152,6 +159,7 @@
 	ca := Candidate{ID: me.ID, Cost: es.cost()}
 	if ch.CandidateCount == 0 || ca.Cost < ch.Cost {
 		ch.ID, ch.Reason, ch.Cost, ch.ReportAge, ch.estimate = me.ID, es.reason, ca.Cost, 0, es
+		ch.ratedSlowness = me.ratedSlowness
 		ch.Wait = time.Duration(es.wait * float64(time.Second))
 		ch.QueueWait = time.Duration(es.queueWait * float64(time.Second))
 		if me.agentAvailable {
--- a/core/spread/weights.go
+++ b/core/spread/weights.go
@@ -27,9 +27,9 @@
 	inFlightSeconds = 0.02
 	// failureSeconds is the penalty for a server whose requests all fail.
 	failureSeconds = 0.6
-	// streamPauseSeconds is the penalty for each running stream that a prompt above the engine's
-	// burst limit would pause for longer than its caller tolerates. streamPausesMaxSeconds limits
-	// the sum for one engine, so that it stays below extraFetchSeconds.
+	// streamPauseSeconds is the penalty for each stream that a request would make pause for longer than
+	// its caller tolerates. streamPausesMaxSeconds limits the sum for one engine, so that it stays below
+	// extraFetchSeconds.
 	streamPauseSeconds     = 0.1
 	streamPausesMaxSeconds = 0.5
 	// sameServerRetrySeconds is the penalty for a server that has failed the same request.
@@ -40,10 +40,8 @@
 	// unreachable or shutting down.
 	unavailableAgentSeconds = 0.15
 
-	// onTimeWaitSeconds is the longest wait after which the first byte is still on time.
-	onTimeWaitSeconds = 0.5
-	// waitWeight is the weight of the whole wait; lateWeight is added to it for the part beyond
-	// onTimeWaitSeconds.
+	// waitWeight is the weight of the whole wait; lateWeight is added to it for the part after which the
+	// first byte is not on time.
 	waitWeight = 0.4
 	lateWeight = 1.2
 )
