Measure the speed of an engine from its running requests, and limit bursts on slow ones

The agent compares the running requests of two reports: the events of the streams give the time of decoding, the rest of the time was spent on prompts. An engine whose rate is below 0.7 of the assumed one counts as slow: its backlog is computed with the measured rate, its load carries the rate and the event time, and bursts of prompts are limited from the start by the strictest bound on pauses. Other engines are paced as before.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -78,6 +78,8 @@
 	// burstLimited is true while the number of prompt tokens that are granted without a break is
 	// limited.
 	burstLimited bool
+	// engineSlow is true while the engine counts as slow.
+	engineSlow bool
 	// crashes and parts hold the reports of crashes and of parts that were passed on, for entry nodes
 	// that connect later.
 	crashes, parts []passedReport
--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -120,6 +120,19 @@
 	// MemoryUsed and MemoryTotal are in KV cache tokens.
 	MemoryUsed  int
 	MemoryTotal int
+	// Runs lists the running requests, as far as the engine reports them. RunsKnown is false if the report was read
+	// without them.
+	Runs      []Run
+	RunsKnown bool
+}
+
+// Run is a request that runs on the engine.
+type Run struct {
+	ID string
+	// Tokens is the number of tokens that the request has in the KV cache, and Events the number of events that it
+	// has made, zero while its prompt is read.
+	Tokens int
+	Events int
 }
 
 // Reasons why a request is refused or queued. Entry nodes receive these strings.
--- a/core/grant/backlog.go
+++ b/core/grant/backlog.go
@@ -11,7 +11,7 @@
 			tokens += en.queue[ix].PromptTokens
 		}
 	}
-	return max(0, en.pacer.prefillDoneAt.Sub(now)) + PrefillTime(tokens)
+	return max(0, en.pacer.prefillDoneAt.Sub(now)) + en.pacer.speed.prefillTime(tokens)
 }
 
 // backlogBefore returns the backlog that a new request finds. Unlike in Load it includes the
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -192,12 +192,28 @@
 	Draining bool
 }
 
+// Speed is what the agent has measured of its engine.
+type Speed struct {
+	// Slow is true while the engine counts as slow.
+	Slow bool
+	// PrefillRate is the mean rate of the latest samples in tokens a second; EventTime is the time between two events of
+	// a stream. Both are zero if not known.
+	PrefillRate int
+	EventTime   time.Duration
+	// RateSamples and EventSamples are the numbers of samples so far.
+	RateSamples  int
+	EventSamples int
+}
+
+// Speed returns what was measured of the engine.
+func (en *Engine) Speed() Speed { return en.pacer.speed.measured() }
+
 // Load returns the engine's state and load at now.
 func (en *Engine) Load(now time.Time) Load {
 	return Load{
 		Known: en.reachable, Model: en.loadedModel(), Born: en.observation.Born, Slots: en.slots,
 		Backlog:  en.backlog(now, func(rq *Request) bool { return en.isLoaded(rq.Key) }),
-		BurstMax: en.pacer.burstLimit(now),
+		BurstMax: en.pacer.burstLimit(0, now), PrefillRate: en.pacer.reportedRate(), EventTime: en.pacer.reportedEventTime(),
 		LoadTime: en.averageLoadTime, Running: len(en.granted), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.observation.Draining,
 	}
 }
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -44,6 +44,7 @@
 	}
 	rq.Arrived = now
 	en.granted[rq.Attempt] = &granted{Request: rq}
+	en.pacer.grantAdded(rq.PauseMax)
 	return nil
 }
 
@@ -71,6 +72,7 @@
 
 // removeGrant removes a granted request.
 func (en *Engine) removeGrant(attempt string, now time.Time) {
+	en.pacer.grantRemoved(en.granted[attempt].PauseMax)
 	delete(en.granted, attempt)
 	en.pacer.requestEnded(attempt, now)
 }
@@ -131,6 +133,9 @@
 	}
 	en.reachable = true
 	en.observation = observation
+	if observation.RunsKnown {
+		en.pacer.observe(observation.Runs, now)
+	}
 	en.updateAdapters(observation, now)
 	en.sequence = observation.Sequence
 	en.lostOrders = slices.DeleteFunc(en.lostOrders, func(lost lostOrder) bool { return en.obsolete(&lost, now) })
--- a/core/grant/pacer.go
+++ b/core/grant/pacer.go
@@ -66,6 +66,11 @@
 	longPauses   decay.Count
 	pauseLimit   time.Duration
 	limitedUntil time.Time
+	// speed measures whether the engine is slow; burstPrompts is the number of prompts of the burst.
+	speed        speed
+	burstPrompts int
+	// pauseBounds counts the granted requests by the longest pause that their callers tolerate.
+	pauseBounds map[time.Duration]int
 }
 
 // tokensPerSecond returns the engine's prefill rate.
@@ -77,20 +82,94 @@
 }
 
 // burstLimit returns the number of tokens that may be granted without a break, zero for no
-// limit.
-func (pa *pacer) burstLimit(now time.Time) int {
+// limit. A request that is about to be granted has a bound on its pauses, zero for none.
+func (pa *pacer) burstLimit(pauseMax time.Duration, now time.Time) int {
+	limit := pa.slowBurstLimit(pauseMax)
 	if !now.Before(pa.limitedUntil) {
+		return limit
+	}
+	byPauses := int(burstPauseShare * pa.pauseLimit.Seconds() * pa.tokensPerSecond())
+	if limit == 0 || byPauses < limit {
+		return byPauses
+	}
+	return limit
+}
+
+// slowBurstLimit returns the burst limit of an engine that counts as slow, zero for another one. It keeps the
+// strictest bound on pauses of the granted requests and of the one that is about to be granted.
+func (pa *pacer) slowBurstLimit(pauseMax time.Duration) int {
+	if !pa.speed.slow {
+		return 0
+	}
+	strictest := pauseMax
+	for bound := range pa.pauseBounds {
+		if strictest == 0 || bound < strictest {
+			strictest = bound
+		}
+	}
+	if strictest == 0 {
+		return 0
+	}
+	room := burstPauseShare*strictest.Seconds() - pa.speed.eventTime.Seconds()
+	return max(1, int(room*pa.speed.rate()))
+}
+
+// grantAdded counts a granted request by its bound on pauses.
+func (pa *pacer) grantAdded(pauseMax time.Duration) {
+	if pauseMax <= 0 {
+		return
+	}
+	if pa.pauseBounds == nil {
+		pa.pauseBounds = map[time.Duration]int{}
+	}
+	pa.pauseBounds[pauseMax]++
+}
+
+// grantRemoved reverses grantAdded.
+func (pa *pacer) grantRemoved(pauseMax time.Duration) {
+	if pa.pauseBounds[pauseMax] > 1 {
+		pa.pauseBounds[pauseMax]--
+		return
+	}
+	delete(pa.pauseBounds, pauseMax)
+}
+
+// observe measures the engine's speed by the running requests that it reports.
+func (pa *pacer) observe(runs []Run, now time.Time) {
+	before := pa.speed.rate()
+	pa.speed.observe(runs, now)
+	pa.rescale(before, now)
+}
+
+// rescale adjusts the time until the granted prompts are prefilled to a rate that has changed.
+func (pa *pacer) rescale(before float64, now time.Time) {
+	if left := pa.prefillDoneAt.Sub(now); left > 0 {
+		pa.prefillDoneAt = now.Add(time.Duration(float64(left) * before / pa.speed.rate()))
+	}
+}
+
+// reportedRate returns the measured rate while the engine counts as slow, zero otherwise.
+func (pa *pacer) reportedRate() int {
+	if !pa.speed.slow {
+		return 0
+	}
+	return max(1, int(pa.speed.rate()))
+}
+
+// reportedEventTime returns the event time while the engine counts as slow, zero otherwise.
+func (pa *pacer) reportedEventTime() time.Duration {
+	if !pa.speed.slow {
 		return 0
 	}
-	return int(burstPauseShare * pa.pauseLimit.Seconds() * pa.tokensPerSecond())
+	return pa.speed.eventTime
 }
 
 // allows reports whether a prompt that has waited for some time may be granted now. The first
 // prompt of a burst always may, a further one only if the burst stays within its limit. If
 // prompts arrive faster than the engine prefills them, no limit can protect the running
 // streams, so a prompt that has waited for burstWaitMax is granted regardless.
-func (pa *pacer) allows(tokens int, waited time.Duration, now time.Time) bool {
-	limit := pa.burstLimit(now)
+func (pa *pacer) allows(tokens int, pauseMax, waited time.Duration, now time.Time) bool {
+	limit := pa.burstLimit(pauseMax, now)
 	return limit == 0 || len(pa.pending) == 0 || pa.burstTokens+tokens <= limit || waited > burstWaitMax
 }
 
@@ -100,10 +179,12 @@
 		pa.pending = map[string]prompt{}
 	}
 	if len(pa.pending) == 0 {
-		pa.burstTokens, pa.burstStart, pa.burstMeasurable = 0, now, true
+		pa.burstTokens, pa.burstPrompts, pa.burstStart, pa.burstMeasurable = 0, 0, now, true
 	}
 	pa.burstTokens += tokens
-	pa.prefillDoneAt = later(pa.prefillDoneAt, now).Add(PrefillTime(tokens))
+	pa.burstPrompts++
+	pa.speed.attemptChanged(attempt)
+	pa.prefillDoneAt = later(pa.prefillDoneAt, now).Add(pa.speed.prefillTime(tokens))
 	pa.pending[attempt] = prompt{tokens: tokens, expiresAt: now.Add(2*pa.prefillDoneAt.Sub(now) + prefillReportGrace)}
 }
 
@@ -114,6 +195,7 @@
 		return
 	}
 	delete(pa.pending, attempt)
+	pa.speed.attemptChanged(attempt)
 	if len(pa.pending) > 0 {
 		return
 	}
@@ -121,19 +203,23 @@
 	took := now.Sub(pa.burstStart).Seconds()
 	if pa.burstMeasurable && pa.burstTokens >= prefillSampleTokensMin && took > 0 {
 		pa.prefillRate = pa.tokensPerSecond() + prefillRateWeight*(float64(pa.burstTokens)/took-pa.tokensPerSecond())
+		pa.speed.addBurst(pa.burstTokens, pa.burstPrompts, now.Sub(pa.burstStart), now)
 	}
 }
 
 // requestEnded removes the prompt of a request that has ended, whether it was prefilled or not.
 func (pa *pacer) requestEnded(attempt string, now time.Time) {
-	if _, ok := pa.pending[attempt]; ok {
+	_, ok := pa.pending[attempt]
+	if ok {
 		pa.burstMeasurable = false
 		pa.prefillDone(attempt, now)
 	}
+	pa.speed.attemptEnded(attempt, ok)
 }
 
 // expirePrompts removes the prompts that have been pending for too long.
 func (pa *pacer) expirePrompts(now time.Time) {
+	pa.speed.expire(now)
 	for attempt, pr := range pa.pending {
 		if !now.Before(pr.expiresAt) {
 			pa.requestEnded(attempt, now)
@@ -156,5 +242,6 @@
 	}
 }
 
-// reset discards the state of an earlier engine process; the prefill rate is measured anew.
-func (pa *pacer) reset() { *pa = pacer{} }
+// reset discards the state of an earlier engine process; its speed is measured anew. The granted requests stay until
+// they are released.
+func (pa *pacer) reset() { *pa = pacer{pauseBounds: pa.pauseBounds} }
--- a/core/grant/pacer_test.go
+++ b/core/grant/pacer_test.go
@@ -194,10 +194,10 @@
 		for range 3 {
 			pa.recordPause(tc.longest, tc.tolerated, testStart)
 		}
-		if limited := pa.burstLimit(testStart) > 0; limited != tc.limited {
+		if limited := pa.burstLimit(0, testStart) > 0; limited != tc.limited {
 			t.Errorf("%s: bursts limited: %v", name, limited)
 		}
-		if pa.burstLimit(testStart.Add(burstLimitTime)) != 0 {
+		if pa.burstLimit(0, testStart.Add(burstLimitTime)) != 0 {
 			t.Errorf("%s: bursts are still limited after burstLimitTime", name)
 		}
 	}
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -68,6 +68,7 @@
 			en.loadStall += now.Sub(rq.Arrived)
 			en.markCached(rq.Key)
 		}
+		en.pacer.grantAdded(rq.PauseMax)
 		en.pacer.promptGranted(rq.Attempt, rq.PromptTokens, now)
 		actions = append(actions, Action{Grant: &Grant{Attempt: rq.Attempt, Entry: rq.Entry, Version: en.loaded[rq.Key]}})
 	}
@@ -87,7 +88,7 @@
 	if len(en.granted) > 0 && en.observation.MemoryTotal > 0 && en.memoryFree() < rq.PromptTokens+rq.OutputTokens {
 		return ReasonMemoryFull
 	}
-	if !en.pacer.allows(rq.PromptTokens, now.Sub(rq.Arrived), now) {
+	if !en.pacer.allows(rq.PromptTokens, rq.PauseMax, now.Sub(rq.Arrived), now) {
 		return ReasonPrefillBusy
 	}
 	return ""
--- /dev/null
+++ b/core/grant/speed.go
@@ -0,0 +1,297 @@
+package grant
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// slowBelow and soundAbove are shares of defaultPrefillRate. An engine counts as slow once its measured rate is
+	// below the first, and until it is above the second. Engines that are alike differ by less than that.
+	slowBelow  = 0.7
+	soundAbove = 0.8
+	// slowSamples is the number of consecutive samples below slowBelow after which an engine counts as slow. Two
+	// suffice below verySlowBelow, so that a slow spell is detected within two inspections.
+	slowSamples     = 3
+	verySlowBelow   = 0.35
+	verySlowSamples = 2
+	// soundSamples is the number of consecutive samples above soundAbove after which an engine ceases to be slow.
+	soundSamples = 2
+	// speedSampleTokensMin is the number of prompt tokens from which on an interval between two reports yields a
+	// sample. A shorter prompt takes not much longer than an event, by which the times are uncertain.
+	speedSampleTokensMin = 1000
+	// reportIntervalMin and reportIntervalMax bound the time between two reports that are compared. In a shorter time,
+	// the steps in which an engine works distort the result; after a longer one, an inspection has failed.
+	reportIntervalMin = 400 * time.Millisecond
+	reportIntervalMax = 1500 * time.Millisecond
+	// usualEventTime is more than the time between two events of a stream on an engine of usual speed while no prompt
+	// is read, which is 17 to 30 ms. This much of the time between reports never counts as time for prompts.
+	usualEventTime = 40 * time.Millisecond
+	// tokensPerEventMax is the number of output tokens that are assumed for one event.
+	tokensPerEventMax = 4
+	// eventTimeWeight is the weight of a new sample in the event time.
+	eventTimeWeight = 0.4
+	// fasterEventShare is the share of its event time below which an engine's slow spell has ended.
+	fasterEventShare = 0.5
+	// burstOverhead is the part of a burst's time, for each of its prompts, that is no time for reading prompts: the
+	// network delay of grant, request and report, and the time of the first event.
+	burstOverhead = 60 * time.Millisecond
+	// burstSlowBelow and burstSlowSamples apply to samples from bursts, which include the decoding steps between the
+	// pieces of prompts. Such samples count if the reports gave none for reportSamplesFresh.
+	burstSlowBelow     = 0.5
+	burstSlowSamples   = 4
+	reportSamplesFresh = 10 * time.Second
+	// speedForgetAfter is how long an engine counts as slow without a new sample.
+	speedForgetAfter = time.Minute
+	// shareMin bounds the measured rate as a share of the default rate.
+	shareMin = 0.02
+	// rateSamplesMax is the number of samples that the rate is computed from.
+	rateSamplesMax = 4
+)
+
+// rateSample is how long the engine took to prefill some prompt tokens.
+type rateSample struct {
+	tokens int
+	took   time.Duration
+}
+
+// share returns the sample's rate as a share of the default rate.
+func (rs rateSample) share() float64 {
+	return float64(rs.tokens) / max(rs.took, time.Millisecond).Seconds() / defaultPrefillRate
+}
+
+// speed measures how fast an engine prefills prompts and makes events, and decides whether it counts as slow. The
+// running streams serve as a clock: between two reports, the engine has made so many events of each, and the
+// remaining time it has spent on prompts. This needs no network delay and no idle time to be known. The zero value
+// is ready to use.
+type speed struct {
+	// base holds the runs of the report at baseAt, with which the next one is compared.
+	base   map[string]Run
+	baseAt time.Time
+	// fresh holds the attempts that were granted or whose first event came since baseAt. If one of them has ended,
+	// unseen is true: the engine may have read a prompt that no report shows.
+	fresh  map[string]bool
+	unseen bool
+	// eventTime is the moving average of the time of an event, of eventSamples samples.
+	eventTime    time.Duration
+	eventSamples int
+	// fasterEvents counts the consecutive samples of the event time below fasterEventShare.
+	fasterEvents int
+	// samples holds the latest samples of the prefill rate, the newest last.
+	samples     []rateSample
+	rateSamples int
+	// sampledAt is when the last sample was taken, reportedAt when the last one from reports.
+	sampledAt  time.Time
+	reportedAt time.Time
+	// low, veryLow and high count the consecutive samples that are below or above the thresholds.
+	low, veryLow, high int
+	slow               bool
+	paces              []int
+}
+
+// measured returns the measured values.
+func (sp *speed) measured() Speed {
+	return Speed{
+		Slow: sp.slow, PrefillRate: int(sp.meanShare() * defaultPrefillRate), EventTime: sp.eventTime,
+		RateSamples: sp.rateSamples, EventSamples: sp.eventSamples,
+	}
+}
+
+// meanShare returns the rate of the latest samples as a share of the default rate, zero without samples.
+func (sp *speed) meanShare() float64 {
+	sum := rateSample{}
+	for _, rs := range sp.samples {
+		sum.tokens += rs.tokens
+		sum.took += max(0, rs.took)
+	}
+	return sum.share()
+}
+
+// rate returns the measured number of prompt tokens prefilled in a second while the engine counts as slow, and the
+// default rate otherwise.
+func (sp *speed) rate() float64 {
+	if !sp.slow {
+		return defaultPrefillRate
+	}
+	return min(1, max(shareMin, sp.meanShare())) * defaultPrefillRate
+}
+
+// prefillTime returns the time that the engine needs to prefill tokens.
+func (sp *speed) prefillTime(tokens int) time.Duration {
+	if !sp.slow {
+		return PrefillTime(tokens)
+	}
+	return time.Duration(float64(tokens) / sp.rate() * float64(time.Second))
+}
+
+// attemptChanged records that an attempt was granted or that its first event has come.
+func (sp *speed) attemptChanged(attempt string) {
+	if sp.fresh == nil {
+		sp.fresh = map[string]bool{}
+	}
+	sp.fresh[attempt] = true
+}
+
+// attemptEnded records that an attempt has ended; pending is true if its first event is not known to have come.
+func (sp *speed) attemptEnded(attempt string, pending bool) {
+	sp.unseen = sp.unseen || pending || sp.fresh[attempt]
+	delete(sp.fresh, attempt)
+}
+
+// observe compares the runs of a report with those of an earlier one. Without runs nothing is measured.
+func (sp *speed) observe(runs []Run, now time.Time) {
+	interval := now.Sub(sp.baseAt)
+	if len(sp.base) > 0 && interval < reportIntervalMin {
+		return
+	}
+	if len(sp.base) > 0 && interval <= reportIntervalMax && !sp.unseen && !sp.compare(runs, interval, now) {
+		return
+	}
+	sp.setBase(runs, now)
+}
+
+// setBase keeps the runs for the next comparison.
+func (sp *speed) setBase(runs []Run, now time.Time) {
+	if sp.base == nil {
+		sp.base = make(map[string]Run, len(runs))
+	}
+	clear(sp.base)
+	clear(sp.fresh)
+	for _, ru := range runs {
+		sp.base[ru.ID] = ru
+	}
+	sp.baseAt, sp.unseen = now, false
+}
+
+// progress is what an engine has done between two reports.
+type progress struct {
+	// read is the number of prompt tokens that were prefilled.
+	read int
+	// reading is true if some prompt was read in a part of the time, and readThroughout if in all of it.
+	reading, readThroughout bool
+	// events is the median number of events that the streams have made which ran all the time.
+	events int
+}
+
+// compare takes a sample of the prefill rate or of the event time. It is false if the next report has to be compared with
+// the same one: a large piece of a prompt is being read, and a report shows only whole pieces.
+func (sp *speed) compare(runs []Run, interval time.Duration, now time.Time) bool {
+	pr, ok := sp.progress(runs)
+	switch {
+	case !ok:
+	case !pr.reading && pr.events > 0:
+		sp.addEventTime(interval/time.Duration(pr.events), now)
+	case pr.readThroughout && pr.read < speedSampleTokensMin:
+		return false
+	case pr.readThroughout:
+		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*usualEventTime}, now)
+	case pr.read >= speedSampleTokensMin && pr.events > 0 && sp.eventSamples > 0:
+		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*max(usualEventTime, sp.eventTime)}, now)
+	}
+	return true
+}
+
+// addReported takes a sample of the prefill rate from reports.
+func (sp *speed) addReported(rs rateSample, now time.Time) {
+	sp.reportedAt = now
+	sp.addRate(rs, slowBelow, slowSamples, now)
+}
+
+// progress returns what the engine has done since the base report. It is false if the reports do not show all
+// prompts that were read: one is missing, or the engine has dropped tokens of a run from its memory.
+func (sp *speed) progress(runs []Run) (progress, bool) {
+	pr := progress{}
+	sp.paces = sp.paces[:0]
+	unread := 0
+	for _, ru := range runs {
+		before, known := sp.base[ru.ID]
+		made, grown := ru.Events-before.Events, ru.Tokens-before.Tokens
+		if made < 0 || grown < 0 {
+			return pr, false
+		}
+		pr.reading = pr.reading || before.Events == 0
+		pr.readThroughout = pr.readThroughout || known && ru.Events == 0
+		pr.read += max(0, grown-tokensPerEventMax*(made+1))
+		if before.Events > 0 {
+			sp.paces = append(sp.paces, made)
+		} else if known {
+			unread++
+		}
+	}
+	for _, ru := range sp.base {
+		if ru.Events == 0 {
+			unread--
+		}
+	}
+	if len(sp.paces) > 0 {
+		slices.Sort(sp.paces)
+		pr.events = sp.paces[len(sp.paces)/2]
+	}
+	return pr, unread == 0
+}
+
+// addEventTime takes a sample of the event time.
+func (sp *speed) addEventTime(took time.Duration, now time.Time) {
+	if sp.slow && sp.eventSamples > 0 && float64(took) < fasterEventShare*float64(sp.eventTime) {
+		sp.fasterEvents++
+		if sp.fasterEvents >= soundSamples {
+			*sp = speed{base: sp.base, fresh: sp.fresh}
+		}
+		return
+	}
+	sp.fasterEvents = 0
+	sp.eventSamples++
+	if sp.eventSamples == 1 {
+		sp.eventTime = took
+	}
+	sp.eventTime += time.Duration(eventTimeWeight * float64(took-sp.eventTime))
+	if sp.slow {
+		sp.sampledAt = now
+	}
+}
+
+// addBurst takes a sample from a burst of prompts, unless reports yield better ones.
+func (sp *speed) addBurst(tokens, prompts int, took time.Duration, now time.Time) {
+	if now.Sub(sp.reportedAt) < reportSamplesFresh {
+		return
+	}
+	took -= time.Duration(prompts) * burstOverhead
+	sp.addRate(rateSample{tokens, max(took, 0)}, burstSlowBelow, burstSlowSamples, now)
+}
+
+// addRate takes a sample of the prefill rate. The engine begins to count as slow after enough samples in a row whose
+// share of the default rate is below a threshold.
+func (sp *speed) addRate(rs rateSample, below float64, enough int, now time.Time) {
+	if now.Sub(sp.sampledAt) > speedForgetAfter {
+		sp.low, sp.veryLow, sp.high, sp.samples = 0, 0, 0, sp.samples[:0]
+	}
+	sp.sampledAt = now
+	sp.rateSamples++
+	sp.low, sp.veryLow, sp.high = countIf(sp.low, rs.share() < below), countIf(sp.veryLow, rs.share() < min(below, verySlowBelow)), countIf(sp.high, rs.share() > soundAbove)
+	if len(sp.samples) == rateSamplesMax {
+		sp.samples = slices.Delete(sp.samples, 0, 1)
+	}
+	sp.samples = append(sp.samples, rs)
+	switch {
+	case !sp.slow && (sp.low >= enough || sp.veryLow >= enough-slowSamples+verySlowSamples):
+		sp.slow = true
+		sp.samples = sp.samples[max(0, len(sp.samples)-sp.low):]
+	case sp.slow && sp.high >= soundSamples:
+		sp.slow = false
+	}
+}
+
+// expire ends the verdict on an engine of which nothing was measured for speedForgetAfter.
+func (sp *speed) expire(now time.Time) {
+	if sp.slow && now.Sub(sp.sampledAt) > speedForgetAfter {
+		*sp = speed{}
+	}
+}
+
+// countIf returns the length of a row of samples with a property after a further one.
+func countIf(count int, has bool) int {
+	if has {
+		return count + 1
+	}
+	return 0
+}
