Look at an engine sooner while one more sample may change whether it is slow

Slow spells are also seen by events that take much longer than before, and end once events or bursts are fast again.

--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -135,6 +135,9 @@
 	en.observation = observation
 	if observation.RunsKnown {
 		en.pacer.observe(observation.Runs, now)
+		if early := now.Add(earlyInspectInterval); en.pacer.speed.undecided() && early.Before(en.nextInspectAt) {
+			en.nextInspectAt = early
+		}
 	}
 	en.updateAdapters(observation, now)
 	en.sequence = observation.Sequence
--- a/core/grant/speed.go
+++ b/core/grant/speed.go
@@ -24,11 +24,20 @@
 	// the steps in which an engine works distort the result; after a longer one, an inspection has failed.
 	reportIntervalMin = 400 * time.Millisecond
 	reportIntervalMax = 1500 * time.Millisecond
+	// earlyInspectInterval is the time to the next inspection while one more sample may change the verdict, and
+	// earlyIntervalMin takes the place of reportIntervalMin.
+	earlyInspectInterval = 250 * time.Millisecond
+	earlyIntervalMin     = 220 * time.Millisecond
 	// usualEventTime is more than the time between two events of a stream on an engine of usual speed while no prompt
 	// is read, which is 17 to 30 ms. This much of the time between reports never counts as time for prompts.
 	usualEventTime = 40 * time.Millisecond
+	// unclockedShare is the share of the time between reports that counts as time for prompts while no stream runs all
+	// the time. The rest is for the decoding steps of the streams that began and ended.
+	unclockedShare = 0.7
 	// tokensPerEventMax is the number of output tokens that are assumed for one event.
 	tokensPerEventMax = 4
+	// slowEventTime is the event time above which the event time alone, if it rises abruptly, shows a slow spell.
+	slowEventTime = 60 * time.Millisecond
 	// eventTimeWeight is the weight of a new sample in the event time.
 	eventTimeWeight = 0.4
 	// fasterEventShare is the share of its event time below which an engine's slow spell has ended.
@@ -46,7 +55,7 @@
 	// shareMin bounds the measured rate as a share of the default rate.
 	shareMin = 0.02
 	// rateSamplesMax is the number of samples that the rate is computed from.
-	rateSamplesMax = 4
+	rateSamplesMax = 6
 )
 
 // rateSample is how long the engine took to prefill some prompt tokens.
@@ -141,7 +150,7 @@
 // observe compares the runs of a report with those of an earlier one. Without runs nothing is measured.
 func (sp *speed) observe(runs []Run, now time.Time) {
 	interval := now.Sub(sp.baseAt)
-	if len(sp.base) > 0 && interval < reportIntervalMin {
+	if len(sp.base) > 0 && interval < reportIntervalMin && !(sp.undecided() && interval >= earlyIntervalMin) {
 		return
 	}
 	if len(sp.base) > 0 && interval <= reportIntervalMax && !sp.unseen && !sp.compare(runs, interval, now) {
@@ -150,6 +159,14 @@
 	sp.setBase(runs, now)
 }
 
+// undecided reports whether one more sample may change whether the engine counts as slow.
+func (sp *speed) undecided() bool {
+	if sp.slow {
+		return sp.high > 0 || sp.fasterEvents > 0
+	}
+	return sp.veryLow > 0
+}
+
 // setBase keeps the runs for the next comparison.
 func (sp *speed) setBase(runs []Run, now time.Time) {
 	if sp.base == nil {
@@ -181,8 +198,10 @@
 	case !ok:
 	case !pr.reading && pr.events > 0:
 		sp.addEventTime(interval/time.Duration(pr.events), now)
-	case pr.readThroughout && pr.read < speedSampleTokensMin:
+	case pr.read < speedSampleTokensMin && (pr.readThroughout || pr.events == 0 && len(sp.paces) > 0):
 		return false
+	case pr.readThroughout && len(sp.paces) == 0:
+		sp.addReported(rateSample{pr.read, time.Duration(unclockedShare * float64(interval))}, now)
 	case pr.readThroughout:
 		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*usualEventTime}, now)
 	case pr.read >= speedSampleTokensMin && pr.events > 0 && sp.eventSamples > 0:
@@ -232,31 +251,43 @@
 
 // addEventTime takes a sample of the event time.
 func (sp *speed) addEventTime(took time.Duration, now time.Time) {
-	if sp.slow && sp.eventSamples > 0 && float64(took) < fasterEventShare*float64(sp.eventTime) {
-		sp.fasterEvents++
-		if sp.fasterEvents >= soundSamples {
-			*sp = speed{base: sp.base, fresh: sp.fresh}
-		}
-		return
-	}
-	sp.fasterEvents = 0
 	sp.eventSamples++
+	usual := sp.eventTime
+	sp.eventTime += time.Duration(eventTimeWeight * float64(took-sp.eventTime))
 	if sp.eventSamples == 1 {
 		sp.eventTime = took
 	}
-	sp.eventTime += time.Duration(eventTimeWeight * float64(took-sp.eventTime))
 	if sp.slow {
 		sp.sampledAt = now
 	}
+	if !sp.slow || float64(took) >= fasterEventShare*float64(usual) {
+		sp.fasterEvents = 0
+	}
+	switch share := float64(usual) / float64(took); {
+	case sp.slow && share > 1/fasterEventShare:
+		sp.fasterEvents++
+		sp.eventTime = usual
+		if sp.fasterEvents >= soundSamples {
+			sp.fasterEvents, sp.eventTime = 0, took
+			sp.beginSound()
+		}
+	case !sp.slow && sp.eventSamples > slowSamples && share < verySlowBelow && took > slowEventTime:
+		sp.eventTime = usual
+		// As much slower as the events are, so are prompts.
+		sp.addReported(rateSample{int(share * defaultPrefillRate), time.Second}, now)
+		if sp.slow {
+			sp.eventTime = took
+		}
+	}
 }
 
 // addBurst takes a sample from a burst of prompts, unless reports yield better ones.
 func (sp *speed) addBurst(tokens, prompts int, took time.Duration, now time.Time) {
-	if now.Sub(sp.reportedAt) < reportSamplesFresh {
-		return
+	rs := rateSample{tokens, max(0, took-time.Duration(prompts)*burstOverhead)}
+	// A fast burst shows that a slow spell has ended, whatever the reports have shown.
+	if now.Sub(sp.reportedAt) >= reportSamplesFresh || sp.slow && rs.share() > soundAbove {
+		sp.addRate(rs, burstSlowBelow, burstSlowSamples, now)
 	}
-	took -= time.Duration(prompts) * burstOverhead
-	sp.addRate(rateSample{tokens, max(took, 0)}, burstSlowBelow, burstSlowSamples, now)
 }
 
 // addRate takes a sample of the prefill rate. The engine begins to count as slow after enough samples in a row whose
@@ -276,11 +307,16 @@
 	case !sp.slow && (sp.low >= enough || sp.veryLow >= enough-slowSamples+verySlowSamples):
 		sp.slow = true
 		sp.samples = sp.samples[max(0, len(sp.samples)-sp.low):]
-	case sp.slow && sp.high >= soundSamples:
-		sp.slow = false
+	case sp.slow && sp.high >= soundSamples && sp.meanShare() > soundAbove:
+		sp.beginSound()
 	}
 }
 
+// beginSound ends the time for which the engine counts as slow.
+func (sp *speed) beginSound() {
+	sp.slow, sp.low, sp.veryLow, sp.samples = false, 0, 0, sp.samples[:0]
+}
+
 // expire ends the verdict on an engine of which nothing was measured for speedForgetAfter.
 func (sp *speed) expire(now time.Time) {
 	if sp.slow && now.Sub(sp.sampledAt) > speedForgetAfter {
