Share an engine's grants and adapter loads among organisations

The queue was ordered by urgency and waiting time, so that the organisation with the longest queue took the engine: in a replay of sixteen organisations of which one sends 7.5 times its load, others got no grant at all for 10 s (one engine) or a tenth of their fair share (eight engines).

Organisations now take turns by urgency and then by a virtual counter of tokens; one that has been behind three quarters of an equal share for 2 s goes first whatever its urgency. Within an organisation, requests that can still meet their goal go before those that cannot. Requests without an organisation keep their order.

--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -173,7 +173,7 @@
 		br.inspectionDone(ctx, ev.inspectionDone, now)
 	case ev.drain:
 		br.markHoldingsStale()
-		br.executeActions(ctx, br.en.StopGranting())
+		br.executeActions(ctx, br.en.StopGranting(now))
 	}
 }
 
--- a/core/grant/backlog.go
+++ b/core/grant/backlog.go
@@ -27,13 +27,7 @@
 }
 
 // memoryFree returns the KV cache tokens that no granted request has reserved.
-func (en *Engine) memoryFree() int {
-	reserved := 0
-	for _, gr := range en.granted {
-		reserved += gr.PromptTokens + gr.OutputTokens
-	}
-	return en.observation.MemoryTotal - reserved
-}
+func (en *Engine) memoryFree() int { return en.observation.MemoryTotal - en.reserved }
 
 // PrefillTime returns the time that an engine needs to prefill tokens at the default rate.
 func PrefillTime(tokens int) time.Duration {
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -82,6 +82,9 @@
 	GoalAt   time.Time
 	Arrived  time.Time
 	Deadline time.Time
+
+	// share is that of the organisation, set while the request is queued or granted.
+	share *share
 }
 
 // granted is a request whose grant was not released yet.
@@ -128,6 +131,10 @@
 	popularity map[Key]decay.Count
 	queue      []Request
 	granted    map[string]*granted
+	// pins holds the number of granted requests for each adapter, and reserved the KV cache tokens of all granted
+	// requests.
+	pins     map[Key]int
+	reserved int
 	// targetModel is the base model that entry nodes want the engine to serve.
 	targetModel string
 	// serverID is the server ID of the engine process that started at serverBorn.
@@ -144,7 +151,9 @@
 	// sequence is the number of orders that the engine has accepted, as far as the agent knows.
 	sequence     int64
 	pendingOrder *Order
-	lostOrders   []lostOrder
+	// loadingFor is the share of the request for which the last adapter load was ordered.
+	loadingFor *share
+	lostOrders []lostOrder
 	// nextOrderAt is the earliest time for the next order.
 	nextOrderAt   time.Time
 	nextInspectAt time.Time
@@ -153,14 +162,17 @@
 	// averageLoadTime is the moving average of load times from the weight store.
 	averageLoadTime time.Duration
 	pacer           pacer
-	leaving         bool
+	// shares holds what the organisations have used; turns is reused in each choice among them.
+	shares  shares
+	turns   []turn
+	leaving bool
 }
 
 // New returns the state of an agent that starts at now.
 func New(now time.Time) *Engine {
 	return &Engine{
 		startedAt: now, averageLoadTime: storeLoadTime, loaded: map[Key]int{}, loading: map[Key]pendingLoad{}, reportedMissing: map[Key]bool{},
-		popularity: map[Key]decay.Count{}, granted: map[string]*granted{},
+		popularity: map[Key]decay.Count{}, granted: map[string]*granted{}, pins: map[Key]int{},
 	}
 }
 
@@ -253,15 +265,7 @@
 }
 
 // pinCount returns the number of granted requests for an adapter.
-func (en *Engine) pinCount(ke Key) int {
-	count := 0
-	for _, gr := range en.granted {
-		if gr.Key == ke {
-			count++
-		}
-	}
-	return count
-}
+func (en *Engine) pinCount(ke Key) int { return en.pins[ke] }
 
 // waitingCount returns the number of queued requests for an adapter.
 func (en *Engine) waitingCount(ke Key) int {
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -27,7 +27,7 @@
 	if rq.Key.Adapter != "" {
 		en.popularity[rq.Key] = en.popularity[rq.Key].Plus(now, popularityHalfLife)
 	}
-	en.queue = append(en.queue, rq)
+	en.enqueue(&rq, now)
 	actions := en.schedule(now)
 	if ix := en.queueIndex(rq.Attempt); ix >= 0 {
 		actions = append(actions, Action{Queue: &Queue{Attempt: rq.Attempt, Entry: rq.Entry, Reason: en.waitReason(&en.queue[ix], now)}})
@@ -43,7 +43,8 @@
 		return nil
 	}
 	rq.Arrived = now
-	en.granted[rq.Attempt] = &granted{Request: rq}
+	rq.share = en.shares.of(rq.Organisation, now)
+	en.addGrant(&rq, now)
 	return nil
 }
 
@@ -57,7 +58,7 @@
 // between the events of its stream, zero if it is not known.
 func (en *Engine) Release(attempt string, longestPause time.Duration, now time.Time) []Action {
 	if ix := en.queueIndex(attempt); ix >= 0 {
-		en.queue = slices.Delete(en.queue, ix, ix+1)
+		en.removeQueued(ix, now)
 		return nil
 	}
 	gr := en.granted[attempt]
@@ -69,12 +70,35 @@
 	return en.schedule(now)
 }
 
+// addGrant adds a granted request.
+func (en *Engine) addGrant(rq *Request, now time.Time) {
+	en.forgetGrant(rq.Attempt, now)
+	en.granted[rq.Attempt] = &granted{Request: *rq}
+	en.pins[rq.Key]++
+	en.reserved += rq.tokens()
+	en.shares.grantAdded(rq.share, rq.tokens())
+}
+
 // removeGrant removes a granted request.
 func (en *Engine) removeGrant(attempt string, now time.Time) {
-	delete(en.granted, attempt)
+	en.forgetGrant(attempt, now)
 	en.pacer.requestEnded(attempt, now)
 }
 
+// forgetGrant removes a request from those that count as granted.
+func (en *Engine) forgetGrant(attempt string, now time.Time) {
+	gr := en.granted[attempt]
+	if gr == nil {
+		return
+	}
+	delete(en.granted, attempt)
+	en.reserved -= gr.tokens()
+	if en.pins[gr.Key]--; en.pins[gr.Key] == 0 {
+		delete(en.pins, gr.Key)
+	}
+	en.shares.grantRemoved(gr.share, gr.tokens(), now)
+}
+
 // AdapterNotFound records that the engine did not run a request because it lacks the adapter. The
 // adapter keeps its slot and gets no grants until the engine has been inspected.
 func (en *Engine) AdapterNotFound(attempt string, now time.Time) []Action {
@@ -88,7 +112,7 @@
 // EntryDisconnected removes an entry node's queued requests after its connection was lost, and
 // marks its grants to expire.
 func (en *Engine) EntryDisconnected(entry string, now time.Time) {
-	en.queue = slices.DeleteFunc(en.queue, func(rq Request) bool { return rq.Entry == entry })
+	en.removeMatching(func(rq *Request) bool { return rq.Entry == entry }, now)
 	for _, gr := range en.granted {
 		if gr.Entry == entry {
 			gr.disconnectedAt = now
@@ -135,7 +159,7 @@
 	en.sequence = observation.Sequence
 	en.lostOrders = slices.DeleteFunc(en.lostOrders, func(lost lostOrder) bool { return en.obsolete(&lost, now) })
 	if observation.Draining {
-		return en.refuseWaiting(func(*Request) bool { return true }, ReasonEngineDraining)
+		return en.refuseWaiting(func(*Request) bool { return true }, ReasonEngineDraining, now)
 	}
 	if loadedModel := en.loadedModel(); loadedModel != "" {
 		en.targetModel = loadedModel
@@ -148,7 +172,7 @@
 	en.inspecting = false
 	en.nextInspectAt = now.Add(inspectInterval)
 	en.reachable = false
-	return en.refuseWaiting(func(*Request) bool { return true }, ReasonEngineSilent)
+	return en.refuseWaiting(func(*Request) bool { return true }, ReasonEngineSilent, now)
 }
 
 // Tick removes grants whose entry node stayed away, refuses requests past their deadline and
@@ -161,14 +185,14 @@
 		}
 	}
 	en.pacer.expirePrompts(now)
-	actions := en.refuseWaiting(func(rq *Request) bool { return !now.Before(rq.Deadline) }, ReasonDeadline)
+	actions := en.refuseWaiting(func(rq *Request) bool { return !now.Before(rq.Deadline) }, ReasonDeadline, now)
 	return append(actions, en.schedule(now)...)
 }
 
 // StopGranting stops giving grants and refuses the queued requests. Given grants stay valid.
-func (en *Engine) StopGranting() []Action {
+func (en *Engine) StopGranting(now time.Time) []Action {
 	en.leaving = true
-	return en.refuseWaiting(func(*Request) bool { return true }, ReasonAgentLeaving)
+	return en.refuseWaiting(func(*Request) bool { return true }, ReasonAgentLeaving, now)
 }
 
 // Idle reports whether no grant is in use.
@@ -252,18 +276,12 @@
 }
 
 // refuseWaiting removes the matching requests from the queue and refuses them.
-func (en *Engine) refuseWaiting(match func(rq *Request) bool, reason string) []Action {
-	actions := make([]Action, 0)
-	kept := en.queue[:0]
-	for ix := range en.queue {
-		rq := en.queue[ix]
-		if match(&rq) {
-			actions = append(actions, refusal(&rq, reason, defaultRetryAfter))
-			continue
-		}
-		kept = append(kept, rq)
+func (en *Engine) refuseWaiting(match func(rq *Request) bool, reason string, now time.Time) []Action {
+	removed := en.removeMatching(match, now)
+	actions := make([]Action, 0, len(removed))
+	for ix := range removed {
+		actions = append(actions, refusal(&removed[ix], reason, defaultRetryAfter))
 	}
-	en.queue = kept
 	return actions
 }
 
--- a/core/grant/orders.go
+++ b/core/grant/orders.go
@@ -45,6 +45,7 @@
 		en.nextModelOrderAt = now.Add(inspectInterval)
 	case LoadAdapter:
 		en.loads++
+		en.shares.charge(en.loadingFor, adapterLoadTokens)
 		pl := pendingLoad{version: or.Version, startedAt: now, inspectAt: now.Add(cachedLoadTime)}
 		if !slices.Contains(en.hostCache, or.Key) {
 			pl.fromStore = true
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -9,6 +9,7 @@
 // one is due.
 func (en *Engine) schedule(now time.Time) []Action {
 	actions := make([]Action, 0)
+	en.shares.update(now)
 	if en.reachable {
 		actions = en.grantRunnable(actions, now)
 		actions = en.orderNext(actions, now)
@@ -54,16 +55,18 @@
 	return next
 }
 
-// grantRunnable grants the queued requests that can run, the highest priority first.
+// grantRunnable grants the queued requests that can run, in the order of bestWaiting.
 func (en *Engine) grantRunnable(actions []Action, now time.Time) []Action {
 	for {
-		ix := en.bestWaiting(now, func(rq *Request) bool { return en.waitReason(rq, now) == "" })
+		ix := en.bestWaiting(now, func(rq *Request) bool { return en.runnable(rq, now) })
 		if ix < 0 {
 			return actions
 		}
 		rq := en.queue[ix]
-		en.queue = slices.Delete(en.queue, ix, ix+1)
-		en.granted[rq.Attempt] = &granted{Request: rq}
+		rq.share.lateGranted = en.goalMissed(&rq, now)
+		en.shares.charge(rq.share, rq.tokens())
+		en.removeQueued(ix, now)
+		en.addGrant(&rq, now)
 		if rq.Key.Adapter != "" {
 			en.loadStall += now.Sub(rq.Arrived)
 			en.markCached(rq.Key)
@@ -84,7 +87,7 @@
 	if rq.Key.Adapter != "" && !en.adapterReady(rq) {
 		return ReasonAdapterLoading
 	}
-	if len(en.granted) > 0 && en.observation.MemoryTotal > 0 && en.memoryFree() < rq.PromptTokens+rq.OutputTokens {
+	if !en.fits(rq) {
 		return ReasonMemoryFull
 	}
 	if !en.pacer.allows(rq.PromptTokens, now.Sub(rq.Arrived), now) {
@@ -93,6 +96,17 @@
 	return ""
 }
 
+// runnable reports whether a request can be granted now. It checks first what rejects most requests of a long queue
+// and costs least.
+func (en *Engine) runnable(rq *Request, now time.Time) bool {
+	return en.fits(rq) && en.waitReason(rq, now) == ""
+}
+
+// fits reports whether the engine has memory for a request. One request at a time always fits.
+func (en *Engine) fits(rq *Request) bool {
+	return len(en.granted) == 0 || en.observation.MemoryTotal <= 0 || en.memoryFree() >= rq.tokens()
+}
+
 // adapterReady reports whether a request's adapter is loaded in a version that the request
 // accepts, and stays loaded: no order or load for it is in flight and it was not reported missing.
 func (en *Engine) adapterReady(rq *Request) bool {
@@ -110,21 +124,6 @@
 	return slices.ContainsFunc(en.observation.Models, func(mo Model) bool { return mo.Name == model })
 }
 
-// bestWaiting returns the index of the matching queued request with the highest priority, or
-// -1.
-func (en *Engine) bestWaiting(now time.Time, match func(rq *Request) bool) int {
-	best := -1
-	for ix := range en.queue {
-		if !match(&en.queue[ix]) {
-			continue
-		}
-		if best < 0 || en.queue[ix].priority(now) > en.queue[best].priority(now) {
-			best = ix
-		}
-	}
-	return best
-}
-
 // orderNext gives the engine its next order if none is in flight.
 func (en *Engine) orderNext(actions []Action, now time.Time) []Action {
 	if en.pendingOrder != nil || now.Before(en.nextOrderAt) || en.observation.Busy {
@@ -150,6 +149,7 @@
 		return en.issueOrder(actions, Order{Operation: UnloadAdapter, Key: rq.Key})
 	}
 	if en.slotsTaken() < en.slots {
+		en.loadingFor = rq.share
 		return en.issueOrder(actions, Order{Operation: LoadAdapter, Key: rq.Key, Version: rq.Version})
 	}
 	if now.Sub(en.startedAt) < evictionHoldoff {
--- /dev/null
+++ b/core/grant/shares_test.go
@@ -0,0 +1,115 @@
+package grant
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// sixteen returns the load of sixteen organisations of one rank, three of them large, that use three quarters of some
+// engines. The first sends a multiple of its usual load.
+func sixteen(engines int, factor float64) []replayOrganisation {
+	organisations := make([]replayOrganisation, 0, 16)
+	for ix := range 16 {
+		perSecond := 0.4
+		switch ix {
+		case 0:
+			perSecond = 4 * factor
+		case 1, 2:
+			perSecond = 2
+		}
+		organisations = append(organisations, replayOrganisation{
+			name: fmt.Sprintf("o%02d", ix), perSecond: perSecond * float64(engines), urgency: 5, prompt: 800, output: 200, goal: time.Second,
+		})
+	}
+	return organisations
+}
+
+// An organisation that sends 7.5 times its usual load fills the queues of all engines. The others must get their share of
+// them regardless of how many of its requests arrived before.
+func TestOrganisationWithManyRequestsCrowdsOutNoOther(t *testing.T) {
+	for _, engines := range []int{1, 8} {
+		for _, nameless := range []bool{true, false} {
+			rp := newReplay(t, engines, 30_000, 6, sixteen(engines, 7.5))
+			rp.nameless = nameless
+			rp.run(20*time.Second, nil)
+			lowest, jain := rp.fairness(3*time.Second, 17*time.Second)
+			t.Logf("%d engines, without organisations %t: lowest part of a fair share %.2f, Jain's index %.3f", engines, nameless, lowest, jain)
+			if !nameless && lowest < 0.5 {
+				t.Errorf("%d engines: an organisation got %.2f of its fair share, want at least 0.5", engines, lowest)
+			}
+			if nameless && lowest >= 0.5 {
+				t.Errorf("%d engines: without organisations each got %.2f of its fair share, so that the replay shows nothing", engines, lowest)
+			}
+		}
+	}
+}
+
+// Three of eight engines crash while all organisations send three times their usual load for 4 s, and one of them 7.5
+// times all the time.
+func TestBurstWithCrashedEnginesIsShared(t *testing.T) {
+	for _, nameless := range []bool{true, false} {
+		rp := newReplay(t, 8, 30_000, 6, sixteen(8, 7.5))
+		rp.nameless = nameless
+		scale := func(factor float64) {
+			for ix := range rp.organisations[1:] {
+				rp.organisations[ix+1].perSecond *= factor
+			}
+		}
+		rp.run(20*time.Second, func(elapsed time.Duration) {
+			if elapsed == 6*time.Second {
+				scale(3)
+				for _, re := range rp.engines[:3] {
+					rp.crash(re, 4*time.Second)
+				}
+			}
+			if elapsed == 10*time.Second {
+				scale(1.0 / 3)
+			}
+		})
+		lowest, jain := rp.fairness(2*time.Second, 17*time.Second)
+		t.Logf("without organisations %t: lowest part of a fair share %.2f, Jain's index %.3f", nameless, lowest, jain)
+		if !nameless && lowest < 0.5 {
+			t.Errorf("an organisation got %.2f of its fair share, want at least 0.5", lowest)
+		}
+		if nameless && lowest >= 0.5 {
+			t.Errorf("without organisations each got %.2f of its fair share, so that the replay shows nothing", lowest)
+		}
+	}
+}
+
+// A small organisation sends one request every other second beside one with thousands.
+func TestSmallOrganisationIsServedBesideALargeOne(t *testing.T) {
+	for _, nameless := range []bool{true, false} {
+		rp := newReplay(t, 1, 30_000, 6, []replayOrganisation{
+			{name: "small", perSecond: 0.5, urgency: 5, prompt: 800, output: 200, goal: time.Second},
+			{name: "large", perSecond: 150, urgency: 5, prompt: 800, output: 200, goal: time.Second},
+		})
+		rp.nameless = nameless
+		rp.run(30*time.Second, nil)
+		lowest, jain := rp.fairness(2*time.Second, 27*time.Second)
+		t.Logf("without organisations %t: lowest part of a fair share %.2f, Jain's index %.3f", nameless, lowest, jain)
+		if !nameless && lowest < 0.5 {
+			t.Errorf("an organisation got %.2f of its fair share, want at least 0.5", lowest)
+		}
+		if nameless && lowest >= 0.5 {
+			t.Errorf("without organisations each got %.2f of its fair share, so that the replay shows nothing", lowest)
+		}
+	}
+}
+
+// Fifteen organisations send more urgent requests than the engine can serve. The least urgent organisation gets at least
+// half of its fair share all the same.
+func TestLeastUrgentOrganisationGetsHalfOfItsShare(t *testing.T) {
+	organisations := sixteen(1, 1)
+	for ix := range organisations {
+		organisations[ix].perSecond, organisations[ix].urgency = 3, 9-ix/2
+	}
+	rp := newReplay(t, 1, 30_000, 6, organisations)
+	rp.run(30*time.Second, nil)
+	lowest, jain := rp.fairness(2*time.Second, 27*time.Second)
+	t.Logf("lowest part of a fair share %.2f, Jain's index %.3f", lowest, jain)
+	if lowest < 0.5 {
+		t.Errorf("an organisation got %.2f of its fair share, want at least 0.5", lowest)
+	}
+}
