End writes to callers that read nothing soon after their deadline

On the direct way no write to a caller had a deadline. A caller that kept its connection open and read nothing of a stream kept its grant, its adapter's place and its request's memory for as long as the connection.

Writes now fail one second after the deadline of the request; idle connections have no such deadline. The in-memory network of the proofs obeys deadlines of writes.

Measured: TestDirectCallersThatReadNothingHoldNoGrantsAfterTheirDeadline failed before (503 for a third adapter, 2 s after the deadline of two such callers), passes now.

--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -28,6 +28,8 @@
 	answerMargin = 40 * time.Millisecond
 	// defaultMaxBodyBytes limits request bodies until the operators' limits are known.
 	defaultMaxBodyBytes = 4 << 20
+	// writeGrace is how long after the end of its time a caller may take to read the refusal.
+	writeGrace = time.Second
 	// refusedBodyMax is how long the body of a request that is refused by its head is waited for, refusedBodyBytes how much
 	// of it is read.
 	refusedBodyMax   = 100 * time.Millisecond
@@ -91,7 +93,9 @@
 	if no.drain.begun() {
 		gc.Header("Connection", "close")
 	}
-	if err := rq.parse(gc.Request); err != nil {
+	err := rq.parse(gc.Request)
+	rq.boundWrites()
+	if err != nil {
 		rq.awaitRefusedBody(gc.Request)
 		rq.respondError(err)
 		return
@@ -113,6 +117,17 @@
 	rq.runAttempts(ctx)
 }
 
+// boundWrites makes writes to the caller fail soon after the end of the request's time. A caller that keeps its connection
+// open and does not read would otherwise keep the grant and the memory of its request.
+func (rq *request) boundWrites() {
+	end := rq.deadline
+	if end.IsZero() {
+		end = rq.start.Add(defaultTimeout)
+	}
+	// A connection whose deadline cannot be set has ended.
+	_ = http.NewResponseController(rq.wr).SetWriteDeadline(end.Add(writeGrace))
+}
+
 // awaitRefusedBody drops the body of a request that is refused by its head. If it does not arrive soon, the connection ends with
 // the answer: else net/http would read what is left of the body before it sends the answer.
 func (rq *request) awaitRefusedBody(hr *http.Request) {
--- a/entry/internal/conns/conns.go
+++ b/entry/internal/conns/conns.go
@@ -77,6 +77,8 @@
 	co.state = state
 	if state == http.StateIdle {
 		co.idleSince, co.heard = time.Now(), false
+		// What the server answers by itself, as to a malformed request, has no handler that sets another one.
+		_ = co.SetWriteDeadline(time.Time{})
 	}
 }
 
--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -231,6 +231,32 @@
 	endOnce   sync.Once
 	// dropsData and dropsClose are shared by both ends.
 	dropsData, dropsClose *atomic.Bool
+	// writeTimer ends writes at their deadline by closing late; both are nil without one.
+	writeMu    sync.Mutex
+	writeTimer *time.Timer
+	late       chan struct{}
+}
+
+// SetWriteDeadline sets when writes fail that begin from now on, the zero time for never.
+func (co *conn) SetWriteDeadline(at time.Time) error {
+	co.writeMu.Lock()
+	defer co.writeMu.Unlock()
+	if co.writeTimer != nil {
+		co.writeTimer.Stop()
+	}
+	co.writeTimer, co.late = nil, nil
+	if !at.IsZero() {
+		late := make(chan struct{})
+		co.late, co.writeTimer = late, time.AfterFunc(time.Until(at), func() { close(late) })
+	}
+	return nil
+}
+
+// writesLate returns a channel that is closed at the deadline of writes, nil if there is none.
+func (co *conn) writesLate() chan struct{} {
+	co.writeMu.Lock()
+	defer co.writeMu.Unlock()
+	return co.late
 }
 
 // packet is one write that has not been delivered yet.
@@ -251,6 +277,8 @@
 	select {
 	case co.queue <- packet{data: append([]byte(nil), data...), due: time.Now().Add(co.ne.latency)}:
 		return len(data), nil
+	case <-co.writesLate():
+		return 0, os.ErrDeadlineExceeded
 	case <-co.closed:
 	case <-co.endClosed:
 	}
