Ask a quiet engine for a sign of life before it counts as silent

An entry node takes resumable streams away from an engine that has sent nothing for 0.7 s. Its agent's heartbeats come each second only, and say nothing while the agent stands still. A sound stream with more than 0.7 s between its events was cut and run again elsewhere, twice without a single event for its caller.

An engine with requests in flight that has been quiet for 250 ms is now asked for its report, at most once in 250 ms by each node. Frozen hosts are noticed after 0.7 s as before.

Measured: TestDirectSlowButSoundStreamRunsOnce (1.5 and 3 s) and TestDirectStreamRunsOnceWhileTheAgentOfItsEngineStandsStill failed before with two runs each, pass now; TestDirectResumesStreamWhenHostFreezes passes unchanged.

--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -69,6 +69,8 @@
 	addedPrefillTime time.Duration
 	// lastSeen is when the server or its agent last sent anything.
 	lastSeen time.Time
+	// askedAt is when the server was last asked for a sign of life.
+	askedAt time.Time
 	// silenceBackoffUntil is how long a silent server is avoided, unless it sends something earlier.
 	silenceBackoffUntil time.Time
 	// latencyRatio is the moving average of the measured over the expected time to the first byte.
--- a/core/spread/outcome.go
+++ b/core/spread/outcome.go
@@ -19,8 +19,11 @@
 	backoffAfterFailures = 3
 	failureBackoffMin    = 500 * time.Millisecond
 	failureBackoffMax    = 4 * time.Second
+	// quietMax is how long an engine with requests in flight may send nothing until it is asked for a sign of life. The answer
+	// must come before silenceMax.
+	quietMax = 250 * time.Millisecond
 	// silenceMax is the longest time without any sign of life from an engine with requests in
-	// flight. Its streams normally bring several events in that time.
+	// flight. Its streams normally bring several events in that time, and else the engine is asked.
 	silenceMax = 700 * time.Millisecond
 	// silenceBackoff is how long a silent server is avoided before it is tried again.
 	silenceBackoff = 2 * time.Second
--- a/core/spread/silence.go
+++ b/core/spread/silence.go
@@ -37,6 +37,18 @@
 	}
 }
 
+// TakeQuiet reports whether an engine with requests in flight has sent nothing for so long that it should be asked for a sign of
+// life, and records that it is asked now. Neither its agent's heartbeats nor the events of a slow stream come more often than
+// silenceMax.
+func (fl *Fleet) TakeQuiet(id string, now time.Time) bool {
+	me := fl.members[id]
+	if me == nil || !me.Engine || me.inFlight == 0 || now.Sub(me.lastSeen) < quietMax || now.Sub(me.askedAt) < quietMax {
+		return false
+	}
+	me.askedAt = now
+	return true
+}
+
 // Silent reports whether a server with requests in flight has sent nothing for too long, as
 // when its host is frozen or disconnected.
 func (fl *Fleet) Silent(id string, now time.Time) bool {
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -176,12 +176,21 @@
 func (rq *request) connect(ctx context.Context, at *attempt) (*pool.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	limit := 0
-	if rq.service.ConnsMax > 0 {
-		// The service's limit applies to the connections of all entry nodes together.
-		limit = max(minConnsPerServer, rq.service.ConnsMax/rq.no.agents.entryCount())
+	return rq.no.pool.Get(ctx, at.address, rq.connWant())
+}
+
+// connWant describes the connection that the request needs.
+func (rq *request) connWant() pool.Want {
+	return pool.Want{RecentlyUsed: !rq.route.Repeatable(), Limit: rq.connLimit(), Except: rq.connections}
+}
+
+// connLimit returns the limit of this node's connections to one server of the service, zero for none. The service's limit
+// applies to the connections of all entry nodes together.
+func (rq *request) connLimit() int {
+	if rq.service.ConnsMax == 0 {
+		return 0
 	}
-	return rq.no.pool.Get(ctx, at.address, pool.Want{RecentlyUsed: !rq.route.Repeatable(), Limit: limit, Except: rq.connections})
+	return max(minConnsPerServer, rq.service.ConnsMax/rq.no.agents.entryCount())
 }
 
 // classifySendError determines whether the request may have run after sending it or reading its
--- a/entry/direct/takeup_run.go
+++ b/entry/direct/takeup_run.go
@@ -73,7 +73,7 @@
 func (rq *request) askRun(ctx context.Context, at *attempt) int64 {
 	metricRunsAsked.Add(1)
 	start := time.Now()
-	born, err := rq.fetchRun(ctx, at)
+	born, err := rq.no.fetchRun(ctx, at.address, rq.connWant())
 	if err == nil {
 		rq.no.mu.Lock()
 		rq.no.fleet.RunAnswered(at.server, born)
@@ -84,16 +84,16 @@
 	return born
 }
 
-// fetchRun reads the start of its run from what a server says of itself.
-func (rq *request) fetchRun(ctx context.Context, at *attempt) (int64, error) {
+// fetchRun reads the start of its run from what the server at an address says of itself.
+func (no *Node) fetchRun(ctx context.Context, address string, want pool.Want) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, runAnswerMax)
 	defer cancel()
-	co, err := rq.connect(ctx, at)
+	co, err := no.pool.Get(ctx, address, want)
 	if err != nil {
 		return 0, err
 	}
-	pr := rq.no.options.Protocol
-	an, err := co.Do(ctx, &pool.Request{Method: http.MethodGet, Target: pr.ReportTarget(), Host: at.address, Header: http.Header{}},
+	pr := no.options.Protocol
+	an, err := co.Do(ctx, &pool.Request{Method: http.MethodGet, Target: pr.ReportTarget(), Host: address, Header: http.Header{}},
 		func(hd http.Header) bool { return pr.MatchesRequest(hd, &RequestInfo{}, co.Reused) })
 	if err != nil {
 		return 0, err
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/roster"
+	"github.com/bambooladder/bambooladder/entry/internal/pool"
 )
 
 // watchPeriod is how often a server is checked while it streams an answer.
@@ -24,6 +25,7 @@
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
+	limit := rq.connLimit()
 	timer := (*time.Timer)(nil)
 	// The first check begins only once the timer is assigned.
 	timer = time.AfterFunc(math.MaxInt64, func() {
@@ -32,8 +34,12 @@
 			cancel(errServerSilent)
 			return
 		}
-		if ctx.Err() == nil {
-			timer.Reset(watchPeriod)
+		if ctx.Err() != nil {
+			return
+		}
+		timer.Reset(watchPeriod)
+		if rq.no.takeQuiet(at.server) {
+			rq.no.askAlive(ctx, at, limit)
 		}
 	})
 	timer.Reset(watchPeriod)
@@ -50,6 +56,24 @@
 	return no.fleet.Silent(id, time.Now())
 }
 
+// takeQuiet reports whether a server is to be asked for a sign of life now.
+func (no *Node) takeQuiet(id string) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	return no.fleet.TakeQuiet(id, time.Now())
+}
+
+// askAlive asks the server of an attempt for its report, which is a sign of life, on a connection other than the attempt's.
+func (no *Node) askAlive(ctx context.Context, at *attempt, connLimit int) {
+	start := time.Now()
+	_, err := no.fetchRun(ctx, at.address, pool.Want{Limit: connLimit})
+	if err == nil {
+		no.recordActivity(at.server)
+		return
+	}
+	no.logger.Info().Str("attempt", at.id).Str("server", at.server).Str("error", err.Error()).Dur("took", time.Since(start)).Msg("quiet_server_silent")
+}
+
 // recordAbandoned records that a request was canceled because its server stopped responding.
 func (no *Node) recordAbandoned(id string) {
 	no.mu.Lock()
