Place adapters by the speed of an engine beside the others of its service

Where all engines are at least as fast as the assumed 17,000 tokens a second, no agent finds its engine slow, although some have less than half of the others' speed: a third of the adapters was loaded there and their streams paused. Agents now report the rate at which their engine has answered bursts of prompts, and entry nodes compare it with the median of the service.

--- a/agent/direct/actions.go
+++ b/agent/direct/actions.go
@@ -101,7 +101,7 @@
 	return wire.EngineLoad{
 		Known: lo.Known, Model: lo.Model, Born: lo.Born, Slots: lo.Slots, BacklogMs: lo.Backlog.Milliseconds(),
 		Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree, Entries: len(br.sessions), Leaving: lo.Leaving,
-		Draining: lo.Draining, LoadMs: lo.LoadTime.Milliseconds(), BurstMax: lo.BurstMax, PrefillRate: lo.PrefillRate, EventUs: lo.EventTime.Microseconds(),
+		Draining: lo.Draining, LoadMs: lo.LoadTime.Milliseconds(), BurstMax: lo.BurstMax, PrefillRate: lo.PrefillRate, BurstRate: lo.BurstRate, EventUs: lo.EventTime.Microseconds(),
 	}
 }
 
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -191,6 +191,9 @@
 	// PrefillRate is the measured number of prompt tokens that the engine prefills in a second, zero if it is
 	// not known.
 	PrefillRate int
+	// BurstRate is the number of prompt tokens in a second at which the engine has answered bursts of prompts, network
+	// delay and first events included, zero if it is not known. It tells how fast an engine is beside others.
+	BurstRate int
 	// EventTime is the measured time between two events of a stream that runs on the engine, zero if it is not
 	// known.
 	EventTime time.Duration
@@ -225,7 +228,7 @@
 	return Load{
 		Known: en.reachable, Model: en.loadedModel(), Born: en.observation.Born, Slots: en.slots,
 		Backlog:  en.backlog(now, func(rq *Request) bool { return en.isLoaded(rq.Key) }),
-		BurstMax: en.pacer.burstLimit(0, now), PrefillRate: en.pacer.reportedRate(), EventTime: en.pacer.reportedEventTime(),
+		BurstMax: en.pacer.burstLimit(0, now), PrefillRate: en.pacer.reportedRate(), BurstRate: en.pacer.burstRate(), EventTime: en.pacer.reportedEventTime(),
 		LoadTime: en.averageLoadTime, Running: len(en.granted), Waiting: len(en.queue), MemoryFree: en.memoryFree(), Leaving: en.leaving, Draining: en.observation.Draining,
 	}
 }
--- a/core/grant/pacer.go
+++ b/core/grant/pacer.go
@@ -15,6 +15,9 @@
 	// mostly network delay.
 	prefillRateWeight      = 0.2
 	prefillSampleTokensMin = 1500
+	// burstSamplesMin is the number of samples after which the prefill rate is reported. Before, it is mostly the
+	// default.
+	burstSamplesMin = 5
 	// burstPauseShare is the share of the longest tolerated pause that a burst of prompts may
 	// take; the rest is left for the decoding steps of the running streams.
 	burstPauseShare = 0.9
@@ -61,6 +64,8 @@
 	// prefillRate is the measured number of prompt tokens prefilled in a second, zero before
 	// the first sample.
 	prefillRate float64
+	// prefillSamples is the number of samples of prefillRate.
+	prefillSamples int
 	// longPauses counts the streams that paused for longer than tolerated; pauseLimit is the
 	// shortest tolerated pause among them.
 	longPauses   decay.Count
@@ -148,6 +153,14 @@
 	}
 }
 
+// burstRate returns the measured prefill rate of bursts, zero before burstSamplesMin samples.
+func (pa *pacer) burstRate() int {
+	if pa.prefillSamples < burstSamplesMin {
+		return 0
+	}
+	return int(pa.prefillRate)
+}
+
 // reportedRate returns the measured rate while the engine counts as slow, zero otherwise.
 func (pa *pacer) reportedRate() int {
 	if !pa.speed.slow {
@@ -202,6 +215,7 @@
 	pa.prefillDoneAt = now
 	took := now.Sub(pa.burstStart).Seconds()
 	if pa.burstMeasurable && pa.burstTokens >= prefillSampleTokensMin && took > 0 {
+		pa.prefillSamples++
 		pa.prefillRate = pa.tokensPerSecond() + prefillRateWeight*(float64(pa.burstTokens)/took-pa.tokensPerSecond())
 		pa.speed.addBurst(pa.burstTokens, pa.burstPrompts, now.Sub(pa.burstStart), now)
 	}
--- a/core/spread/fleet.go
+++ b/core/spread/fleet.go
@@ -77,6 +77,8 @@
 	latencyRatio float64
 	// ratedSlowness is the reported slowness that latencyRatio applies to, zero for none.
 	ratedSlowness float64
+	// relativelySlow is true while the engine counts as much slower than the others of its service.
+	relativelySlow bool
 	// class is the capacity class by the reported prefill rate.
 	class capacityClass
 	// failureShare is the moving average of failures, from 0 to 1.
@@ -94,6 +96,8 @@
 	nodes int
 	// removed holds what the servers that were removed have asked for, by server ID.
 	removed map[string]demands
+	// references holds the reference rates of services.
+	references map[string]referenceRate
 }
 
 // Put adds a server or replaces its record.
@@ -172,6 +176,7 @@
 		me.hostCache, me.resident = hostCache{}, nil
 	}
 	// An agent that shuts down gives no grants, but its engine continues to serve.
+	lo, me.relativelySlow = fl.withRelativeSpeed(me, lo)
 	me.load, me.agentAvailable, me.addedPrefillTime = lo, !lo.Leaving, 0
 	me.applySpeed()
 	me.markSeen(lo.ReportedAt)
--- a/core/wire/messages.gen.go
+++ b/core/wire/messages.gen.go
@@ -152,6 +152,11 @@
 	// without pausing its running streams for too long, zero for no limit.
 	BurstMax int `json:"burst_max" yaml:"burst_max" cbor:"13,keyasint,omitempty"`
 
+	// BurstRate is the number of prompt tokens in a second at which the engine has
+	// answered bursts of prompts, network delay and first events included, zero if it
+	// is not known. It can be compared with that of other engines only.
+	BurstRate int `json:"burst_rate" yaml:"burst_rate" cbor:"16,keyasint,omitempty"`
+
 	// Draining is true once the engine itself is shutting down.
 	Draining bool `json:"draining" yaml:"draining" cbor:"12,keyasint,omitempty"`
 
--- a/entry/direct/frames.go
+++ b/entry/direct/frames.go
@@ -95,7 +95,7 @@
 func loadOf(lo *wire.EngineLoad, now time.Time) spread.Load {
 	return spread.Load{ReportedAt: now, Load: grant.Load{
 		Known: lo.Known, Model: lo.Model, Born: lo.Born, Slots: lo.Slots, Backlog: time.Duration(lo.BacklogMs) * time.Millisecond,
-		LoadTime: time.Duration(lo.LoadMs) * time.Millisecond, BurstMax: lo.BurstMax, PrefillRate: lo.PrefillRate, EventTime: time.Duration(lo.EventUs) * time.Microsecond, Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree,
+		LoadTime: time.Duration(lo.LoadMs) * time.Millisecond, BurstMax: lo.BurstMax, PrefillRate: lo.PrefillRate, BurstRate: lo.BurstRate, EventTime: time.Duration(lo.EventUs) * time.Microsecond, Running: lo.Running, Waiting: lo.Waiting, MemoryFree: lo.MemoryFree,
 		Leaving: lo.Leaving, Draining: lo.Draining,
 	}}
 }
