Keep withdrawn keys withdrawn over a restart

A node that starts has nothing but the log or its peers. A log that came back from an older copy holds keys that were withdrawn since, and a peer that lags behind too: peers were asked one after the other and each applied at once, so that a withdrawn key was valid until a newer peer had answered. Peers are now asked at the same time and the newest routes applied first. If the first routes that a node reads from the log have organisations, it compares them with those of its peers.

--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/reader"
 	"github.com/bambooladder/bambooladder/core/roster"
 )
@@ -106,6 +107,9 @@
 			rd.afterFailure = fo.failures > 0
 			fo.failures = 0
 			fo.no.feeds.confirmSelf()
+			if ta := fo.firstTable(rd); ta.HasOrganisations() {
+				fo.no.compareRoutes(ctx, ta)
+			}
 			fo.applyOwnRead(rd)
 			fo.recordOwnRead(ownRead{beganAt: start, ok: true})
 			if len(rd.batch.Records) == 0 && time.Since(start) < emptyReadDelay {
@@ -124,6 +128,21 @@
 	}
 }
 
+// firstTable returns the routes of a read if they are the first that the node reads from the log, else nil.
+func (fo *follower) firstTable(rd logRead) *paths.Table {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	if fo.listed {
+		return nil
+	}
+	for ix := range rd.batch.Records {
+		if ta := rd.batch.Records[ix].Table; ta != nil {
+			return ta
+		}
+	}
+	return nil
+}
+
 // awaitDue waits until the next read of the topic is due, and returns false if the context ended.
 func (fo *follower) awaitDue(ctx context.Context) bool {
 	for ctx.Err() == nil {
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +23,8 @@
 	peerPath          = "/peer/beliefs"
 	peerTimeout       = 700 * time.Millisecond
 	maxPeerStateBytes = 8 << 20
+	// peersAtOnce is the number of peers that are asked at the same time.
+	peersAtOnce = 8
 )
 
 // peerState is the state that a node sends to a starting peer while the log is unavailable.
@@ -69,18 +73,68 @@
 }
 
 // fetchFromPeers reads the state of all peers while the log is unavailable; the newest records
-// win.
+// win. The newest routes are applied first: older ones may allow what has been withdrawn since.
 func (no *Node) fetchFromPeers(ctx context.Context) {
+	for _, pa := range no.fetchPeerStates(ctx) {
+		no.applyPeerState(pa.state, pa.address)
+	}
+}
+
+// peerAnswer is the state of the peer at an address, nil if it could not be read.
+type peerAnswer struct {
+	address string
+	state   *peerState
+}
+
+// routesVersion returns the version of the peer's routes.
+func (pa *peerAnswer) routesVersion() int64 {
+	if pa.state.Table == nil {
+		return 0
+	}
+	return pa.state.Table.Version
+}
+
+// fetchPeerStates reads the states of all peers, some at a time, and returns those with the newest routes first.
+func (no *Node) fetchPeerStates(ctx context.Context) []peerAnswer {
+	places, answers, asked := make(chan struct{}, peersAtOnce), make(chan peerAnswer), 0
 	for _, address := range no.options.Settings.Peers {
 		if address == no.options.Settings.PeerAddress {
 			continue
 		}
-		ps, err := no.fetchPeerState(ctx, address)
-		if err != nil {
-			no.logger.Info().Str("peer", address).Str("error", err.Error()).Msg("peer_not_asked")
-			continue
+		asked++
+		go func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			ps, err := no.fetchPeerState(ctx, address)
+			if err != nil {
+				no.logger.Info().Str("peer", address).Str("error", err.Error()).Msg("peer_not_asked")
+				ps = nil
+			}
+			answers <- peerAnswer{address: address, state: ps}
+		}()
+	}
+	list := make([]peerAnswer, 0, asked)
+	for range asked {
+		if pa := <-answers; pa.state != nil {
+			list = append(list, pa)
 		}
-		no.applyPeerState(ps, address)
+	}
+	slices.SortFunc(list, func(left, right peerAnswer) int { return cmp.Compare(right.routesVersion(), left.routesVersion()) })
+	return list
+}
+
+// compareRoutes takes the routes of the peer that has the newest, if they are newer than those that this node has read from
+// the log when it started. The log may have come back from an older copy, in which keys that were withdrawn since are valid.
+func (no *Node) compareRoutes(ctx context.Context, read *paths.Table) {
+	list := no.fetchPeerStates(ctx)
+	if len(list) == 0 || list[0].routesVersion() <= read.Version {
+		return
+	}
+	now, newest := time.Now(), list[0].state.Table.Build()
+	if no.setTable(newest, now) {
+		no.logger.Warn().Str("peer", list[0].address).Int64("version", newest.Version).Int64("log_version", read.Version).Msg("routes_newer_at_peer")
+		no.syncServers(now)
+		no.agents.prepareEngines()
 	}
 }
 
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -39,6 +39,9 @@
 	headerLimit     = "T-Limit"
 	headerLeaving   = "T-Leaving"
 	headerParts     = "T-Parts"
+	headerKey       = "T-Key"
+	headerSender    = "T-Sender"
+	headerRank      = "T-Rank"
 	testModel       = "base"
 )
 
@@ -46,7 +49,7 @@
 type testProtocol struct{}
 
 func (testProtocol) RequestInfo(rq *http.Request) (direct.RequestInfo, error) {
-	ri := direct.RequestInfo{ID: rq.Header.Get(headerID), Adapter: rq.Header.Get(headerAdapter), LastEvent: rq.Header.Get(headerLastEvent), Resumes: rq.Header.Get(headerResumes)}
+	ri := direct.RequestInfo{ID: rq.Header.Get(headerID), Adapter: rq.Header.Get(headerAdapter), LastEvent: rq.Header.Get(headerLastEvent), Resumes: rq.Header.Get(headerResumes), Key: rq.Header.Get(headerKey)}
 	if ri.ID == "" {
 		return ri, fmt.Errorf("request has no %s header", headerID)
 	}
@@ -68,6 +71,11 @@
 	if fi.LastEvent != "" {
 		hd.Set(headerLastEvent, fi.LastEvent)
 	}
+	if fi.Identified {
+		hd.Del(headerKey)
+		hd.Set(headerSender, fi.Organisation)
+		hd.Set(headerRank, strconv.Itoa(fi.Rank))
+	}
 	return hd
 }
 
