--- a/entry/direct/apply.go
+++ b/entry/direct/apply.go
@@ -16,7 +16,7 @@
 	case lr.Table != nil:
 		if no.setTable(lr.Table, now) {
 			no.logger.Info().Int64("version", lr.Table.Version).Int64("epoch", epoch).Int64("offset", lr.Offset).Int("routes", len(lr.Table.Routes)).
-				Int("services", len(lr.Table.Services)).Msg("routes_in_force")
+				Int("services", len(lr.Table.Services)).Int("organisations", len(lr.Table.Organisations)).Msg("routes_in_force")
 			// The table defines which services run engines, so all servers are evaluated
 			// again.
 			no.syncServers(now)
--- a/entry/direct/peers_test.go
+++ b/entry/direct/peers_test.go
@@ -61,8 +61,9 @@
 	if no.view.table.Load() == nil {
 		t.Fatal("no routes are in force")
 	}
-	versions := []int64(nil)
-	for _, pa := range no.fetchPeerStates(context.Background()) {
+	list := no.fetchPeerStates(context.Background())
+	versions := make([]int64, 0, len(list))
+	for _, pa := range list {
 		versions = append(versions, pa.routesVersion())
 	}
 	if len(versions) != 3 || versions[0] != 6 || versions[1] != 5 || versions[2] != 4 {
--- a/proofs/direct_keys_test.go
+++ b/proofs/direct_keys_test.go
@@ -21,7 +21,7 @@
 	for ix := range ta.Routes {
 		ta.Routes[ix].Rank, ta.Routes[ix].Target = ix%3, time.Second
 	}
-	digests := []paths.Digest(nil)
+	digests := make([]paths.Digest, 0, len(keys))
 	for _, key := range keys {
 		digests = append(digests, paths.DigestOf(key))
 	}
@@ -132,7 +132,7 @@
 // A node that starts while the log does not answer has its routes from its peers, one of which may lag behind. The key that has
 // been withdrawn must not be valid there for a moment.
 func TestDirectStartedNodeTakesNewestKeysOfItsPeers(t *testing.T) {
-	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+	runDirectSimulation(t, 1, 0, func(t *testing.T, ds *directSimulation, _ *directCaller) {
 		ds.announceKeys(2, "k-1", "k-2")
 		lagging := &laggingReader{LogReader: ds.source}
 		lagging.lag(2)
@@ -221,7 +221,9 @@
 			waiting := ds.newCaller("entry-1")
 			defer waiting.client.CloseIdleConnections()
 			waiting.count = 100 * ix
-			go func() { replies[ix] <- waiting.sendKey(t.Context(), "k-2", "/stream/x", "a1", strings.NewReader("prompt")) }()
+			go func() {
+				replies[ix] <- waiting.sendKey(t.Context(), "k-2", "/stream/x", "a1", strings.NewReader("prompt"))
+			}()
 			time.Sleep(300 * time.Millisecond)
 		}
 		ds.source.appendRecord(direct.OperatorsTopic, direct.LogRecord{Table: keyTable(3, "k-1")})
