Count the request's own stream among those that pause for too long

The streams of requests with long prompts are stalled by prompts like their own. A test of the share of decoding in the wait is added; none failed without it.

--- a/core/spread/goals.go
+++ b/core/spread/goals.go
@@ -49,16 +49,16 @@
 }
 
 // latePenalty returns the penalty for the streams that would pause for too long if the engine got the request. A
-// prompt stalls the running streams while it is prefilled, and an engine on which a single event takes too long
-// stalls the request's own stream as well. It answers a load of unequal engines, where one long prompt on a
+// prompt stalls the running streams while it is prefilled. The request's own stream counts too: further prompts of
+// the same kind will stall it, and so does an engine on which a single event takes too long. It answers a load of unequal engines, where one long prompt on a
 // slow engine makes all streams late that run there.
 func (me *member) latePenalty(rq *Request) float64 {
 	late := 0
-	if me.load.BurstMax > 0 && rq.PromptTokens > me.load.BurstMax || rq.Goals.exceededBy(me.load.promptPause(rq.PromptTokens)) {
-		late = me.load.Running
-	}
-	if rq.Goals.exceededBy(me.load.EventTime) {
+	switch {
+	case rq.Goals.exceededBy(me.load.promptPause(rq.PromptTokens)), rq.Goals.exceededBy(me.load.EventTime):
 		late = me.load.Running + 1
+	case me.load.BurstMax > 0 && rq.PromptTokens > me.load.BurstMax:
+		late = me.load.Running
 	}
 	return min(streamPausesMaxSeconds, streamPauseSeconds*float64(late))
 }
--- a/core/spread/goals_test.go
+++ b/core/spread/goals_test.go
@@ -56,8 +56,8 @@
 		"usual speed, above the burst":      {grant.Load{Running: 3, BurstMax: 1000}, 1001, 400 * time.Millisecond, 3 * streamPauseSeconds},
 		"no bound":                          {slow, 20_000, 0, 0},
 		"short prompt":                      {slow, 1700, 400 * time.Millisecond, 0},
-		"prompt and decoding step too long": {slow, 1701, 400 * time.Millisecond, 3 * streamPauseSeconds},
-		"no stream":                         {grant.Load{PrefillRate: 5000}, 2001, 400 * time.Millisecond, 0},
+		"prompt and decoding step too long": {slow, 1701, 400 * time.Millisecond, 4 * streamPauseSeconds},
+		"no stream but its own":             {grant.Load{PrefillRate: 5000}, 2001, 400 * time.Millisecond, streamPauseSeconds},
 		"events too long":                   {grant.Load{EventTime: 401 * time.Millisecond, Running: 1}, 10, 400 * time.Millisecond, 2 * streamPauseSeconds},
 		"many streams":                      {grant.Load{PrefillRate: 5000, Running: 30}, 2001, 400 * time.Millisecond, streamPausesMaxSeconds},
 	} {
--- a/core/spread/speed_test.go
+++ b/core/spread/speed_test.go
@@ -321,3 +321,26 @@
 		t.Errorf("the backlog after 1,700 tokens at a quarter of the usual rate is %s, want 400 ms", got)
 	}
 }
+
+// Running streams and full memory delay a first event by as much longer as the engine decodes more slowly.
+func TestDecodingCountsAtTheOwnSpeedOfTheEngine(t *testing.T) {
+	for name, tc := range map[string]struct {
+		load grant.Load
+		want time.Duration
+	}{
+		"usual speed":         {grant.Load{Running: 10, MemoryFree: 1}, 40 * time.Millisecond},
+		"by the event time":   {grant.Load{Running: 10, MemoryFree: 1, EventTime: 3 * usualEventTime}, 120 * time.Millisecond},
+		"by the prefill rate": {grant.Load{Running: 10, MemoryFree: 1, PrefillRate: usualPrefillRate / 2}, 80 * time.Millisecond},
+		"by both":             {grant.Load{Running: 10, MemoryFree: 1, PrefillRate: usualPrefillRate / 2, EventTime: 3 * usualEventTime}, 120 * time.Millisecond},
+		"faster than usual":   {grant.Load{Running: 10, MemoryFree: 1, EventTime: usualEventTime / 2}, 40 * time.Millisecond},
+		"full memory":         {grant.Load{MemoryFree: 0, EventTime: 3 * usualEventTime}, 2400 * time.Millisecond},
+	} {
+		fl, rq := fleetOf("e1"), requestFor("")
+		rq.PromptTokens = 1
+		fl.AgentReported("e1", Load{Load: tc.load, ReportedAt: start}, nil)
+		wait := time.Duration(fl.members["e1"].promptWait(&rq, start) * float64(time.Second))
+		if got := wait.Round(time.Millisecond); got != tc.want {
+			t.Errorf("%s: the wait is %s, want %s", name, got, tc.want)
+		}
+	}
+}
