Refuse requests early whose deadline cannot be reached, and share a full queue

Requests that could not be granted in time waited until their deadline, a full queue refused whoever came last, and all refused callers were told to come back after 300 ms.

For requests with an organisation and a goal, the wait is estimated from the work that is served before in their own order and the rate at which an engine with full memory takes work; beyond 1.25 times the time that is left they are refused with deadline_unreachable, on arrival and then every 100 ms.

The organisation with most queued requests gives way when the queue is full. Retry delays for requests with an organisation follow from the backlog and are spread over attempts by a hash of their ID.

--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -134,4 +134,6 @@
 	ReasonModelLoading   = "model_loading"
 	ReasonEngineDraining = "engine_draining"
 	ReasonPrefillBusy    = "reading_prompts"
+	// ReasonDeadlineUnreachable means that the requests which are served before would take until after the deadline.
+	ReasonDeadlineUnreachable = "deadline_unreachable"
 )
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -85,6 +85,8 @@
 
 	// share is that of the organisation, set while the request is queued or granted.
 	share *share
+	// expectedLate is true if the request is not expected to meet its goal because of those that are served before.
+	expectedLate bool
 }
 
 // granted is a request whose grant was not released yet.
@@ -163,9 +165,12 @@
 	averageLoadTime time.Duration
 	pacer           pacer
 	// shares holds what the organisations have used; turns is reused in each choice among them.
-	shares  shares
-	turns   []turn
-	leaving bool
+	shares shares
+	turns  []turn
+	drain  drainMeter
+	// nextReviewAt is the earliest time at which waits are estimated again.
+	nextReviewAt time.Time
+	leaving      bool
 }
 
 // New returns the state of an agent that starts at now.
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -17,18 +17,30 @@
 		return []Action{refusal(&rq, ReasonAgentLeaving, 0)}
 	case en.observation.Draining:
 		return []Action{refusal(&rq, ReasonEngineDraining, 0)}
-	case len(en.queue) >= queueMax:
-		return []Action{refusal(&rq, ReasonQueueFull, defaultRetryAfter)}
-	case !now.Before(rq.Deadline):
-		return []Action{refusal(&rq, ReasonDeadline, defaultRetryAfter)}
-	case rq.BacklogMax > 0 && en.backlogBefore(rq.Key, now) > rq.BacklogMax:
-		return []Action{refusal(&rq, ReasonEngineBusy, 0)}
+	}
+	rq.share = en.shares.of(rq.Organisation, now)
+	var larger *share
+	if len(en.queue) >= queueMax {
+		if larger = en.largerShare(&rq); larger == nil {
+			return []Action{refusal(&rq, ReasonQueueFull, retryAfter(&rq, en.drainTime(now)))}
+		}
+	}
+	switch reason := en.refusalOf(&rq, now); reason {
+	case "":
+	case ReasonEngineBusy:
+		return []Action{refusal(&rq, reason, 0)}
+	default:
+		return []Action{refusal(&rq, reason, retryAfter(&rq, en.drainTime(now)))}
+	}
+	actions := make([]Action, 0)
+	if larger != nil {
+		actions = en.displace(larger, now)
 	}
 	if rq.Key.Adapter != "" {
 		en.popularity[rq.Key] = en.popularity[rq.Key].Plus(now, popularityHalfLife)
 	}
 	en.enqueue(&rq, now)
-	actions := en.schedule(now)
+	actions = append(actions, en.schedule(now)...)
 	if ix := en.queueIndex(rq.Attempt); ix >= 0 {
 		actions = append(actions, Action{Queue: &Queue{Attempt: rq.Attempt, Entry: rq.Entry, Reason: en.waitReason(&en.queue[ix], now)}})
 	}
@@ -186,6 +198,7 @@
 	}
 	en.pacer.expirePrompts(now)
 	actions := en.refuseWaiting(func(rq *Request) bool { return !now.Before(rq.Deadline) }, ReasonDeadline, now)
+	actions = append(actions, en.refuseUnreachable(now)...)
 	return append(actions, en.schedule(now)...)
 }
 
@@ -208,6 +221,7 @@
 	en.hostCache = nil
 	en.pendingOrder = nil
 	en.pacer.reset()
+	en.drain = drainMeter{}
 }
 
 // updateAdapters replaces the loaded adapters by those that the engine reports, and updates the
@@ -277,10 +291,11 @@
 
 // refuseWaiting removes the matching requests from the queue and refuses them.
 func (en *Engine) refuseWaiting(match func(rq *Request) bool, reason string, now time.Time) []Action {
+	drainTime := en.drainTime(now)
 	removed := en.removeMatching(match, now)
 	actions := make([]Action, 0, len(removed))
 	for ix := range removed {
-		actions = append(actions, refusal(&removed[ix], reason, defaultRetryAfter))
+		actions = append(actions, refusal(&removed[ix], reason, retryAfter(&removed[ix], drainTime)))
 	}
 	return actions
 }
--- a/core/grant/order.go
+++ b/core/grant/order.go
@@ -6,9 +6,13 @@
 	"time"
 )
 
-// rescueTime is how long before its deadline a request that can no longer meet its goal stops yielding to those
-// that can: as long as an engine of usual speed may need for the prompts before it.
-const rescueTime = time.Second
+const (
+	// rescueTime is how long before its deadline a request that cannot meet its goal stops yielding to those that can: as
+	// long as an engine of usual speed may need for the prompts before it.
+	rescueTime = time.Second
+	// lateTurns is the number of an organisation's grants of which one may go to such a request.
+	lateTurns = 4
+)
 
 // turn is the best matching request of an organisation.
 type turn struct {
@@ -93,10 +97,23 @@
 	return tu.index < other.index
 }
 
-// yields reports whether a request lets those of its organisation go first that can still meet their goal. Before
-// its deadline it no longer does, unless the organisation's last grant went to such a request.
+// yields reports whether a request lets those of its organisation go first that can still meet their goal. Shortly before
+// its deadline it no longer does, if it is the turn of such a request.
 func (en *Engine) yields(rq *Request, now time.Time) bool {
-	return en.goalMissed(rq, now) && (rq.share.lateGranted || rq.Deadline.Sub(now) > rescueTime)
+	return en.late(rq, now) && (rq.share.turnsOwed > 0 || rq.Deadline.Sub(now) > rescueTime)
+}
+
+// late reports whether a request cannot meet its goal, as far as is known.
+func (en *Engine) late(rq *Request, now time.Time) bool {
+	return rq.expectedLate || en.goalMissed(rq, now)
+}
+
+// turnTaken counts a grant to one of the organisation's requests, which was late or not.
+func (sh *share) turnTaken(late bool) {
+	sh.turnsOwed = max(0, sh.turnsOwed-1)
+	if late {
+		sh.turnsOwed = lateTurns - 1
+	}
 }
 
 // goalMissed reports whether a request could not meet its goal if it were granted now.
@@ -113,8 +130,7 @@
 
 // enqueue adds a request to the queue.
 func (en *Engine) enqueue(rq *Request, now time.Time) {
-	rq.share = en.shares.of(rq.Organisation, now)
-	en.shares.requestQueued(rq.share, rq.tokens())
+	en.shares.requestQueued(rq.share, rq.tokens(), now)
 	en.queue = append(en.queue, *rq)
 }
 
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -10,6 +10,7 @@
 func (en *Engine) schedule(now time.Time) []Action {
 	actions := make([]Action, 0)
 	en.shares.update(now)
+	en.drain.advance(now)
 	if en.reachable {
 		actions = en.grantRunnable(actions, now)
 		actions = en.orderNext(actions, now)
@@ -49,22 +50,35 @@
 			next = pl.inspectAt
 		}
 	}
+	if len(en.queue) > 0 && en.nextReviewAt.After(now) && en.nextReviewAt.Before(next) {
+		next = en.nextReviewAt
+	}
 	if len(en.queue) > 0 && en.nextOrderAt.After(now) && en.nextOrderAt.Before(next) {
 		next = en.nextOrderAt
 	}
 	return next
 }
 
-// grantRunnable grants the queued requests that can run, in the order of bestWaiting.
+// grantRunnable grants the queued requests that can run, in the order of bestWaiting. Memory is checked first: it
+// rejects most requests of a long queue and costs least.
 func (en *Engine) grantRunnable(actions []Action, now time.Time) []Action {
 	for {
-		ix := en.bestWaiting(now, func(rq *Request) bool { return en.runnable(rq, now) })
+		full := false
+		ix := en.bestWaiting(now, func(rq *Request) bool {
+			if !en.fits(rq) {
+				full = full || rq.Key.Adapter == "" || en.isLoaded(rq.Key)
+				return false
+			}
+			return en.waitReason(rq, now) == ""
+		})
 		if ix < 0 {
+			en.drain.full = full
 			return actions
 		}
 		rq := en.queue[ix]
-		rq.share.lateGranted = en.goalMissed(&rq, now)
+		rq.share.turnTaken(en.late(&rq, now))
 		en.shares.charge(rq.share, rq.tokens())
+		en.drain.granted(rq.tokens())
 		en.removeQueued(ix, now)
 		en.addGrant(&rq, now)
 		if rq.Key.Adapter != "" {
@@ -96,12 +110,6 @@
 	return ""
 }
 
-// runnable reports whether a request can be granted now. It checks first what rejects most requests of a long queue
-// and costs least.
-func (en *Engine) runnable(rq *Request, now time.Time) bool {
-	return en.fits(rq) && en.waitReason(rq, now) == ""
-}
-
 // fits reports whether the engine has memory for a request. One request at a time always fits.
 func (en *Engine) fits(rq *Request) bool {
 	return len(en.granted) == 0 || en.observation.MemoryTotal <= 0 || en.memoryFree() >= rq.tokens()
--- a/core/grant/shares.go
+++ b/core/grant/shares.go
@@ -37,9 +37,14 @@
 	// behindSince since when it has had less, the zero time if it has not.
 	guaranteed  float64
 	behindSince time.Time
-	// lateGranted is true if its last grant went to a request that could no longer meet its goal.
-	lateGranted bool
-	idleSince   time.Time
+	// turnsOwed is the number of grants that go to requests which can meet their goal before one that cannot is
+	// served shortly before its deadline.
+	turnsOwed int
+	idleSince time.Time
+	// ready and urgency are set by countWork: the work of the requests that can be granted without an adapter load, and the
+	// highest urgency among them.
+	ready   work
+	urgency int
 }
 
 // overdue reports whether an organisation has been behind its guaranteed share for too long.
@@ -47,6 +52,14 @@
 	return !sh.behindSince.IsZero() && now.Sub(sh.behindSince) >= agingStep
 }
 
+// untilOverdue returns the time until an organisation that is not served any more is overdue.
+func (sh *share) untilOverdue(now time.Time) time.Duration {
+	if sh.behindSince.IsZero() {
+		return agingStep
+	}
+	return max(0, agingStep-now.Sub(sh.behindSince))
+}
+
 // shares holds the shares of all organisations that have used the engine lately. The zero value is ready to
 // use.
 type shares struct {
@@ -71,7 +84,7 @@
 	if len(ss.byName) >= sharesMax {
 		ss.removeIdle(now)
 	}
-	sh := &share{organisation: organisation, idleSince: now}
+	sh := &share{organisation: organisation, guaranteed: ss.virtual, idleSince: now}
 	ss.byName[organisation] = sh
 	return sh
 }
@@ -86,12 +99,15 @@
 }
 
 // requestQueued adds a request to those that wait. An organisation that begins to wait gets no credit for the
-// time in which it asked for nothing.
-func (ss *shares) requestQueued(sh *share, tokens int) {
+// time in which it asked for nothing. A short time without waiting requests does not count as such: those of an
+// organisation with little hope of a grant are refused at once and leave the queue empty now and then.
+func (ss *shares) requestQueued(sh *share, tokens int, now time.Time) {
 	if sh.waiting == 0 {
 		sh.used = max(sh.used, ss.lowestUsed())
-		sh.guaranteed = max(sh.guaranteed, ss.virtual)
-		sh.behindSince = time.Time{}
+		if now.Sub(sh.idleSince) > agingStep {
+			sh.guaranteed = max(sh.guaranteed, ss.virtual)
+			sh.behindSince = time.Time{}
+		}
 		ss.waiting = append(ss.waiting, sh)
 	}
 	sh.waiting++
