Publish the use of an engine by organisation, and free what withdrawn requests held

When a caller left, the adapter that its queued request waited for could make room for another one only at the next tick, up to 500 ms later. For requests with an organisation, the agent now looks for the next order at once; a test shows that the queue entry, the slot and a load that was not begun are free.

--- a/agent/direct/actions.go
+++ b/agent/direct/actions.go
@@ -42,7 +42,11 @@
 // refuse informs an entry node that its attempt gets no grant.
 func (br *Broker) refuse(ctx context.Context, re *grant.Refuse) {
 	metricRefused.Add(1)
-	br.lg.Info().Str("attempt", re.Attempt).Str("reason", re.Reason).Dur("retry_after", re.RetryAfter).Msg("attempt_refused")
+	ev := br.lg.Info().Str("attempt", re.Attempt).Str("reason", re.Reason).Dur("retry_after", re.RetryAfter)
+	if re.Organisation != "" {
+		ev.Str("organisation", re.Organisation).Dur("waited", re.Waited)
+	}
+	ev.Msg("attempt_refused")
 	lo := br.engineLoad()
 	br.send(ctx, re.Entry, &wire.Frame{Refusal: &wire.Refusal{
 		Attempt: re.Attempt, Reason: re.Reason, RetryAfter: re.RetryAfter.Milliseconds(), Load: &lo,
--- a/agent/direct/broker.go
+++ b/agent/direct/broker.go
@@ -87,6 +87,8 @@
 	origins origin.Table
 	// history holds the software versions of services, as entry nodes tell.
 	history origin.History
+	// usesDueAt is when the use of the engine by organisation is published next.
+	usesDueAt time.Time
 	// boot is the ID of this run of the agent.
 	boot string
 }
--- a/agent/direct/metrics.go
+++ b/agent/direct/metrics.go
@@ -31,7 +31,9 @@
 // publishMetrics sets the metrics to the state of the engine, and logs when the limit on prompt
 // bursts is set or lifted.
 func (br *Broker) publishMetrics() {
-	lo, st := br.en.Load(time.Now()), br.en.Stats()
+	now := time.Now()
+	lo, st := br.en.Load(now), br.en.Stats()
+	br.publishUses(now)
 	metricLoads.Set(int64(st.Loads))
 	metricEvictions.Set(int64(st.Evictions))
 	metricLoadStall.Set(st.LoadStall.Milliseconds())
--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -32,6 +32,9 @@
 	Entry      string
 	Reason     string
 	RetryAfter time.Duration
+	// Organisation is that of the request, and Waited how long the request was queued.
+	Organisation string
+	Waited       time.Duration
 }
 
 // Operation is the kind of change that an order makes to the engine.
--- a/core/grant/estimate.go
+++ b/core/grant/estimate.go
@@ -284,5 +284,5 @@
 	displaced := en.queue[last]
 	drainTime := en.drainTime(now)
 	en.removeQueued(last, now)
-	return []Action{refusal(&displaced, ReasonQueueFull, retryAfter(&displaced, drainTime))}
+	return []Action{refusal(&displaced, ReasonQueueFull, retryAfter(&displaced, drainTime), now)}
 }
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -14,23 +14,23 @@
 	rq.Arrived = now
 	switch {
 	case en.leaving:
-		return []Action{refusal(&rq, ReasonAgentLeaving, 0)}
+		return []Action{refusal(&rq, ReasonAgentLeaving, 0, now)}
 	case en.observation.Draining:
-		return []Action{refusal(&rq, ReasonEngineDraining, 0)}
+		return []Action{refusal(&rq, ReasonEngineDraining, 0, now)}
 	}
 	rq.share = en.shares.of(rq.Organisation, now)
 	var larger *share
 	if len(en.queue) >= queueMax {
 		if larger = en.largerShare(&rq); larger == nil {
-			return []Action{refusal(&rq, ReasonQueueFull, retryAfter(&rq, en.drainTime(now)))}
+			return []Action{refusal(&rq, ReasonQueueFull, retryAfter(&rq, en.drainTime(now)), now)}
 		}
 	}
 	switch reason := en.refusalOf(&rq, now); reason {
 	case "":
 	case ReasonEngineBusy:
-		return []Action{refusal(&rq, reason, 0)}
+		return []Action{refusal(&rq, reason, 0, now)}
 	default:
-		return []Action{refusal(&rq, reason, retryAfter(&rq, en.drainTime(now)))}
+		return []Action{refusal(&rq, reason, retryAfter(&rq, en.drainTime(now)), now)}
 	}
 	actions := make([]Action, 0)
 	if larger != nil {
@@ -70,8 +70,13 @@
 // between the events of its stream, zero if it is not known.
 func (en *Engine) Release(attempt string, longestPause time.Duration, now time.Time) []Action {
 	if ix := en.queueIndex(attempt); ix >= 0 {
+		organisation := en.queue[ix].Organisation
 		en.removeQueued(ix, now)
-		return nil
+		if organisation == "" {
+			return nil
+		}
+		// The adapter that the request waited for may make room for another one.
+		return en.schedule(now)
 	}
 	gr := en.granted[attempt]
 	if gr == nil {
@@ -295,12 +300,14 @@
 	removed := en.removeMatching(match, now)
 	actions := make([]Action, 0, len(removed))
 	for ix := range removed {
-		actions = append(actions, refusal(&removed[ix], reason, retryAfter(&removed[ix], drainTime)))
+		actions = append(actions, refusal(&removed[ix], reason, retryAfter(&removed[ix], drainTime), now))
 	}
 	return actions
 }
 
 // refusal returns the action that refuses a request.
-func refusal(rq *Request, reason string, retryAfter time.Duration) Action {
-	return Action{Refuse: &Refuse{Attempt: rq.Attempt, Entry: rq.Entry, Reason: reason, RetryAfter: retryAfter}}
+func refusal(rq *Request, reason string, retryAfter time.Duration, now time.Time) Action {
+	return Action{Refuse: &Refuse{
+		Attempt: rq.Attempt, Entry: rq.Entry, Reason: reason, RetryAfter: retryAfter, Organisation: rq.Organisation, Waited: now.Sub(rq.Arrived),
+	}}
 }
--- a/core/grant/order_test.go
+++ b/core/grant/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -157,3 +158,82 @@
 		t.Errorf("granted %v, want %s", dr.granted, want)
 	}
 }
+
+// A caller that leaves while its request waits must not keep an adapter from being replaced, nor cause a load for which no
+// other request waits.
+func TestWithdrawnRequestFreesWhatItHeldAtOnce(t *testing.T) {
+	dr := newDriver(t, 1, "x")
+	dr.record(dr.en.Reserve(Request{
+		Attempt: "full", Entry: "entry", Key: Key{Model: testModel}, PromptTokens: 10, OutputTokens: 99_990, Deadline: dr.now.Add(time.Hour),
+	}, dr.now))
+	dr.reserveFor("o", "leaves", "x", 5, 0)
+	dr.reserveFor("p", "stays", "y", 5, 0)
+	if dr.pendingOrder != nil {
+		t.Fatalf("ordered %+v while a request waits for x", dr.pendingOrder)
+	}
+	dr.record(dr.en.Release("leaves", 0, dr.now))
+	if dr.pendingOrder == nil || dr.pendingOrder.Operation != UnloadAdapter || dr.pendingOrder.Key.Adapter != "x" {
+		t.Fatalf("ordered %+v after the request for x was withdrawn, want x unloaded", dr.pendingOrder)
+	}
+	dr.record(dr.en.Release("stays", 0, dr.now))
+	dr.acceptOrder()
+	if dr.pendingOrder != nil {
+		t.Errorf("ordered %+v although no request waits", dr.pendingOrder)
+	}
+	if st := dr.en.shares; len(dr.en.queue) != 0 || len(st.waiting) != 0 || st.byName["o"].waitingTokens != 0 {
+		t.Errorf("%d requests are queued, %d organisations wait", len(dr.en.queue), len(st.waiting))
+	}
+}
+
+// Counts of granted requests must follow each way in which a grant begins and ends.
+func TestGrantCountsFollowEveryEvent(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	dr := newDriver(t, 3, "a0", "a1", "a2")
+	for ix := range 3000 {
+		dr.now = dr.now.Add(time.Duration(rng.IntN(50)) * time.Millisecond)
+		rq := Request{
+			Attempt: fmt.Sprint(rng.IntN(300)), Entry: fmt.Sprint("entry", rng.IntN(3)), Key: Key{Model: testModel, Adapter: fmt.Sprint("a", rng.IntN(4))},
+			PromptTokens: 1 + rng.IntN(5000), OutputTokens: 20, Organisation: fmt.Sprint("o", rng.IntN(4)), GoalAt: dr.now.Add(time.Second),
+			Deadline: dr.now.Add(2 * time.Second),
+		}
+		if dr.en.queueIndex(rq.Attempt) >= 0 {
+			rq.Attempt = fmt.Sprint("new", ix)
+		}
+		switch rng.IntN(8) {
+		case 0, 1, 2, 3:
+			dr.en.Reserve(rq, dr.now)
+		case 4:
+			dr.en.RestoreGrant(rq, dr.now)
+		case 5:
+			dr.en.Release(rq.Attempt, 0, dr.now)
+		case 6:
+			dr.en.EntryDisconnected(rq.Entry, dr.now)
+		case 7:
+			dr.en.Tick(dr.now)
+		}
+		checkCounts(t, dr.en)
+	}
+}
+
+// checkCounts compares what an agent counts as requests come and go with a count over all of them.
+func checkCounts(t *testing.T, en *Engine) {
+	t.Helper()
+	pins, reserved := map[Key]int{}, 0
+	waitingTokens, grantedTokens := map[string]int{}, map[string]int{}
+	for _, gr := range en.granted {
+		pins[gr.Key]++
+		reserved += gr.tokens()
+		grantedTokens[gr.Organisation] += gr.tokens()
+	}
+	for ix := range en.queue {
+		waitingTokens[en.queue[ix].Organisation] += en.queue[ix].tokens()
+	}
+	if !maps.Equal(pins, en.pins) || reserved != en.reserved {
+		t.Fatalf("counted %v and %d tokens, want %v and %d", en.pins, en.reserved, pins, reserved)
+	}
+	for name, sh := range en.shares.byName {
+		if sh.waitingTokens != waitingTokens[name] || sh.grantedTokens != grantedTokens[name] {
+			t.Fatalf("%s: %d tokens waiting and %d granted, want %d and %d", name, sh.waitingTokens, sh.grantedTokens, waitingTokens[name], grantedTokens[name])
+		}
+	}
+}
--- a/core/grant/shares.go
+++ b/core/grant/shares.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -176,3 +177,31 @@
 		sh.idleSince = now
 	}
 }
+
+// Use is what an organisation has at an engine. Organisation is empty for requests without one.
+type Use struct {
+	Organisation string
+	// Queued is the number of its queued requests, QueuedTokens and GrantedTokens those of prompts and outputs.
+	Queued        int
+	QueuedTokens  int
+	GrantedTokens int
+}
+
+// Uses returns what the organisations have at the engine, the largest first. It is empty if no request names one.
+func (en *Engine) Uses() []Use {
+	uses := make([]Use, 0, len(en.shares.byName))
+	named := false
+	for _, sh := range en.shares.byName {
+		named = named || sh.organisation != ""
+		if sh.waiting > 0 || sh.granted > 0 {
+			uses = append(uses, Use{Organisation: sh.organisation, Queued: sh.waiting, QueuedTokens: sh.waitingTokens, GrantedTokens: sh.grantedTokens})
+		}
+	}
+	if !named {
+		return nil
+	}
+	slices.SortFunc(uses, func(aa, bb Use) int {
+		return cmp.Or(cmp.Compare(bb.QueuedTokens+bb.GrantedTokens, aa.QueuedTokens+aa.GrantedTokens), cmp.Compare(aa.Organisation, bb.Organisation))
+	})
+	return uses
+}
