Deliver the release of an attempt when the queue of its connection is full

When many callers left together, the queue of the connection to an agent could be full (256 frames). The release was then dropped, and the agent kept the grant, or granted the queued request later, for as long as the connection lasted. The release now waits in the background.

--- a/entry/direct/reserve.go
+++ b/entry/direct/reserve.go
@@ -25,6 +25,10 @@
 	reasonNodeStopping = "node_stopping"
 )
 
+// releaseSendTimeout is how long the release of an attempt may wait for room in the queue of a connection. A connection on
+// which nothing arrives is given up earlier, which ends its grants.
+const releaseSendTimeout = 10 * time.Second
+
 // grantResult is the outcome of a reservation.
 type grantResult struct {
 	granted bool
@@ -63,7 +67,7 @@
 	}
 	as.mu.Unlock()
 	if !gr.granted && gr.reason != reasonNoAgent {
-		ac.co.TrySend(&wire.Frame{Release: &wire.Release{Attempt: re.Attempt, Ending: wire.ReleaseEndingWithdrawn}})
+		as.sendRelease(ac, &wire.Release{Attempt: re.Attempt, Ending: wire.ReleaseEndingWithdrawn})
 	}
 	if gr.reason == reasonAgentSilent {
 		as.no.recordUnanswered(id, start)
@@ -144,11 +148,26 @@
 	delete(as.granted, attempt)
 	as.mu.Unlock()
 	re := &wire.Release{Attempt: attempt, Ending: ending, Pause: pause.Milliseconds()}
-	if ac != nil && !ac.co.TrySend(&wire.Frame{Release: re}) {
-		as.no.logger.Warn().Str("attempt", attempt).Msg("release_not_sent")
+	if ac != nil {
+		as.sendRelease(ac, re)
 	}
 }
 
+// sendRelease tells an agent that an attempt has ended. If the queue of the connection is full, it waits in the
+// background: without the frame, the agent would keep the grant for as long as the connection lasts.
+func (as *agents) sendRelease(ac *agentConn, re *wire.Release) {
+	if ac.co.TrySend(&wire.Frame{Release: re}) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseSendTimeout)
+		defer cancel()
+		if err := ac.co.Send(ctx, &wire.Frame{Release: re}); err != nil {
+			as.no.logger.Warn().Str("attempt", re.Attempt).Str("error", err.Error()).Msg("release_not_sent")
+		}
+	}()
+}
+
 // grantingLink returns the connection to the agent that granted an attempt, or nil.
 func (as *agents) grantingLink(attempt string) *agentConn {
 	if hg := as.granted[attempt]; hg != nil {
