--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -123,6 +123,8 @@
 
 	loaded  map[Key]int
 	loading map[Key]pendingLoad
+	// retiring is an adapter that gets no grants because its slot is for another organisation's, the zero key if none does.
+	retiring Key
 	// reportedMissing holds adapters that the engine did not find when it got a request for
 	// them. They get no grants until the next inspection.
 	reportedMissing map[Key]bool
--- a/core/grant/estimate_test.go
+++ b/core/grant/estimate_test.go
@@ -149,3 +149,40 @@
 		}
 	}
 }
+
+// A burst that is refused must not come back as a second one. The callers here send again after the time that they were
+// told.
+func TestRefusedBurstReturnsSpreadOut(t *testing.T) {
+	for _, nameless := range []bool{true, false} {
+		rp := newReplay(t, 1, 30_000, 6, sixteen(1, 1))
+		rp.nameless, rp.retries = nameless, true
+		rp.run(2*time.Second, nil)
+		burstStart := rp.now
+		for ix := range rp.organisations {
+			rp.organisations[ix].perSecond *= 60
+		}
+		rp.run(500*time.Millisecond, nil)
+		for ix := range rp.organisations {
+			rp.organisations[ix].perSecond /= 60
+		}
+		rp.run(10*time.Second, nil)
+		const bin = 250 * time.Millisecond
+		counts := map[int]int{}
+		for _, rs := range rp.sent {
+			counts[int(rs.at.Sub(burstStart)/bin)]++
+		}
+		burst, later := max(counts[0], counts[1]), 0
+		for ix, count := range counts {
+			if ix > 2 {
+				later = max(later, count)
+			}
+		}
+		t.Logf("without organisations %t: %d requests in 250 ms of the burst, at most %d in any later 250 ms", nameless, burst, later)
+		if !nameless && later > burst/3 {
+			t.Errorf("%d requests came in 250 ms after a burst of %d, want at most a third", later, burst)
+		}
+		if nameless && later <= burst/3 {
+			t.Errorf("without spread retry delays %d requests came in 250 ms after a burst of %d, so that the replay shows nothing", later, burst)
+		}
+	}
+}
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -227,6 +227,7 @@
 	en.pendingOrder = nil
 	en.pacer.reset()
 	en.drain = drainMeter{}
+	en.retiring = Key{}
 }
 
 // updateAdapters replaces the loaded adapters by those that the engine reports, and updates the
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -121,7 +121,7 @@
 	version, ok := en.loaded[rq.Key]
 	_, loading := en.loading[rq.Key]
 	hasOrder := en.pendingOrder != nil && en.pendingOrder.Key == rq.Key
-	if !ok || loading || hasOrder || en.reportedMissing[rq.Key] {
+	if !ok || loading || hasOrder || en.reportedMissing[rq.Key] || en.retiring == rq.Key {
 		return false
 	}
 	return version >= rq.Version || version >= rq.VersionMin && en.pinCount(rq.Key) > 0
@@ -149,6 +149,7 @@
 	}
 	ix := en.bestWaiting(now, en.needsLoad)
 	if ix < 0 {
+		en.retiring = Key{}
 		return actions
 	}
 	rq := &en.queue[ix]
@@ -157,7 +158,7 @@
 		return en.issueOrder(actions, Order{Operation: UnloadAdapter, Key: rq.Key})
 	}
 	if en.slotsTaken() < en.slots {
-		en.loadingFor = rq.share
+		en.loadingFor, en.retiring = rq.share, Key{}
 		return en.issueOrder(actions, Order{Operation: LoadAdapter, Key: rq.Key, Version: rq.Version})
 	}
 	if now.Sub(en.startedAt) < evictionHoldoff {
@@ -166,6 +167,9 @@
 	if victim, ok := en.victim(now); ok {
 		return en.issueOrder(actions, Order{Operation: UnloadAdapter, Key: victim})
 	}
+	if retired, ok := en.retire(rq, now); ok {
+		return en.issueOrder(actions, Order{Operation: UnloadAdapter, Key: retired})
+	}
 	return actions
 }
 
--- a/core/grant/replay_test.go
+++ b/core/grant/replay_test.go
@@ -53,7 +53,6 @@
 	grantedAt    time.Time
 	refusedAt    time.Time
 	reason       string
-	retryAfter   time.Duration
 	deadline     time.Time
 	goalAt       time.Time
 	// expected is the wait that was expected when the request arrived.
@@ -74,6 +73,15 @@
 	noGoals, estimates bool
 	sent               map[string]*replaySent
 	attempts           []string
+	// retries is true if refused callers send again after the time that they were told; resends holds when.
+	retries bool
+	resends []replayResend
+}
+
+// replayResend is a refused request that is sent again.
+type replayResend struct {
+	at           time.Time
+	organisation int
 }
 
 func newReplay(t *testing.T, engines, memory, slots int, organisations []replayOrganisation) *replay {
@@ -95,7 +103,10 @@
 			rp.grant(re, ac.Grant.Attempt)
 		case ac.Refuse != nil:
 			rs := rp.sent[ac.Refuse.Attempt]
-			rs.refusedAt, rs.reason, rs.retryAfter = rp.now, ac.Refuse.Reason, ac.Refuse.RetryAfter
+			rs.refusedAt, rs.reason = rp.now, ac.Refuse.Reason
+			if rp.retries {
+				rp.resends = append(rp.resends, replayResend{at: rp.now.Add(ac.Refuse.RetryAfter), organisation: rs.organisation})
+			}
 		case ac.Order != nil:
 			rp.order(re, *ac.Order)
 		case ac.Inspect != nil:
@@ -170,6 +181,15 @@
 		for _, re := range rp.engines {
 			rp.advance(re)
 		}
+		due := rp.resends
+		rp.resends = nil
+		for _, resend := range due {
+			if resend.at.After(rp.now) {
+				rp.resends = append(rp.resends, resend)
+				continue
+			}
+			rp.send(resend.organisation)
+		}
 		for ix := range rp.organisations {
 			for expected := rp.organisations[ix].perSecond * replayStep.Seconds(); expected > 0; expected-- {
 				if rp.rng.Float64() < expected {
--- a/core/grant/shares_test.go
+++ b/core/grant/shares_test.go
@@ -113,3 +113,59 @@
 		t.Errorf("an organisation got %.2f of its fair share, want at least 0.5", lowest)
 	}
 }
+
+// An organisation that asks for forty rare adapters in turn must not take all loads and slots of an engine from others
+// that use few.
+func TestRareAdaptersOfOneOrganisationLeaveSlotsToOthers(t *testing.T) {
+	for _, nameless := range []bool{true, false} {
+		rare := make([]string, 0, 40)
+		for ix := range 40 {
+			rare = append(rare, fmt.Sprintf("rare%02d", ix))
+		}
+		organisations := make([]replayOrganisation, 0, 4)
+		organisations = append(organisations, replayOrganisation{name: "large", perSecond: 40, urgency: 5, prompt: 400, output: 60, adapters: rare, goal: time.Second})
+		for ix := range 3 {
+			name := fmt.Sprintf("small%d", ix)
+			organisations = append(organisations, replayOrganisation{name: name, perSecond: 1, urgency: 5, prompt: 400, output: 60, adapters: []string{name}, goal: time.Second})
+		}
+		rp := newReplay(t, 1, 30_000, 6, organisations)
+		rp.nameless = nameless
+		rp.run(30*time.Second, nil)
+		lowest, jain := rp.fairness(2*time.Second, 27*time.Second)
+		t.Logf("without organisations %t: lowest part of a fair share %.2f, Jain's index %.3f", nameless, lowest, jain)
+		if !nameless && lowest < 0.5 {
+			t.Errorf("an organisation got %.2f of its fair share, want at least 0.5", lowest)
+		}
+		if nameless && lowest >= 0.5 {
+			t.Errorf("without organisations each got %.2f of its fair share, so that the replay shows nothing", lowest)
+		}
+	}
+}
+
+// An organisation whose adapters fill all slots and are requested all the time must let an adapter of another one in.
+func TestBusyAdaptersOfOneOrganisationGiveUpASlot(t *testing.T) {
+	for _, nameless := range []bool{true, false} {
+		busy := make([]string, 0, 6)
+		for ix := range 6 {
+			busy = append(busy, fmt.Sprintf("busy%d", ix))
+		}
+		rp := newReplay(t, 1, 30_000, 6, []replayOrganisation{
+			{name: "large", perSecond: 40, urgency: 5, prompt: 800, output: 100, adapters: busy, goal: time.Second},
+			{name: "small", perSecond: 0, urgency: 5, prompt: 800, output: 100, adapters: []string{"other"}, goal: time.Second},
+		})
+		rp.nameless = nameless
+		rp.run(30*time.Second, func(elapsed time.Duration) {
+			if elapsed == 3*time.Second {
+				rp.organisations[1].perSecond = 2
+			}
+		})
+		lowest, _ := rp.fairness(5*time.Second, 27*time.Second)
+		t.Logf("without organisations %t: lowest part of a fair share %.2f", nameless, lowest)
+		if !nameless && lowest < 0.5 {
+			t.Errorf("an organisation got %.2f of its fair share, want at least 0.5", lowest)
+		}
+		if nameless && lowest >= 0.5 {
+			t.Errorf("without organisations each got %.2f of its fair share, so that the replay shows nothing", lowest)
+		}
+	}
+}
