--- a/core/grant/action.go
+++ b/core/grant/action.go
@@ -32,6 +32,9 @@
 	Entry      string
 	Reason     string
 	RetryAfter time.Duration
+	// Organisation is that of the request, and Waited how long the request was queued.
+	Organisation string
+	Waited       time.Duration
 }
 
 // Operation is the kind of change that an order makes to the engine.
@@ -147,4 +150,6 @@
 	ReasonModelLoading   = "model_loading"
 	ReasonEngineDraining = "engine_draining"
 	ReasonPrefillBusy    = "reading_prompts"
+	// ReasonDeadlineUnreachable means that the requests which are served before would take until after the deadline.
+	ReasonDeadlineUnreachable = "deadline_unreachable"
 )
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -14,21 +14,33 @@
 	rq.Arrived = now
 	switch {
 	case en.leaving:
-		return []Action{refusal(&rq, ReasonAgentLeaving, 0)}
+		return []Action{refusal(&rq, ReasonAgentLeaving, 0, now)}
 	case en.observation.Draining:
-		return []Action{refusal(&rq, ReasonEngineDraining, 0)}
-	case len(en.queue) >= queueMax:
-		return []Action{refusal(&rq, ReasonQueueFull, defaultRetryAfter)}
-	case !now.Before(rq.Deadline):
-		return []Action{refusal(&rq, ReasonDeadline, defaultRetryAfter)}
-	case rq.BacklogMax > 0 && en.backlogBefore(rq.Key, now) > rq.BacklogMax:
-		return []Action{refusal(&rq, ReasonEngineBusy, 0)}
+		return []Action{refusal(&rq, ReasonEngineDraining, 0, now)}
+	}
+	rq.share = en.shares.of(rq.Organisation, now)
+	var larger *share
+	if len(en.queue) >= queueMax {
+		if larger = en.largerShare(&rq); larger == nil {
+			return []Action{refusal(&rq, ReasonQueueFull, retryAfter(&rq, en.drainTime(now)), now)}
+		}
+	}
+	switch reason := en.refusalOf(&rq, now); reason {
+	case "":
+	case ReasonEngineBusy:
+		return []Action{refusal(&rq, reason, 0, now)}
+	default:
+		return []Action{refusal(&rq, reason, retryAfter(&rq, en.drainTime(now)), now)}
+	}
+	actions := make([]Action, 0)
+	if larger != nil {
+		actions = en.displace(larger, now)
 	}
 	if rq.Key.Adapter != "" {
 		en.popularity[rq.Key] = en.popularity[rq.Key].Plus(now, popularityHalfLife)
 	}
 	en.enqueue(&rq, now)
-	actions := en.schedule(now)
+	actions = append(actions, en.schedule(now)...)
 	if ix := en.queueIndex(rq.Attempt); ix >= 0 {
 		actions = append(actions, Action{Queue: &Queue{Attempt: rq.Attempt, Entry: rq.Entry, Reason: en.waitReason(&en.queue[ix], now)}})
 	}
@@ -58,8 +70,13 @@
 // between the events of its stream, zero if it is not known.
 func (en *Engine) Release(attempt string, longestPause time.Duration, now time.Time) []Action {
 	if ix := en.queueIndex(attempt); ix >= 0 {
+		organisation := en.queue[ix].Organisation
 		en.removeQueued(ix, now)
-		return nil
+		if organisation == "" {
+			return nil
+		}
+		// The adapter that the request waited for may make room for another one.
+		return en.schedule(now)
 	}
 	gr := en.granted[attempt]
 	if gr == nil {
@@ -194,6 +211,7 @@
 	}
 	en.pacer.expirePrompts(now)
 	actions := en.refuseWaiting(func(rq *Request) bool { return !now.Before(rq.Deadline) }, ReasonDeadline, now)
+	actions = append(actions, en.refuseUnreachable(now)...)
 	return append(actions, en.schedule(now)...)
 }
 
@@ -216,6 +234,8 @@
 	en.hostCache = nil
 	en.pendingOrder = nil
 	en.pacer.reset()
+	en.drain = drainMeter{}
+	en.retiring = Key{}
 }
 
 // updateAdapters replaces the loaded adapters by those that the engine reports, and updates the
@@ -285,15 +305,18 @@
 
 // refuseWaiting removes the matching requests from the queue and refuses them.
 func (en *Engine) refuseWaiting(match func(rq *Request) bool, reason string, now time.Time) []Action {
+	drainTime := en.drainTime(now)
 	removed := en.removeMatching(match, now)
 	actions := make([]Action, 0, len(removed))
 	for ix := range removed {
-		actions = append(actions, refusal(&removed[ix], reason, defaultRetryAfter))
+		actions = append(actions, refusal(&removed[ix], reason, retryAfter(&removed[ix], drainTime), now))
 	}
 	return actions
 }
 
 // refusal returns the action that refuses a request.
-func refusal(rq *Request, reason string, retryAfter time.Duration) Action {
-	return Action{Refuse: &Refuse{Attempt: rq.Attempt, Entry: rq.Entry, Reason: reason, RetryAfter: retryAfter}}
+func refusal(rq *Request, reason string, retryAfter time.Duration, now time.Time) Action {
+	return Action{Refuse: &Refuse{
+		Attempt: rq.Attempt, Entry: rq.Entry, Reason: reason, RetryAfter: retryAfter, Organisation: rq.Organisation, Waited: now.Sub(rq.Arrived),
+	}}
 }
--- a/core/grant/shares.go
+++ b/core/grant/shares.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -37,9 +38,14 @@
 	// behindSince since when it has had less, the zero time if it has not.
 	guaranteed  float64
 	behindSince time.Time
-	// lateGranted is true if its last grant went to a request that could no longer meet its goal.
-	lateGranted bool
-	idleSince   time.Time
+	// turnsOwed is the number of grants that go to requests which can meet their goal before one that cannot is
+	// served shortly before its deadline.
+	turnsOwed int
+	idleSince time.Time
+	// ready and urgency are set by countWork: the work of the requests that can be granted without an adapter load, and the
+	// highest urgency among them.
+	ready   work
+	urgency int
 }
 
 // overdue reports whether an organisation has been behind its guaranteed share for too long.
@@ -47,6 +53,14 @@
 	return !sh.behindSince.IsZero() && now.Sub(sh.behindSince) >= agingStep
 }
 
+// untilOverdue returns the time until an organisation that is not served any more is overdue.
+func (sh *share) untilOverdue(now time.Time) time.Duration {
+	if sh.behindSince.IsZero() {
+		return agingStep
+	}
+	return max(0, agingStep-now.Sub(sh.behindSince))
+}
+
 // shares holds the shares of all organisations that have used the engine lately. The zero value is ready to
 // use.
 type shares struct {
@@ -71,7 +85,7 @@
 	if len(ss.byName) >= sharesMax {
 		ss.removeIdle(now)
 	}
-	sh := &share{organisation: organisation, idleSince: now}
+	sh := &share{organisation: organisation, guaranteed: ss.virtual, idleSince: now}
 	ss.byName[organisation] = sh
 	return sh
 }
@@ -86,12 +100,15 @@
 }
 
 // requestQueued adds a request to those that wait. An organisation that begins to wait gets no credit for the
-// time in which it asked for nothing.
-func (ss *shares) requestQueued(sh *share, tokens int) {
+// time in which it asked for nothing. A short time without waiting requests does not count as such: those of an
+// organisation with little hope of a grant are refused at once and leave the queue empty now and then.
+func (ss *shares) requestQueued(sh *share, tokens int, now time.Time) {
 	if sh.waiting == 0 {
 		sh.used = max(sh.used, ss.lowestUsed())
-		sh.guaranteed = max(sh.guaranteed, ss.virtual)
-		sh.behindSince = time.Time{}
+		if now.Sub(sh.idleSince) > agingStep {
+			sh.guaranteed = max(sh.guaranteed, ss.virtual)
+			sh.behindSince = time.Time{}
+		}
 		ss.waiting = append(ss.waiting, sh)
 	}
 	sh.waiting++
@@ -160,3 +177,31 @@
 		sh.idleSince = now
 	}
 }
+
+// Use is what an organisation has at an engine. Organisation is empty for requests without one.
+type Use struct {
+	Organisation string
+	// Queued is the number of its queued requests, QueuedTokens and GrantedTokens those of prompts and outputs.
+	Queued        int
+	QueuedTokens  int
+	GrantedTokens int
+}
+
+// Uses returns what the organisations have at the engine, the largest first. It is empty if no request names one.
+func (en *Engine) Uses() []Use {
+	uses := make([]Use, 0, len(en.shares.byName))
+	named := false
+	for _, sh := range en.shares.byName {
+		named = named || sh.organisation != ""
+		if sh.waiting > 0 || sh.granted > 0 {
+			uses = append(uses, Use{Organisation: sh.organisation, Queued: sh.waiting, QueuedTokens: sh.waitingTokens, GrantedTokens: sh.grantedTokens})
+		}
+	}
+	if !named {
+		return nil
+	}
+	slices.SortFunc(uses, func(aa, bb Use) int {
+		return cmp.Or(cmp.Compare(bb.QueuedTokens+bb.GrantedTokens, aa.QueuedTokens+aa.GrantedTokens), cmp.Compare(aa.Organisation, bb.Organisation))
+	})
+	return uses
+}
