Read on from the server while a caller pauses

The node read the next event of a stream only after its caller had taken the last one. A server that cuts an answer which stays unread for some seconds cut the streams of callers that pause.

When a write to a caller has blocked for 0.2 s, the node reads on in the background, within the bounds of what it holds of answers and within the budget for callers.

--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -104,7 +104,9 @@
 // deliverStream forwards each event as soon as it is complete. If the stream breaks, it can
 // resume on another server after the last event that the caller has received.
 func (rq *request) deliverStream(ctx context.Context, at *attempt, an *pool.Answer) (result, bool) {
-	rd := bufio.NewReaderSize(an.Body, eventBufferBytes)
+	ra := newReadAhead(an.Body, &rq.no.held, at.conn.Close)
+	defer ra.release()
+	rd := bufio.NewReaderSize(ra, eventBufferBytes)
 	buf := make([]byte, 0, eventBufferBytes)
 	eh := eventHold{hb: &rq.no.held}
 	defer eh.release()
@@ -118,7 +120,10 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
-		if reason := rq.passOnEvent(ctx, at, an, ev); reason != "" {
+		ra.beginWrite()
+		reason := rq.passOnEvent(ctx, at, an, ev)
+		ra.endWrite()
+		if reason != "" {
 			return result{outcome: retry.Unknown, reason: reason}, false
 		}
 		buf = ev
--- a/proofs/direct_slow_callers_test.go
+++ b/proofs/direct_slow_callers_test.go
@@ -1,9 +1,12 @@
 package proofs
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -61,3 +64,30 @@
 		}
 	})
 }
+
+// A caller that pauses for longer than servers let an answer stay unread must get the whole stream from one run of its request.
+func TestDirectCallerThatPausesGetsItsStreamFromOneRun(t *testing.T) {
+	for _, target := range []string{"/stream/x", "/once/x"} {
+		t.Run(target, func(t *testing.T) {
+			runDirectSimulation(t, 0, 2, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+				ds.patientRoutes()
+				ds.setAllScripts(writeLongStream)
+				nc := ds.open(t, "paused", target, "a1", 20*time.Second)
+				defer func() { _ = nc.Close() }()
+				time.Sleep(7 * time.Second)
+				resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = resp.Body.Close() }()
+				body, err := io.ReadAll(resp.Body)
+				if events := strings.Count(string(body), "data:"); err != nil || events != longStreamEvents {
+					t.Errorf("%d events, error %v, want %d", events, err, longStreamEvents)
+				}
+				if got := ds.allRequests(); len(got) != 1 {
+					t.Errorf("servers received %q, want one request", got)
+				}
+			})
+		})
+	}
+}
