Count the frames of quotas, and check quotas with real entry nodes and agents

A frame of a kind that wire.DecodeFirst did not count ended the connection of whoever received it, so each query of a quota cut the agent off; a test now checks every kind.

--- a/core/wire/codec.go
+++ b/core/wire/codec.go
@@ -68,7 +68,7 @@
 		fr.Verdict != nil, fr.Refusal != nil, fr.Head != nil, fr.Chunk != nil, fr.End != nil,
 		fr.Holdings != nil, fr.Reserve != nil, fr.Grant != nil, fr.Queued != nil, fr.Release != nil, fr.Prepare != nil,
 		fr.Started != nil, fr.Peers != nil, fr.LogBatch != nil, fr.CrashReport != nil, fr.LeaseQuery != nil, fr.LeaseAnswer != nil, fr.PartReport != nil,
-		fr.Origins != nil, fr.OriginQuery != nil, fr.OriginAnswer != nil, fr.Versions != nil,
+		fr.Origins != nil, fr.OriginQuery != nil, fr.OriginAnswer != nil, fr.Versions != nil, fr.QuotaQuery != nil, fr.QuotaAnswer != nil,
 	} {
 		if present {
 			count++
--- a/core/wire/codec_test.go
+++ b/core/wire/codec_test.go
@@ -41,6 +41,7 @@
 		{CrashReport: &CrashReport{Server: "s", Born: 1, Age: 2, Fingerprints: []string{"f"}, Parts: []string{"p"}}},
 		{PartReport: &PartReport{Parts: []string{"p"}, Sound: true, Prober: "e", Age: 3}},
 		{LeaseQuery: &LeaseQuery{Attempt: "a", Server: "s", PerSecond: 1.6, Count: 1}}, {LeaseAnswer: &LeaseAnswer{Attempt: "a", Wait: 5}},
+		{QuotaQuery: &QuotaQuery{Query: "q", Organisation: "o", Version: 3, PerSecond: 0.5, Burst: 2, Amount: 7, Needed: 4, Returned: 1}}, {QuotaAnswer: &QuotaAnswer{Query: "q", Wait: 5}},
 	} {
 		buf := bytes.Buffer{}
 		if err := Append(&buf, fr); err != nil {
@@ -59,6 +60,19 @@
 // down, and 256 bytes for each frame.
 const maxHoldingsBytes = 4096 / (6500 / 390)
 
+// A kind of message that is not counted ends the connection of whoever receives it.
+func TestEveryKindOfMessageIsCounted(t *testing.T) {
+	kinds := reflect.TypeFor[Frame]()
+	for ix := range kinds.NumField() {
+		fr := &Frame{}
+		field := reflect.ValueOf(fr).Elem().Field(ix)
+		field.Set(reflect.New(field.Type().Elem()))
+		if fr.countMessages() != 1 {
+			t.Errorf("a frame with %s carries %d messages, want 1", kinds.Field(ix).Name, fr.countMessages())
+		}
+	}
+}
+
 func TestHoldingsWithSixOccupiedSlotsFitTheSizeLimit(t *testing.T) {
 	fr := &Frame{Holdings: &Holdings{Load: EngineLoad{
 		Known: true, Model: "base-70b", Born: 1772215745018, Slots: 6, BacklogMs: 1500, LoadMs: 300, Running: 60, Waiting: 12,
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -40,9 +40,8 @@
 	info    RequestInfo
 	route   *paths.Route
 	service *paths.Service
-	// organisation is the caller's organisation, nil if it has none; charge is what it was charged for the request.
-	organisation *paths.Organisation
-	charge       quotaCharge
+	// charge is what the request was charged to a quota.
+	charge quotaCharge
 	// routesVersion is the version of the routing table that matched the request.
 	routesVersion int64
 	method        string
--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -39,6 +39,7 @@
 	headerLimit     = "T-Limit"
 	headerLeaving   = "T-Leaving"
 	headerParts     = "T-Parts"
+	headerKey       = "T-Key"
 	testModel       = "base"
 )
 
@@ -46,7 +47,7 @@
 type testProtocol struct{}
 
 func (testProtocol) RequestInfo(rq *http.Request) (direct.RequestInfo, error) {
-	ri := direct.RequestInfo{ID: rq.Header.Get(headerID), Adapter: rq.Header.Get(headerAdapter), LastEvent: rq.Header.Get(headerLastEvent), Resumes: rq.Header.Get(headerResumes)}
+	ri := direct.RequestInfo{ID: rq.Header.Get(headerID), Adapter: rq.Header.Get(headerAdapter), LastEvent: rq.Header.Get(headerLastEvent), Resumes: rq.Header.Get(headerResumes), Key: rq.Header.Get(headerKey)}
 	if ri.ID == "" {
 		return ri, fmt.Errorf("request has no %s header", headerID)
 	}
@@ -627,6 +628,8 @@
 	client *http.Client
 	entry  string
 	count  int
+	// key is the key of the caller's organisation, empty for none.
+	key string
 }
 
 // newCaller returns a caller that reuses its connections.
@@ -664,6 +667,9 @@
 	if parts != "" {
 		rq.Header.Set(headerParts, parts)
 	}
+	if cl.key != "" {
+		rq.Header.Set(headerKey, cl.key)
+	}
 	start := time.Now()
 	resp, err := cl.client.Do(rq)
 	if err != nil {
