--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -11,6 +11,9 @@
 	useTime = 250 * time.Millisecond
 	// askAgainMin is the shortest time for which a refusal is remembered, unless the keeper tells a shorter one.
 	askAgainMin = 50 * time.Millisecond
+	// rememberMin is the shortest time for which a refusal is remembered whatever the keeper tells. The request that asked is
+	// taken again a moment later, and must then be refused.
+	rememberMin = 10 * time.Millisecond
 	// spreadShare is the part of a wait by which callers are spread at most.
 	spreadShare = 0.1
 )
@@ -96,7 +99,6 @@
 	leaseUntil time.Time
 	keeper     string
 	returns    int64
-	returnsAt  time.Time
 	usedUp     bool
 	// used counts the units admitted since slotAt, usedBefore those of the time useTime before that.
 	used, usedBefore int64
@@ -204,7 +206,7 @@
 		return
 	}
 	ho.refusedAt = now
-	ho.refusedUntil = now.Add(min(an.Wait, ho.askAgainTime(qu.Needed)))
+	ho.refusedUntil = now.Add(max(rememberMin, min(an.Wait, ho.askAgainTime(qu.Needed))))
 	if at := now.Add(an.Wait); at.After(ho.promisedAt) {
 		ho.promisedAt = at
 	}
@@ -244,17 +246,11 @@
 // expire ends a lease whose time is over; what is left of it is to be returned.
 func (ho *Holder) expire(now time.Time) {
 	if ho.lease > 0 && !now.Before(ho.leaseUntil) {
-		ho.keep(ho.lease, now)
+		ho.returns += ho.lease
 		ho.lease, ho.usedUp = 0, false
 	}
 }
 
-// keep adds units to those that are to be returned.
-func (ho *Holder) keep(units int64, now time.Time) {
-	ho.returns += units
-	ho.returnsAt = now
-}
-
 // GiveBack takes back what a request was charged that did not run.
 func (ho *Holder) GiveBack(ch Charge, now time.Time) {
 	ho.expire(now)
@@ -266,7 +262,7 @@
 	case now.Before(ho.leaseUntil):
 		ho.lease += ch.Units
 	default:
-		ho.keep(ch.Units, now)
+		ho.returns += ch.Units
 	}
 }
 
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -66,6 +66,8 @@
 	messages int
 	// size draws the units of a request.
 	size func(rng *rand.Rand) int64
+	// rule decides on requests instead of the holders, nil for none.
+	rule func(node int, units int64) bool
 	// arrived is called with the units of each request, nil for nothing.
 	arrived func(units int64)
 	// paused is true while no requests arrive.
@@ -107,13 +109,20 @@
 	units := wo.size(wo.rng)
 	gap := time.Duration(wo.rng.ExpFloat64() * float64(units) / perSecond * float64(time.Second))
 	wo.after(gap, func() {
-		no := wo.nodes[at(wo.now.Sub(start))]
+		ix := at(wo.now.Sub(start))
+		no := wo.nodes[ix]
 		if !no.down && !wo.paused {
 			wo.offered += units
 			if wo.arrived != nil {
 				wo.arrived(units)
 			}
-			wo.inNode(no, func() { wo.take(no, units) })
+			wo.inNode(no, func() {
+				if wo.rule == nil {
+					wo.take(no, units)
+				} else if wo.rule(ix, units) {
+					wo.uses = append(wo.uses, use{at: wo.now, units: units})
+				}
+			})
 		}
 		wo.demand(perSecond, at)
 	})
--- a/entry/direct/quotas.go
+++ b/entry/direct/quotas.go
@@ -103,7 +103,7 @@
 	}
 	qs := rq.no.quotas
 	units := rq.quotaUnits()
-	for {
+	for ctx.Err() == nil {
 		de, wait := qs.take(rq, units)
 		switch de.Step {
 		case quota.Admit:
@@ -117,10 +117,10 @@
 			select {
 			case <-wait:
 			case <-ctx.Done():
-				return fault.New(fault.Unavailable, "the caller's time ended before its quota was known", "send it again")
 			}
 		}
 	}
+	return fault.New(fault.Unavailable, "the caller's time ended before its quota was known", "send it again")
 }
 
 // take decides on a request. The channel is closed when the query that it must wait for has ended.
