--- a/proofs/direct_simulation_test.go
+++ b/proofs/direct_simulation_test.go
@@ -635,6 +635,8 @@
 	client *http.Client
 	entry  string
 	count  int
+	// key is the key of the caller's organisation, empty for none.
+	key string
 }
 
 // newCaller returns a caller that reuses its connections.
@@ -672,6 +674,9 @@
 	if parts != "" {
 		rq.Header.Set(headerParts, parts)
 	}
+	if cl.key != "" {
+		rq.Header.Set(headerKey, cl.key)
+	}
 	start := time.Now()
 	resp, err := cl.client.Do(rq)
 	if err != nil {
