Read the routes anew after a freeze before keys are checked

A process that did not run for some seconds had requests to read before the records that were written meanwhile: a key that all other nodes refused by then was valid there for a moment. If organisations are in force and the process shows no sign of life for a second, the routes are read at once, and requests wait for that, 0.5 s at most.

--- a/entry/direct/feeds.go
+++ b/entry/direct/feeds.go
@@ -119,6 +119,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			fe.no.noticeFreeze()
 			fe.chooseSource(ctx, time.Now())
 		}
 	}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -55,6 +55,7 @@
 	feeds   *feeds
 	crashes *crashes
 	origins *origins
+	freezes freezes
 	held    heldBytes
 	memory  memory.Budget
 	pool    *pool.Pool
--- a/entry/direct/organisation.go
+++ b/entry/direct/organisation.go
@@ -73,6 +73,7 @@
 // keyWithdrawn checks the key again after a wait, by the latest routes, and reports whether it was withdrawn. A request that may
 // have run goes on to its end.
 func (rq *request) keyWithdrawn() bool {
+	rq.no.awaitRoutes(rq.hr.Context())
 	ta := rq.no.view.table.Load()
 	if ta.Version == rq.routesVersion {
 		return false
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -171,6 +171,7 @@
 		return fault.New(fault.Invalid, err.Error(), "correct the request")
 	}
 	rq.info = info
+	no.awaitRoutes(hr.Context())
 	ta := no.view.table.Load()
 	if ta == nil {
 		return no.notReadyError()
--- a/proofs/direct_keys_test.go
+++ b/proofs/direct_keys_test.go
@@ -273,3 +273,39 @@
 		}
 	})
 }
+
+// A request of a more urgent organisation must not wait at the agent behind those of others, whatever their routes. All four
+// wait while the adapter is loaded.
+func TestDirectRankOfTheOrganisationDecidesWhoIsGrantedFirst(t *testing.T) {
+	runDirectSimulation(t, 0, 1, func(t *testing.T, ds *directSimulation, _ *directCaller) {
+		ds.announceKeys(2, "k-1")
+		ds.backends["engine-0"].mu.Lock()
+		ds.backends["engine-0"].memoryTokens = 600
+		ds.backends["engine-0"].mu.Unlock()
+		mu, order := sync.Mutex{}, []string(nil)
+		ds.setAllScripts(func(wr http.ResponseWriter, rq *http.Request) {
+			mu.Lock()
+			order = append(order, rq.Header.Get(headerSender)+rq.RequestURI)
+			mu.Unlock()
+			time.Sleep(300 * time.Millisecond)
+			defaultAnswer(wr, rq)
+		})
+		time.Sleep(time.Second)
+		wg := sync.WaitGroup{}
+		for ix, tc := range []struct{ key, target string }{{"k-1", "/stream/1"}, {"k-1", "/once/2"}, {"k-1", "/stream/3"}, {"k-ceres", "/stream/4"}} {
+			waiting := ds.newCaller("entry-1")
+			defer waiting.client.CloseIdleConnections()
+			waiting.count = 100 * ix
+			wg.Go(func() {
+				if re := waiting.sendKey(t.Context(), tc.key, tc.target, "a1", strings.NewReader("prompt")); re.status != http.StatusOK {
+					t.Errorf("%s: %+v", tc.target, re)
+				}
+			})
+			time.Sleep(50 * time.Millisecond)
+		}
+		wg.Wait()
+		if want := []string{"ceres/stream/4", "juno/once/2", "juno/stream/1", "juno/stream/3"}; !slices.Equal(order, want) {
+			t.Errorf("the engine got %q, want %q", order, want)
+		}
+	})
+}
