--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -56,6 +56,7 @@
 	crashes *crashes
 	origins *origins
 	quotas  *quotas
+	freezes freezes
 	held    heldBytes
 	memory  memory.Budget
 	pool    *pool.Pool
