--- a/core/grant/shares_test.go
+++ b/core/grant/shares_test.go
@@ -169,3 +169,19 @@
 		}
 	}
 }
+
+// Requests without an organisation have one share in common, beside those of organisations: neither crowds out the other.
+func TestRequestsWithoutOrganisationHaveOneShare(t *testing.T) {
+	for _, perSecond := range [...][2]float64{{60, 1}, {1, 60}} {
+		rp := newReplay(t, 1, 30_000, 6, []replayOrganisation{
+			{name: "", perSecond: perSecond[0], urgency: 5, prompt: 800, output: 200, goal: time.Second},
+			{name: "named", perSecond: perSecond[1], urgency: 5, prompt: 800, output: 200, goal: time.Second},
+		})
+		rp.run(30*time.Second, nil)
+		lowest, jain := rp.fairness(2*time.Second, 27*time.Second)
+		t.Logf("%v requests a second without and with an organisation: lowest part of a fair share %.2f, Jain's index %.3f", perSecond, lowest, jain)
+		if lowest < 0.5 {
+			t.Errorf("%v requests a second: one side got %.2f of its fair share, want at least 0.5", perSecond, lowest)
+		}
+	}
+}
