Refuse no request that the engine can run now, and forget an old drain rate

The estimate counted queued requests that wait for more memory than there is before one that fits, and used the drain rate of the last time the engine's memory was full, however long ago. A test of each.

--- a/core/grant/estimate.go
+++ b/core/grant/estimate.go
@@ -18,6 +18,8 @@
 	// drainTimeMin of measuring.
 	drainHalfLife = 2 * time.Second
 	drainTimeMin  = 500 * time.Millisecond
+	// drainKept is how long a drain rate counts after the engine's memory was last full: a slow spell may be over.
+	drainKept = 10 * time.Second
 	// retryAfterMax bounds the retry delays that follow from the backlog.
 	retryAfterMax = 8 * time.Second
 )
@@ -28,7 +30,8 @@
 	tokens, seconds float64
 	measuredAt      time.Time
 	// full is true if a request whose adapter was loaded waited for memory after the last round.
-	full bool
+	full   bool
+	fullAt time.Time
 }
 
 // advance counts the time since the last round.
@@ -38,6 +41,9 @@
 		weight := math.Exp2(-float64(elapsed) / float64(drainHalfLife))
 		dm.tokens *= weight
 		dm.seconds = dm.seconds*weight + elapsed.Seconds()
+		dm.fullAt = now
+	} else if now.Sub(dm.fullAt) > drainKept {
+		dm.tokens, dm.seconds = 0, 0
 	}
 	dm.measuredAt = now
 }
@@ -175,7 +181,7 @@
 	switch {
 	case rq.BacklogMax > 0 && en.prefillBacklog(now)+wait > rq.BacklogMax:
 		return ReasonEngineBusy
-	case unreachable(rq, wait, now):
+	case unreachable(rq, wait, now) && en.waitReason(rq, now) != "":
 		return ReasonDeadlineUnreachable
 	}
 	return ""
--- a/core/grant/estimate_test.go
+++ b/core/grant/estimate_test.go
@@ -186,3 +186,38 @@
 		}
 	}
 }
+
+// The rate at which an engine took requests in a slow spell must not refuse requests after it.
+func TestDrainRateOfAnEarlierSpellIsForgotten(t *testing.T) {
+	dm := drainMeter{full: true, measuredAt: testStart}
+	dm.granted(1000)
+	dm.advance(testStart.Add(time.Second))
+	if dm.timeFor(1000) == 0 {
+		t.Fatal("the drain rate is not known after a second of measuring")
+	}
+	dm.full = false
+	dm.advance(testStart.Add(9 * time.Second))
+	if dm.timeFor(1000) == 0 {
+		t.Error("the drain rate was forgotten too early")
+	}
+	dm.advance(testStart.Add(12 * time.Second))
+	if got := dm.timeFor(1000); got != 0 {
+		t.Errorf("an engine whose memory has not been full for 11 s is expected to take %s", got)
+	}
+}
+
+// A request that the engine can run now is not refused for requests that wait for more memory than there is.
+func TestRequestThatFitsIsNotRefusedForLargerOnes(t *testing.T) {
+	dr := newFullDriver(t)
+	dr.en.observation.MemoryTotal += 1100
+	for ix := range 100 {
+		dr.record(dr.en.Reserve(Request{
+			Attempt: fmt.Sprint("large", ix), Entry: "entry", Key: Key{Model: testModel}, Urgency: 9, PromptTokens: 1100, OutputTokens: 20, Organisation: "o",
+			Deadline: dr.now.Add(time.Minute),
+		}, dr.now))
+	}
+	dr.reserveFor("o", "small", "", 5, time.Second)
+	if want := "[small]"; fmt.Sprint(dr.granted) != want || len(dr.refused) != 0 {
+		t.Errorf("granted %v, refused %v, want %s granted", dr.granted, dr.refused, want)
+	}
+}
