--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -135,7 +135,7 @@
 	en.observation = observation
 	if observation.RunsKnown {
 		en.pacer.observe(observation.Runs, now)
-		if early := now.Add(earlyInspectInterval); en.pacer.speed.undecided() && early.Before(en.nextInspectAt) {
+		if early := now.Add(measureInterval); len(en.granted) > 0 && early.Before(en.nextInspectAt) {
 			en.nextInspectAt = early
 		}
 	}
--- a/core/grant/speed.go
+++ b/core/grant/speed.go
@@ -13,21 +13,23 @@
 	// slowSamples is the number of consecutive samples below slowBelow after which an engine counts as slow. Two
 	// suffice below verySlowBelow, so that a slow spell is detected within two inspections.
 	slowSamples     = 3
-	verySlowBelow   = 0.35
+	verySlowBelow   = 0.5
 	verySlowSamples = 2
+	// stallMax is how long an engine of usual speed may do nothing without being taken for a slow one.
+	stallMax = 250 * time.Millisecond
 	// soundSamples is the number of consecutive samples above soundAbove after which an engine ceases to be slow.
 	soundSamples = 2
 	// speedSampleTokensMin is the number of prompt tokens from which on an interval between two reports yields a
 	// sample. A shorter prompt takes not much longer than an event, by which the times are uncertain.
 	speedSampleTokensMin = 1000
-	// reportIntervalMin and reportIntervalMax bound the time between two reports that are compared. In a shorter time,
-	// the steps in which an engine works distort the result; after a longer one, an inspection has failed.
-	reportIntervalMin = 400 * time.Millisecond
+	// reportIntervalMin and reportIntervalMax bound the time between two reports that are compared. After a longer time,
+	// an inspection has failed. While the engine counts as slow, slowIntervalMin applies: a report shows whole pieces of
+	// prompts only, and a slow engine needs up to half a second for one.
+	reportIntervalMin = 180 * time.Millisecond
+	slowIntervalMin   = 400 * time.Millisecond
 	reportIntervalMax = 1500 * time.Millisecond
-	// earlyInspectInterval is the time to the next inspection while one more sample may change the verdict, and
-	// earlyIntervalMin takes the place of reportIntervalMin.
-	earlyInspectInterval = 250 * time.Millisecond
-	earlyIntervalMin     = 220 * time.Millisecond
+	// measureInterval is the time between inspections while requests run on an engine that reports them.
+	measureInterval = 200 * time.Millisecond
 	// usualEventTime is more than the time between two events of a stream on an engine of usual speed while no prompt
 	// is read, which is 17 to 30 ms. This much of the time between reports never counts as time for prompts.
 	usualEventTime = 40 * time.Millisecond
@@ -150,7 +152,7 @@
 // observe compares the runs of a report with those of an earlier one. Without runs nothing is measured.
 func (sp *speed) observe(runs []Run, now time.Time) {
 	interval := now.Sub(sp.baseAt)
-	if len(sp.base) > 0 && interval < reportIntervalMin && !(sp.undecided() && interval >= earlyIntervalMin) {
+	if len(sp.base) > 0 && (interval < reportIntervalMin || sp.slow && interval < slowIntervalMin) {
 		return
 	}
 	if len(sp.base) > 0 && interval <= reportIntervalMax && !sp.unseen && !sp.compare(runs, interval, now) {
@@ -159,14 +161,6 @@
 	sp.setBase(runs, now)
 }
 
-// undecided reports whether one more sample may change whether the engine counts as slow.
-func (sp *speed) undecided() bool {
-	if sp.slow {
-		return sp.high > 0 || sp.fasterEvents > 0
-	}
-	return sp.veryLow > 0
-}
-
 // setBase keeps the runs for the next comparison.
 func (sp *speed) setBase(runs []Run, now time.Time) {
 	if sp.base == nil {
@@ -198,7 +192,7 @@
 	case !ok:
 	case !pr.reading && pr.events > 0:
 		sp.addEventTime(interval/time.Duration(pr.events), now)
-	case pr.read < speedSampleTokensMin && (pr.readThroughout || pr.events == 0 && len(sp.paces) > 0):
+	case pr.read < speedSampleTokensMin && (pr.reading || pr.events == 0 && len(sp.paces) > 0):
 		return false
 	case pr.readThroughout && len(sp.paces) == 0:
 		sp.addReported(rateSample{pr.read, time.Duration(unclockedShare * float64(interval))}, now)
@@ -304,7 +298,7 @@
 	}
 	sp.samples = append(sp.samples, rs)
 	switch {
-	case !sp.slow && (sp.low >= enough || sp.veryLow >= enough-slowSamples+verySlowSamples):
+	case !sp.slow && (sp.low >= enough && sp.lowBeyondStall(sp.low, below) || sp.veryLow > 0 && sp.isVerySlow(enough)):
 		sp.slow = true
 		sp.samples = sp.samples[max(0, len(sp.samples)-sp.low):]
 	case sp.slow && sp.high >= soundSamples && sp.meanShare() > soundAbove:
@@ -312,6 +306,26 @@
 	}
 }
 
+// isVerySlow reports whether the latest samples suffice to show that the engine is very slow, where enough samples show that
+// it is slow.
+func (sp *speed) isVerySlow(enough int) bool {
+	count := sp.veryLow
+	if enough == slowSamples && sp.samples[len(sp.samples)-1].took >= slowIntervalMin {
+		count++
+	}
+	return count >= enough-slowSamples+verySlowSamples && sp.lowBeyondStall(sp.veryLow, verySlowBelow)
+}
+
+// lowBeyondStall reports whether the rate of the latest samples is low even if the engine did nothing for stallMax.
+func (sp *speed) lowBeyondStall(count int, below float64) bool {
+	sum := rateSample{took: -stallMax}
+	for _, rs := range sp.samples[max(0, len(sp.samples)-count):] {
+		sum.tokens += rs.tokens
+		sum.took += rs.took
+	}
+	return sum.share() < below
+}
+
 // beginSound ends the time for which the engine counts as slow.
 func (sp *speed) beginSound() {
 	sp.slow, sp.low, sp.veryLow, sp.samples = false, 0, 0, sp.samples[:0]
