--- a/core/grant/speed.go
+++ b/core/grant/speed.go
@@ -191,7 +191,7 @@
 	switch {
 	case !ok:
 	case !pr.reading && pr.events > 0:
-		sp.addEventTime(interval/time.Duration(pr.events), now)
+		sp.addEventTime(pr.events, interval, now)
 	case pr.read < speedSampleTokensMin && (pr.reading || pr.events == 0 && len(sp.paces) > 0):
 		return false
 	case pr.readThroughout && len(sp.paces) == 0:
@@ -243,8 +243,9 @@
 	return pr, unread == 0
 }
 
-// addEventTime takes a sample of the event time.
-func (sp *speed) addEventTime(took time.Duration, now time.Time) {
+// addEventTime takes a sample of the event time from an interval in which each stream had some events.
+func (sp *speed) addEventTime(events int, interval time.Duration, now time.Time) {
+	took := interval / time.Duration(events)
 	sp.eventSamples++
 	usual := sp.eventTime
 	sp.eventTime += time.Duration(eventTimeWeight * float64(took-sp.eventTime))
@@ -268,7 +269,7 @@
 	case !sp.slow && sp.eventSamples > slowSamples && share < verySlowBelow && took > slowEventTime:
 		sp.eventTime = usual
 		// As much slower as the events are, so are prompts.
-		sp.addReported(rateSample{int(share * defaultPrefillRate), time.Second}, now)
+		sp.addReported(rateSample{int(share * defaultPrefillRate * interval.Seconds()), interval}, now)
 		if sp.slow {
 			sp.eventTime = took
 		}
@@ -278,6 +279,11 @@
 // addBurst takes a sample from a burst of prompts, unless reports yield better ones.
 func (sp *speed) addBurst(tokens, prompts int, took time.Duration, now time.Time) {
 	rs := rateSample{tokens, max(0, took-time.Duration(prompts)*burstOverhead)}
+	// Prompts that a stall delays are the likeliest to be seen in two reports. Bursts of usual speed between them show
+	// that the engine is sound.
+	if !sp.slow && rs.share() > slowBelow {
+		sp.low, sp.veryLow = 0, 0
+	}
 	// A fast burst shows that a slow spell has ended, whatever the reports have shown.
 	if now.Sub(sp.reportedAt) >= reportSamplesFresh || sp.slow && rs.share() > soundAbove {
 		sp.addRate(rs, burstSlowBelow, burstSlowSamples, now)
--- a/core/grant/speed_test.go
+++ b/core/grant/speed_test.go
@@ -260,7 +260,7 @@
 			em, before := build(), build()
 			em.rate, before.rate, before.unmeasured = rate, rate, true
 			for _, model := range []*engineModel{em, before} {
-				model.stallEvery(100 * time.Millisecond)
+				model.stallEvery(stallMax)
 				model.run(time.Minute)
 			}
 			if lo := em.dr.en.Load(em.dr.now); len(em.changes) != 0 || lo.PrefillRate != 0 || lo.EventTime != 0 {
@@ -415,6 +415,20 @@
 	}
 }
 
+// The prompts that stalls delay are the likeliest to be seen in two reports. They must not add up to a verdict while bursts
+// between them take the usual time.
+func TestUsualBurstsBetweenStallsKeepAnEngineSound(t *testing.T) {
+	sp, now := speed{}, testStart
+	for range 5 {
+		sp.addReported(rateSample{2400, 380 * time.Millisecond}, now)
+		now = now.Add(time.Second)
+		sp.addBurst(2400, 1, 200*time.Millisecond, now)
+	}
+	if sp.slow {
+		t.Error("counts as slow")
+	}
+}
+
 // A request whose prompt is read and whose answer ends between two reports makes the running streams slower, and no report
 // shows why. Such an interval must yield no sample.
 func TestIntervalWithAnUnseenPromptIsSkipped(t *testing.T) {
