--- a/core/grant/estimate.go
+++ b/core/grant/estimate.go
@@ -10,8 +10,8 @@
 
 const (
 	// estimateMargin is the factor by which an estimated wait must exceed the time that is left before a request is
-	// refused for it.
-	estimateMargin = 1.25
+	// refused for it. Right after a queue has formed, the drain rate rests on a few grants.
+	estimateMargin = 2
 	// reviewInterval is the time between two estimates for the requests that wait.
 	reviewInterval = 100 * time.Millisecond
 	// drainHalfLife is the half-life of a grant's weight in the measured drain rate, which counts as known after
