Count no pause of a caller as one of its engine

The longest pause of a stream, by which agents limit bursts of prompts, included the time that a slow caller took for an event. It now begins when the last event has been written.

Measured: TestPauseOfTheCallerIsNoneOfTheServer, 0.1 s in place of 3.1 s.

--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -153,6 +153,7 @@
 	if !rq.writeEvent(an, ev) {
 		return reasonCallerGone
 	}
+	at.recordDelivered(time.Now())
 	rq.stream.order = order
 	return ""
 }
@@ -182,6 +183,9 @@
 	at.lastEventAt = now
 }
 
+// recordDelivered records that an event has been written. The time that its caller took is no pause of the server.
+func (at *attempt) recordDelivered(now time.Time) { at.lastEventAt = now }
+
 // recordFirstEvent records the time to an attempt's first event.
 func (rq *request) recordFirstEvent(at *attempt, an *pool.Answer, ev []byte) {
 	took := time.Since(at.start)
--- a/entry/direct/stream_test.go
+++ b/entry/direct/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -42,3 +43,14 @@
 		}
 	})
 }
+
+// The time that a caller takes must not count as a pause of its server: the agent would grant prompts in smaller bursts.
+func TestPauseOfTheCallerIsNoneOfTheServer(t *testing.T) {
+	at, start := &attempt{}, time.Now()
+	at.recordReceived(start)
+	at.recordDelivered(start.Add(3 * time.Second))
+	at.recordReceived(start.Add(3100 * time.Millisecond))
+	if at.longestPause != 100*time.Millisecond {
+		t.Errorf("the longest pause is %v, want 100 ms", at.longestPause)
+	}
+}
