Take a stalled stream to another engine before its caller leaves

A resumable stream that had begun stayed with an engine that sent nothing, comments or a byte now and then, until the request's time was over, as long as anything else was heard of the engine.

A stream of a route with a longest pause now goes on elsewhere when no event with data has come for three quarters of the time that callers wait and for four times the stream's longest gap.

--- /dev/null
+++ b/entry/direct/progress.go
@@ -0,0 +1,73 @@
+package direct
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// stallMin, stallTargets and stallPauses tell for how long callers wait for a stream that brings nothing: 2 s, four times
+	// the response-time goal or eight times the longest pause that they accept, whichever is longest.
+	stallMin     = 2 * time.Second
+	stallTargets = 4
+	stallPauses  = 8
+	// stallShare is the part of that time after which another server is asked for what follows.
+	stallShare = 0.75
+	// stallGaps is how many times the longest gap of a stream so far another one may take.
+	stallGaps = 4
+)
+
+// progress tells whether a stream still goes on. What keeps a connection open alone, such as comments or parts of an event, is no
+// progress. The zero value is that of a stream without an event.
+type progress struct {
+	mu sync.Mutex
+	// lastAt is when the last event with data came from the present server, zero before its first one; longest is the
+	// longest time between two of them at any server.
+	lastAt  time.Time
+	longest time.Duration
+	// writing is true while an event is written to the caller.
+	writing bool
+}
+
+// restart tells that the stream begins or goes on at another server.
+func (pr *progress) restart() {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.lastAt, pr.writing = time.Time{}, false
+}
+
+// beginWrite records an event that is about to be written to the caller.
+func (pr *progress) beginWrite(withData bool, now time.Time) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.writing = true
+	if !withData {
+		return
+	}
+	if !pr.lastAt.IsZero() {
+		pr.longest = max(pr.longest, now.Sub(pr.lastAt))
+	}
+	pr.lastAt = now
+}
+
+// endWrite records that the event has been written. The time that the caller took is not the server's.
+func (pr *progress) endWrite(took time.Duration) {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	pr.writing = false
+	if !pr.lastAt.IsZero() {
+		pr.lastAt = pr.lastAt.Add(took)
+	}
+}
+
+// stalled reports whether a stream that has begun brings nothing any more. Callers that accept pauses of any length are
+// not told.
+func (pr *progress) stalled(target, pauseMax time.Duration, now time.Time) bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	if pauseMax <= 0 || pr.writing || pr.lastAt.IsZero() {
+		return false
+	}
+	waits := max(stallMin, stallTargets*target, stallPauses*pauseMax)
+	return now.Sub(pr.lastAt) > max(time.Duration(stallShare*float64(waits)), stallGaps*pr.longest)
+}
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -208,6 +208,8 @@
 		return result{outcome: outcome, reason: reasonNodeStopping}
 	case errors.Is(context.Cause(ctx), errPartRefused):
 		return rq.canceledForPart(at, outcome)
+	case errors.Is(context.Cause(ctx), errStreamStalled):
+		return rq.canceledForStall(at)
 	case errors.Is(context.Cause(ctx), errServerSilent):
 		reason = "server_silent"
 	case errors.Is(context.Cause(ctx), context.Canceled):
@@ -235,6 +237,14 @@
 	ev.Msg("attempt_cut")
 }
 
+// canceledForStall returns the result of an attempt that was canceled because its stream brought nothing any more. Its server
+// responds, so that this is no sign of a crash.
+func (rq *request) canceledForStall(at *attempt) result {
+	rq.no.recordFailure(at.server)
+	rq.logAttempt(at, "exchange_canceled").Str("reason", reasonStreamStalled).Str("outcome", retry.Unknown.String()).Str("last_event", rq.lastEventID()).Send()
+	return result{outcome: retry.Unknown, reason: reasonStreamStalled}
+}
+
 // canceledForPart returns the result of an attempt that was canceled because a part of its prompt crashes
 // servers. It counts for nothing against its server.
 func (rq *request) canceledForPart(at *attempt, outcome retry.Outcome) result {
--- a/entry/direct/serve.go
+++ b/entry/direct/serve.go
@@ -80,8 +80,9 @@
 	// begun is true once the stream has its first event, or if the request takes it up; origin is what began it.
 	begun  bool
 	origin origin.Origin
-	// stream tracks the events written to the caller, for routes that stream.
-	stream streamState
+	// stream tracks the events written to the caller, for routes that stream; progress tells whether they go on.
+	stream   streamState
+	progress progress
 }
 
 // serve handles one request of a caller.
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -25,6 +25,8 @@
 	streamType = "text/event-stream"
 	// reasonNoStream means that a server answered with a success that does not continue the stream that has begun.
 	reasonNoStream = "no_stream"
+	// reasonStreamStalled means that a stream that had begun brought no events any more, though its server responds.
+	reasonStreamStalled = "stream_stalled"
 	// reasonOutOfOrder means that a server sent an event that does not follow the last one.
 	reasonOutOfOrder = "out_of_order"
 )
@@ -120,8 +122,11 @@
 			return rq.brokenStreamResult(ctx, at, err), false
 		}
 		rq.no.recordActivity(at.server)
+		begin := time.Now()
 		ra.beginWrite()
+		rq.progress.beginWrite(hasData(ev), begin)
 		reason := rq.passOnEvent(ctx, at, an, ev)
+		rq.progress.endWrite(time.Since(begin))
 		ra.endWrite()
 		if reason != "" {
 			return result{outcome: retry.Unknown, reason: reason}, false
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -18,14 +18,18 @@
 // errServerSilent is the cancellation cause of an attempt whose server has stopped responding.
 var errServerSilent = errors.New("direct: the server stopped responding; the stream resumes on another server")
 
+// errStreamStalled is the cancellation cause of an attempt whose stream brings nothing although its server responds.
+var errStreamStalled = errors.New("direct: the stream brings no events; it resumes on another server")
+
 // watchServer returns a context that is canceled if the server of a resumable stream stops
-// responding, so that the stream can resume on another server.
+// responding or the stream stalls, so that the stream can resume on another server.
 func (rq *request) watchServer(ctx context.Context, at *attempt) (context.Context, func()) {
 	if rq.route.Kind != paths.Stream || !rq.route.Resumable {
 		return ctx, func() {}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	limit := rq.connLimit()
+	rq.progress.restart()
 	timer := (*time.Timer)(nil)
 	// The first check begins only once the timer is assigned.
 	timer = time.AfterFunc(math.MaxInt64, func() {
@@ -37,6 +41,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if rq.progress.stalled(rq.route.Target, rq.route.PauseMax, time.Now()) {
+			cancel(errStreamStalled)
+			return
+		}
 		timer.Reset(watchPeriod)
 		if rq.no.takeQuiet(at.server) {
 			rq.no.askAlive(ctx, at, limit)
