Take no server over from a lagging peer that another peer knows to have left

A node that starts while the log is away takes over the servers of its peers. A server whose removal one peer has read was taken over from a peer that had lost the log before, and got requests.

A peer now tells how far it has read the records of the servers. What the one that has read the most does not list any more has left.

--- a/entry/direct/follow.go
+++ b/entry/direct/follow.go
@@ -212,3 +212,10 @@
 	case <-time.After(period):
 	}
 }
+
+// position returns the position up to which the node knows the records of the topic.
+func (fo *follower) position() roster.Position {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return roster.Position{Epoch: fo.epoch, Offset: fo.nextOffset}
+}
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -30,6 +30,51 @@
 	Table    *paths.Table     `cbor:"table"`
 	Versions []AdapterVersion `cbor:"versions"`
 	Servers  []roster.Record  `cbor:"servers"`
+	// ServersEnd is the position up to which the peer has read the records of the servers, zero if it has read none or is
+	// of an earlier version.
+	ServersEnd roster.Position `cbor:"servers_end"`
+}
+
+// peerServers merges the servers that peers list. The zero value is empty.
+type peerServers struct {
+	// end is how far the peer has read that has read the most, ids the servers that it lists.
+	end roster.Position
+	ids map[string]bool
+	// known holds the positions of the records that were taken over.
+	known map[string]roster.Position
+}
+
+// merge returns those of a peer's servers to take over, and those taken over before that have left. A server has left if a peer
+// that has read on beyond its record does not list it any more.
+func (pv *peerServers) merge(ps *peerState) (kept []roster.Record, left []string) {
+	if pv.known == nil {
+		pv.known = map[string]roster.Position{}
+	}
+	if pv.end.Before(ps.ServersEnd) {
+		pv.end, pv.ids = ps.ServersEnd, map[string]bool{}
+		for ix := range ps.Servers {
+			pv.ids[ps.Servers[ix].Server.ID] = true
+		}
+		for id, at := range pv.known {
+			if pv.hasLeft(id, at) {
+				left = append(left, id)
+				delete(pv.known, id)
+			}
+		}
+	}
+	for ix := range ps.Servers {
+		re := &ps.Servers[ix]
+		if at := (roster.Position{Epoch: re.Epoch, Offset: re.Offset}); !pv.hasLeft(re.Server.ID, at) {
+			kept = append(kept, *re)
+			pv.known[re.Server.ID] = at
+		}
+	}
+	return kept, left
+}
+
+// hasLeft reports whether a server with a record at a position has left.
+func (pv *peerServers) hasLeft(id string, at roster.Position) bool {
+	return at.Before(pv.end) && !pv.ids[id]
 }
 
 // peerState returns a copy of the view.
@@ -57,7 +102,11 @@
 		wr.WriteHeader(http.StatusNotFound)
 		return
 	}
-	data, err := cbor.Marshal(no.view.peerState())
+	// What the node reads meanwhile is in the state, and not before its end.
+	end := no.feeds.followers[ServersTopic.String()].position()
+	ps := no.view.peerState()
+	ps.ServersEnd = end
+	data, err := cbor.Marshal(ps)
 	if err != nil {
 		no.logger.Error().Str("error", err.Error()).Msg("snapshot_not_encoded")
 		wr.WriteHeader(http.StatusInternalServerError)
@@ -71,6 +120,7 @@
 // fetchFromPeers reads the state of all peers while the log is unavailable; the newest records
 // win.
 func (no *Node) fetchFromPeers(ctx context.Context) {
+	merged := peerServers{}
 	for _, address := range no.options.Settings.Peers {
 		if address == no.options.Settings.PeerAddress {
 			continue
@@ -80,6 +130,12 @@
 			no.logger.Info().Str("peer", address).Str("error", err.Error()).Msg("peer_not_asked")
 			continue
 		}
+		kept, left := merged.merge(ps)
+		no.logger.Info().Str("peer", address).Int("listed", len(ps.Servers)).Int("kept", len(kept)).Int("left", len(left)).Msg("peer_servers_merged")
+		ps.Servers = kept
+		for _, id := range left {
+			no.view.withRoster(func(ro *roster.Roster) { ro.RemoveReplaced(id) })
+		}
 		no.applyPeerState(ps, address)
 	}
 }
