--- a/proofs/direct_peer_state_test.go
+++ b/proofs/direct_peer_state_test.go
@@ -12,22 +12,22 @@
 	"github.com/bambooladder/bambooladder/entry/direct"
 )
 
-// laggingReader is the log as a node sees it that loses it before others do.
-type laggingReader struct {
+// stoppedReader is the log as a node sees it that loses it before others do.
+type stoppedReader struct {
 	direct.LogReader
 	down atomic.Bool
 }
 
 var errLogLost = errors.New("the log does not answer this node")
 
-func (lr *laggingReader) ReadNewest(ctx context.Context, to direct.Topic) (direct.LogBatch, error) {
+func (lr *stoppedReader) ReadNewest(ctx context.Context, to direct.Topic) (direct.LogBatch, error) {
 	if lr.down.Load() {
 		return direct.LogBatch{}, errLogLost
 	}
 	return lr.LogReader.ReadNewest(ctx, to)
 }
 
-func (lr *laggingReader) After(ctx context.Context, to direct.Topic, from int64, wait time.Duration) (direct.LogBatch, error) {
+func (lr *stoppedReader) After(ctx context.Context, to direct.Topic, from int64, wait time.Duration) (direct.LogBatch, error) {
 	ba, err := lr.LogReader.After(ctx, to, from, wait)
 	if lr.down.Load() {
 		return direct.LogBatch{}, errLogLost
@@ -39,7 +39,7 @@
 // because the node that lags still lists it.
 func TestDirectStartingNodeUsesNoServerThatAPeerKnowsToHaveLeft(t *testing.T) {
 	runDirectSimulation(t, 2, 0, func(t *testing.T, ds *directSimulation, _ *directCaller) {
-		lagging := &laggingReader{LogReader: ds.source}
+		lagging := &stoppedReader{LogReader: ds.source}
 		ds.readers["entry-2"] = lagging
 		ds.startEntry("entry-2")
 		lagging.down.Store(true)
