Estimate waits of organisations by the measured speed of the engine

The estimates of queued requests used the assumed prefill rate while the backlog of granted ones followed the measured one, so that on a slow engine requests counted as able to meet their goal that were not.

--- a/core/grant/estimate.go
+++ b/core/grant/estimate.go
@@ -87,7 +87,7 @@
 
 // timeFor returns the time until the engine has taken work from the queue.
 func (en *Engine) timeFor(wo work) time.Duration {
-	return max(PrefillTime(wo.prompts), en.drain.timeFor(wo.tokens))
+	return max(en.pacer.speed.prefillTime(wo.prompts), en.drain.timeFor(wo.tokens))
 }
 
 // prefillBacklog returns the time until the engine has prefilled the granted prompts.
@@ -153,7 +153,7 @@
 // times the work of those before them.
 func (en *Engine) estimateWait(rq *Request, own ownWork, now time.Time) time.Duration {
 	wait := en.waitBehind(rq, own.onTime, now)
-	rq.expectedLate = !rq.GoalAt.IsZero() && now.Add(wait+en.prefillBacklog(now)+PrefillTime(rq.PromptTokens)).After(rq.GoalAt)
+	rq.expectedLate = !rq.GoalAt.IsZero() && now.Add(wait+en.prefillBacklog(now)+en.pacer.speed.prefillTime(rq.PromptTokens)).After(rq.GoalAt)
 	if !rq.expectedLate || own.late.tokens == 0 {
 		return wait
 	}
--- a/core/grant/order.go
+++ b/core/grant/order.go
@@ -122,7 +122,7 @@
 		return false
 	}
 	startAt := later(en.pacer.prefillDoneAt, now)
-	return startAt.Add(PrefillTime(rq.PromptTokens)).After(rq.GoalAt)
+	return startAt.Add(en.pacer.speed.prefillTime(rq.PromptTokens)).After(rq.GoalAt)
 }
 
 // tokens returns what a request takes of the engine: its prompt and its output.
