Begin the accounts of organisations before their callers come

An account that has just begun holds half a second's worth and fills slowly for two seconds. Accounts began with the first request of their organisation, so that callers who came together were refused within their quota whenever the system or a keeper had started. Entry nodes now announce the accounts to their keepers once they have read the routes or a keeper has started, each of them a few, so that about four nodes announce each account.

--- a/agent/direct/quotas.go
+++ b/agent/direct/quotas.go
@@ -57,15 +57,15 @@
 	return max(0, float64(len(qa.cutOff))/float64(connected+len(qa.cutOff))-cutOffShare)
 }
 
-// answerQuotaQuery answers an entry node that asks for a part of an organisation's quota. A query that only returns
-// units gets no answer.
+// answerQuotaQuery answers an entry node that asks for a part of an organisation's quota. A query for no units gets no
+// answer: it returns some, or begins the account before a request needs it.
 func (br *Broker) answerQuotaQuery(ctx context.Context, se *session, qq *wire.QuotaQuery, now time.Time) {
 	qu := quota.Query{
 		Limit:  quota.Limit{Version: qq.Version, PerSecond: qq.PerSecond, Burst: qq.Burst},
 		Amount: qq.Amount, Needed: qq.Needed, Returned: qq.Returned,
 	}
 	ac, known := br.accounts.find(qq.Organisation, now)
-	if !known && (qu.Amount <= 0 || br.accounts.full()) {
+	if !known && (qu.OnlyReturns() || br.accounts.full()) {
 		// An account that has just begun was not what the units came from. A query without an answer leaves the
 		// entry node to its share.
 		return
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -18,12 +18,15 @@
 type Query struct {
 	Limit Limit
 	// Amount is the number of units that the node asks for, Needed the least with which it can admit a request.
-	// A query with neither only returns units.
+	// A query with neither only returns units, or begins the account if it returns none.
 	Amount, Needed int64
 	// Returned is the number of units that the same keeper gave the node and that it has not used.
 	Returned int64
 }
 
+// OnlyReturns reports whether the query does nothing but give units back.
+func (qu Query) OnlyReturns() bool { return qu.Amount <= 0 && qu.Returned > 0 }
+
 // Answer is the keeper's answer to a query.
 type Answer struct {
 	// Amount is the number of granted units, zero for none.
--- a/entry/direct/quotas.go
+++ b/entry/direct/quotas.go
@@ -47,6 +47,8 @@
 	parts map[string]*quotaPart
 	// names holds the organisations with counters of their own.
 	names map[string]bool
+	// announcements holds the accounts that this node has announced.
+	announcements announcements
 }
 
 // quotaPart is this node's part in the quota of one organisation.
@@ -130,11 +132,7 @@
 	now := time.Now()
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
-	pa := qs.parts[or.Name]
-	if pa == nil {
-		pa = &quotaPart{}
-		qs.parts[or.Name] = pa
-	}
+	pa := qs.part(or.Name)
 	ac := no.agents.quotaKeeper(or.Name, pa)
 	qr := quota.Request{
 		Units: units, Limit: quota.Limit{Version: rq.routesVersion, PerSecond: or.Quota.PerSecond, Burst: or.Quota.Burst},
@@ -293,6 +291,7 @@
 func (qs *quotas) returnUnused(now time.Time) {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
+	qs.announce(now)
 	for name, pa := range qs.parts {
 		if qu, keeper, ok := pa.holder.TakeReturns(now); ok {
 			if ac := qs.no.agents.quotaKeeper(name, pa); ac != nil && ac.boot == keeper {
--- a/proofs/direct_quota_test.go
+++ b/proofs/direct_quota_test.go
@@ -218,3 +218,28 @@
 		}
 	})
 }
+
+// Callers of an organisation that come together for the first time, within its quota, must not be refused because its account
+// has just begun: entry nodes announce the accounts when they have read the routes.
+func TestDirectFirstBurstWithinTheQuotaIsAdmitted(t *testing.T) {
+	runDirectSimulation(t, 1, 3, func(t *testing.T, ds *directSimulation, first *directCaller) {
+		first.client.CloseIdleConnections()
+		ds.startEntries(8)
+		ds.source.appendRecord(direct.OperatorsTopic, direct.LogRecord{Table: quotaTable(2, quotaPerSecond, quotaBurst)})
+		time.Sleep(8 * time.Second)
+		wg := sync.WaitGroup{}
+		// A part of the quota may be leased to the other node.
+		for ix := range quotaBurst * 3 / 4 / quotaPlain {
+			cl := ds.newCaller(fmt.Sprintf("entry-%d", 1+ix%2))
+			defer cl.client.CloseIdleConnections()
+			cl.key = quotaKey
+			wg.Go(func() {
+				id := fmt.Sprintf("burst-%d", ix)
+				if re := cl.sendAs(t.Context(), id, http.MethodPost, "/safe/x", "", id); re.status != http.StatusOK {
+					t.Errorf("request %d of a burst within the quota got status %d", ix, re.status)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
