Forget the drain rate of an engine that falls silent, and bound it

Seconds of silence counted as time in which the engine took nothing from its queue, so that requests were refused as unreachable once it answered again; after a long full spell the estimate overflowed. Found by review. TestDrainRateIsForgottenWhileTheEngineIsSilent and TestDrainTimeIsBounded guard against both.

--- a/core/grant/estimate.go
+++ b/core/grant/estimate.go
@@ -18,8 +18,12 @@
 	// drainTimeMin of measuring.
 	drainHalfLife = 2 * time.Second
 	drainTimeMin  = 500 * time.Millisecond
+	// drainTimeMax bounds the estimates for an engine that has granted nearly nothing for long.
+	drainTimeMax = time.Hour
 	// drainKept is how long a drain rate counts after the engine's memory was last full: a slow spell may be over.
 	drainKept = 10 * time.Second
+	// hashMultiplier is 2^32 divided by the golden ratio (Fibonacci hashing).
+	hashMultiplier = 2654435769
 	// retryAfterMax bounds the retry delays that follow from the backlog.
 	retryAfterMax = 8 * time.Second
 )
@@ -60,7 +64,8 @@
 	if dm.seconds < drainTimeMin.Seconds() || dm.tokens == 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) * dm.seconds / dm.tokens * float64(time.Second))
+	seconds := min(float64(tokens)*dm.seconds/dm.tokens, drainTimeMax.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // work is what queued requests ask of an engine.
@@ -261,7 +266,7 @@
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(attempt))
 	// The last characters of an attempt's ID change little of the high bits of its hash.
-	mixed := hash.Sum32() * 2654435769
+	mixed := hash.Sum32() * hashMultiplier
 	return float64(mixed) / math.MaxUint32
 }
 
--- a/core/grant/estimate_test.go
+++ b/core/grant/estimate_test.go
@@ -221,3 +221,25 @@
 		t.Errorf("granted %v, refused %v, want %s granted", dr.granted, dr.refused, want)
 	}
 }
+
+// An engine whose memory was full falls silent for ten seconds. The silence must not count as time in which it took nothing from
+// the queue: requests would be refused that it can serve.
+func TestDrainRateIsForgottenWhileTheEngineIsSilent(t *testing.T) {
+	dr := newFullDriver(t)
+	dr.en.drain = drainMeter{full: true, measuredAt: dr.now, tokens: 1000, seconds: 1}
+	dr.en.InspectionFailed(dr.now)
+	for second := range 10 {
+		dr.en.Tick(dr.now.Add(time.Duration(second) * time.Second))
+	}
+	if got := dr.en.drain.timeFor(1000); got != 0 {
+		t.Errorf("the engine is expected to take %s for 1000 tokens after a silence", got)
+	}
+}
+
+// An engine that has granted nearly nothing for long must yield a long wait, not a negative one.
+func TestDrainTimeIsBounded(t *testing.T) {
+	dm := drainMeter{tokens: 1e-12, seconds: 10}
+	if got := dm.timeFor(100_000); got != drainTimeMax {
+		t.Errorf("expected time %s, want %s", got, drainTimeMax)
+	}
+}
--- a/core/grant/events.go
+++ b/core/grant/events.go
@@ -197,7 +197,10 @@
 	en.inspecting = false
 	en.nextInspectAt = now.Add(inspectInterval)
 	en.reachable = false
-	return en.refuseWaiting(func(*Request) bool { return true }, ReasonEngineSilent, now)
+	actions := en.refuseWaiting(func(*Request) bool { return true }, ReasonEngineSilent, now)
+	// The time of silence says nothing on how fast the engine takes requests once it answers.
+	en.drain = drainMeter{}
+	return actions
 }
 
 // Tick removes grants whose entry node stayed away, refuses requests past their deadline and
