Send a quota query only to the keeper that it was made for

If the keeper changed between the decision and the query, the new one was given back units that it had never granted. Announced accounts are announced again every half hour, since a keeper forgets them after an hour, and their keepers are no longer computed anew each second. A query without a limit begins no account.

--- a/agent/direct/quotas.go
+++ b/agent/direct/quotas.go
@@ -66,11 +66,15 @@
 	}
 	ac, known := br.accounts.find(qq.Organisation, now)
 	if !known && (qu.OnlyReturns() || br.accounts.full()) {
-		// An account that has just begun was not what the units came from. A query without an answer leaves the
-		// entry node to its share.
+		// Returned units did not come from an account that would begin now, so they are dropped. Without an answer, the
+		// entry node uses its share.
 		return
 	}
 	ac, an := ac.WithQuery(qu, br.accounts.withheld(len(br.sessions), now), now)
+	if !ac.Begun() {
+		// A query without a limit begins no account.
+		return
+	}
 	br.accounts.accounts[qq.Organisation] = ac
 	metricAccounts.Set(int64(len(br.accounts.accounts)))
 	if !known {
@@ -85,7 +89,7 @@
 	br.send(ctx, se.name, &wire.Frame{QuotaAnswer: &wire.QuotaAnswer{Query: qq.Query, Amount: an.Amount, Wait: waitMillis(an.Wait)}})
 }
 
-// waitMillis returns a wait in milliseconds, rounded up: a wait that is too short is not true.
+// waitMillis returns a wait in milliseconds, rounded up, so that no caller retries too early.
 func waitMillis(wait time.Duration) int64 {
 	return int64((wait + time.Millisecond - 1) / time.Millisecond)
 }
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -22,6 +22,8 @@
 	Amount, Needed int64
 	// Returned is the number of units that the same keeper gave the node and that it has not used.
 	Returned int64
+	// Keeper identifies the run of the keeper that the query is meant for.
+	Keeper string
 }
 
 // OnlyReturns reports whether the query does nothing but give units back.
@@ -48,7 +50,7 @@
 	promisedUntil time.Time
 }
 
-// Begun reports whether the account has been asked.
+// Begun reports whether the account has had a query with a limit.
 func (ac Account) Begun() bool { return !ac.begunAt.IsZero() }
 
 // Limit returns the limit that applies.
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -124,9 +124,6 @@
 	takenAt             time.Time
 }
 
-// TakenAt returns when the holder was last asked.
-func (ho *Holder) TakenAt() time.Time { return ho.takenAt }
-
 // Take decides on a request and charges it if it is admitted.
 func (ho *Holder) Take(rq Request, now time.Time) Decision {
 	ho.takenAt = now
@@ -186,7 +183,7 @@
 		amount += ho.refused
 	}
 	ho.refused = 0
-	qu := Query{Limit: ho.limit, Amount: amount, Needed: rq.Units}
+	qu := Query{Limit: ho.limit, Amount: amount, Needed: rq.Units, Keeper: rq.Keeper}
 	if rq.Keeper == ho.keeper {
 		qu.Returned = ho.lease + ho.returns
 	}
--- a/entry/direct/announce.go
+++ b/entry/direct/announce.go
@@ -16,6 +16,9 @@
 	// announcersWanted is the number of entry nodes that announce each account, on average. The queries of all nodes for
 	// all organisations would be many; with none, the first request begins the account.
 	announcersWanted = 4
+	// announceAgainPeriod is how often accounts are announced again. It is shorter than the time after which a keeper
+	// forgets an account that nobody asks for.
+	announceAgainPeriod = 30 * time.Minute
 )
 
 // announcements makes the keepers begin accounts before requests need them: a new account holds half a second's worth at
@@ -27,8 +30,12 @@
 	version       int64
 	entries       int
 	organisations []*paths.Organisation
-	// told maps the organisations to the runs of the keepers that were told.
-	told map[string]string
+	// told maps the organisations to the runs of the keepers that were told since toldFrom.
+	told     map[string]string
+	toldFrom time.Time
+	// keepers maps the organisations to the hosts of their keepers among the hosts with the number hostsNumber.
+	keepers     map[string]string
+	hostsNumber int64
 }
 
 // choose sets the organisations that the node with a boot ID announces.
@@ -36,7 +43,7 @@
 	if an.version == ta.Version && an.entries == entries {
 		return
 	}
-	an.version, an.entries, an.organisations, an.told = ta.Version, entries, nil, map[string]string{}
+	an.version, an.entries, an.organisations, an.told, an.keepers = ta.Version, entries, nil, map[string]string{}, map[string]string{}
 	for ix := range ta.Organisations {
 		or := &ta.Organisations[ix]
 		if or.Quota.PerSecond > 0 && xxh3.HashString(boot+or.Name)%uint64(max(1, entries)) < announcersWanted {
@@ -54,8 +61,12 @@
 	}
 	an.checkedAt = now
 	an.choose(ta, no.agents.entryCount(), no.boot)
+	if now.Sub(an.toldFrom) > announceAgainPeriod {
+		clear(an.told)
+		an.toldFrom = now
+	}
 	for _, or := range an.organisations {
-		ac := no.agents.quotaKeeper(or.Name, qs.part(or.Name))
+		ac := no.agents.announcedKeeper(or.Name, an)
 		if ac == nil || an.told[or.Name] == ac.boot {
 			continue
 		}
@@ -66,6 +77,23 @@
 	}
 }
 
+// announcedKeeper returns the connection to the agent that keeps the account of an announced organisation, or nil if that one
+// cannot be told. The caller must hold qs.mu; as.mu is taken after it.
+func (as *agents) announcedKeeper(organisation string, an *announcements) *agentConn {
+	as.mu.Lock()
+	defer as.mu.Unlock()
+	if an.hostsNumber != as.hostsNumber {
+		clear(an.keepers)
+		an.hostsNumber = as.hostsNumber
+	}
+	keeper, known := an.keepers[organisation]
+	if !known {
+		keeper = quota.Keeper(organisation, as.hosts)
+		an.keepers[organisation] = keeper
+	}
+	return as.keeperAt(keeper)
+}
+
 // part returns this node's part in the quota of an organisation. The caller must hold qs.mu.
 func (qs *quotas) part(organisation string) *quotaPart {
 	pa := qs.parts[organisation]
--- a/entry/direct/quotas.go
+++ b/entry/direct/quotas.go
@@ -175,14 +175,20 @@
 }
 
 // quotaKeeper returns the connection to the agent that keeps the account of an organisation, or nil if that one cannot
-// be asked.
+// be asked. The caller must hold qs.mu; as.mu is taken after it.
 func (as *agents) quotaKeeper(organisation string, pa *quotaPart) *agentConn {
 	as.mu.Lock()
 	defer as.mu.Unlock()
 	if pa.hostsNumber != as.hostsNumber {
 		pa.keeper, pa.hostsNumber = quota.Keeper(organisation, as.hosts), as.hostsNumber
 	}
-	if ac := as.working(pa.keeper); ac != nil && ac.keepsQuotas {
+	return as.keeperAt(pa.keeper)
+}
+
+// keeperAt returns the connection to the agent on a host, or nil if it does not respond or keeps no quotas. The caller must
+// hold as.mu.
+func (as *agents) keeperAt(host string) *agentConn {
+	if ac := as.working(host); ac != nil && ac.keepsQuotas {
 		return ac
 	}
 	return nil
@@ -195,7 +201,8 @@
 	ac := qs.no.agents.quotaKeeper(organisation, pa)
 	qs.mu.Unlock()
 	an, answered := quota.Answer{}, false
-	if ac != nil {
+	// Another run of a keeper must not get what the query returns.
+	if ac != nil && ac.boot == qu.Keeper {
 		an, answered = qs.no.agents.askQuota(ctx, ac, qs.frame(organisation, qu))
 	}
 	qs.mu.Lock()
@@ -282,13 +289,14 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			qs.returnUnused(time.Now())
+			qs.maintain(time.Now())
 		}
 	}
 }
 
-// returnUnused returns what is left of leases whose time is over.
-func (qs *quotas) returnUnused(now time.Time) {
+// maintain announces accounts, returns what is left of leases whose time is over, and removes the parts that are no longer
+// used.
+func (qs *quotas) maintain(now time.Time) {
 	qs.mu.Lock()
 	defer qs.mu.Unlock()
 	qs.announce(now)
