Bound the numbers of tokens that callers state

The sum of a prompt and an output near the largest integer became negative: such a request fitted everywhere, and its organisation went before all others from then on.

--- a/agent/direct/frames.go
+++ b/agent/direct/frames.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/bambooladder/bambooladder/core/grant"
@@ -79,8 +80,8 @@
 	}
 	return grant.Request{
 		Attempt: re.Attempt, Entry: se.name, Key: grant.Key{Model: re.Model, Adapter: re.Adapter},
-		Version: re.Version, VersionMin: versionMin(re), Urgency: re.Urgency, PromptTokens: re.PromptTokens,
-		OutputTokens: re.OutputTokens, Organisation: re.Organisation, GoalAt: goalAt, BacklogMax: time.Duration(re.BacklogMax) * time.Millisecond, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
+		Version: re.Version, VersionMin: versionMin(re), Urgency: re.Urgency, PromptTokens: min(re.PromptTokens, math.MaxInt32),
+		OutputTokens: min(re.OutputTokens, math.MaxInt32), Organisation: re.Organisation, GoalAt: goalAt, BacklogMax: time.Duration(re.BacklogMax) * time.Millisecond, PauseMax: time.Duration(re.PauseMax) * time.Millisecond,
 		Arrived: now, Deadline: now.Add(time.Duration(re.Budget) * time.Millisecond),
 	}
 }
