Spread retries in deployments with organisations alone, and correct names and comments

The longer Retry-After after an admission refusal applied to every deployment. The times for which callers wait stood twice. A request whose key moves to another organisation takes over its rank. Found by review.

--- a/core/paths/organisation.go
+++ b/core/paths/organisation.go
@@ -58,7 +58,8 @@
 }
 
 // RankOf returns the rank of an organisation's requests to a route, from 0 to 9: the organisation's rank goes before that of
-// the route. A request of no organisation counts as one of the least urgent organisation.
+// the route. Higher ranks count as 9, so that with many ranks the least urgent ones are not told apart. A request of no
+// organisation counts as one of the least urgent organisation.
 func (ta *Table) RankOf(or *Organisation, ro *Route) int {
 	rank := ta.organisationRankMax
 	if or != nil {
--- a/core/spread/admit.go
+++ b/core/spread/admit.go
@@ -23,7 +23,7 @@
 
 // SpreadRetry returns when a refused caller should retry, given the earliest useful time from Admit and a random
 // number from 0 to 1. It answers bursts whose refused callers would otherwise return together as a second burst. The
-// retries are spread over a time that grows with how much there is to wait for, but ends before the queue is empty.
+// retries are spread over a time that grows with the wait, at most the longest wait that is admitted.
 func (ch *Choice) SpreadRetry(earliest time.Duration, random float64) time.Duration {
 	over := min(ch.goals.waitMax(), max(retrySpreadMin, earliest))
 	return earliest + time.Duration(random*float64(over))
--- a/core/spread/goals.go
+++ b/core/spread/goals.go
@@ -13,13 +13,13 @@
 const (
 	// firstByteWaitMax is the longest expected wait that is admitted on a route without a goal for the first event.
 	firstByteWaitMax = 3500 * time.Millisecond
-	// patienceMin is the shortest time after which callers leave a stream that delivers nothing. They stay for
-	// patienceGoals times the goal for the first event and patiencePauses times the longest pause they accept, if
-	// that is longer. A wait that is admitted ends patienceMargin earlier.
-	patienceMin    = 2 * time.Second
-	patienceGoals  = 4
-	patiencePauses = 8
-	patienceMargin = 500 * time.Millisecond
+	// callerWaitMin is the shortest time after which callers leave a stream that delivers nothing. They stay for
+	// callerWaitGoals times the goal for the first event and callerWaitPauses times the longest pause they accept, if
+	// that is longer. A wait that is admitted ends callerWaitMargin earlier.
+	callerWaitMin    = 2 * time.Second
+	callerWaitGoals  = 4
+	callerWaitPauses = 8
+	callerWaitMargin = 500 * time.Millisecond
 	// onTimeWait is the longest wait after which the first byte is still on time on a route without a goal.
 	onTimeWait = 500 * time.Millisecond
 )
@@ -36,7 +36,12 @@
 	if gl.FirstEvent <= 0 {
 		return firstByteWaitMax
 	}
-	return max(patienceMin, patienceGoals*gl.FirstEvent, patiencePauses*gl.PauseMax) - patienceMargin
+	return gl.CallerWait() - callerWaitMargin
+}
+
+// CallerWait returns for how long callers wait for a stream that brings nothing.
+func (gl Goals) CallerWait() time.Duration {
+	return max(callerWaitMin, callerWaitGoals*gl.FirstEvent, callerWaitPauses*gl.PauseMax)
 }
 
 // onTimeSeconds returns the longest wait after which the first byte is still on time, in seconds: half of the goal.
@@ -50,8 +55,8 @@
 
 // latePenalty returns the penalty for the streams that would pause for too long if the engine got the request. A
 // prompt stalls the running streams while it is prefilled. The request's own stream counts too: further prompts of
-// the same kind will stall it, and so does an engine on which a single event takes too long. It answers a load of unequal engines, where one long prompt on a
-// slow engine makes all streams late that run there.
+// the same kind will stall it, and so does an engine on which a single event takes too long. It answers a load of
+// unequal engines, where one long prompt on a slow engine makes all streams late that run there.
 func (me *member) latePenalty(rq *Request) float64 {
 	late := 0
 	switch {
--- a/core/spread/relative.go
+++ b/core/spread/relative.go
@@ -64,7 +64,7 @@
 	if reference <= 0 {
 		return lo, false
 	}
-	share := float64(lo.BurstRate) / reference
+	share := max(1/slownessMax, float64(lo.BurstRate)/reference)
 	if share >= relativeAbove || share >= relativeBelow && !me.relativelySlow {
 		return lo, false
 	}
--- a/entry/direct/attempts.go
+++ b/entry/direct/attempts.go
@@ -168,7 +168,7 @@
 // or the expected wait is too long for the caller.
 func (rq *request) chooseServer(number int, exclude []string) (*attempt, error) {
 	no := rq.no
-	if rq.keyWithdrawn() {
+	if rq.recheckKey() {
 		return nil, rq.keyError(reasonKeyWithdrawn)
 	}
 	if err := no.crashes.verdict(rq); err != nil {
@@ -193,7 +193,7 @@
 	}
 	if retryAfter, ok := ch.Admit(rq.deadline.Sub(now)); !ok {
 		return nil, fault.New(fault.Overloaded, "the shortest wait of "+ch.Wait.Round(time.Millisecond).String()+" is too long", "send it again").
-			WithRetryAfter(ch.SpreadRetry(retryAfter, no.options.Random()))
+			WithRetryAfter(rq.spreadRetry(&ch, retryAfter))
 	}
 	at := &attempt{
 		id: rq.attemptID(number), server: ch.ID, software: no.fleet.Software(ch.ID), address: no.addresses[ch.ID], choice: ch, start: now, version: sr.Version,
@@ -207,6 +207,15 @@
 	return at, nil
 }
 
+// spreadRetry returns when the caller should retry that is refused for a wait that is too long. In deployments with organisations
+// the retries are spread.
+func (rq *request) spreadRetry(ch *spread.Choice, earliest time.Duration) time.Duration {
+	if !rq.identified {
+		return earliest
+	}
+	return ch.SpreadRetry(earliest, rq.no.options.Random())
+}
+
 // attemptID returns the ID of an attempt. It ends with a part of the node's boot ID, so that
 // other nodes and other runs of this node give different IDs.
 func (rq *request) attemptID(number int) string {
--- a/entry/direct/freeze.go
+++ b/entry/direct/freeze.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// noticeFreeze reads the routes anew after a freeze. It returns a channel that is closed when that read has ended, nil if there
-// was no freeze.
+// noticeFreeze begins a read of the routes if the process was frozen. It returns a channel that is closed when the read under way
+// has ended, nil if there is none.
 func (no *Node) noticeFreeze() <-chan struct{} {
 	read, begins := no.freezes.observe(time.Now(), no.view.table.Load().HasOrganisations())
 	if begins {
@@ -81,7 +81,11 @@
 	defer cancel()
 	start := time.Now()
 	err := no.feeds.followers[OperatorsTopic.String()].readNow(ctx)
-	no.logger.Info().AnErr("error", err).Dur("took", time.Since(start)).Msg("routes_read_after_freeze")
+	if err != nil {
+		no.logger.Warn().Str("error", err.Error()).Dur("took", time.Since(start)).Msg("routes_not_read_after_freeze")
+		return
+	}
+	no.logger.Info().Dur("took", time.Since(start)).Msg("routes_read_after_freeze")
 }
 
 // readNow reads the records since the last read beside the read that waits for new ones, and applies them.
--- a/entry/direct/organisation.go
+++ b/entry/direct/organisation.go
@@ -45,8 +45,8 @@
 	return rq.keyError(reason)
 }
 
-// routesUncertain reports whether the node's routes may be older than the operators' latest by more than they allow, so that it
-// may not know a new key.
+// routesUncertain reports whether the node's routes may be older than the operators' latest by more than the setting routes_ms, so
+// that it may not know a new key.
 func (no *Node) routesUncertain(now time.Time) bool {
 	if no.view.routesLogDown.Load() {
 		return true
@@ -70,9 +70,9 @@
 	return fault.New(fault.Unauthorized, "the request has no valid key: "+reason, "send one header Authorization: Bearer KEY")
 }
 
-// keyWithdrawn checks the key again after a wait, by the latest routes, and reports whether it was withdrawn. A request that may
-// have run goes on to its end.
-func (rq *request) keyWithdrawn() bool {
+// recheckKey looks the key up again in the latest routes after a wait, updates the organisation and the rank, and reports whether
+// the key was withdrawn. The charge stays. A request that may have run goes on to its end.
+func (rq *request) recheckKey() bool {
 	rq.no.awaitRoutes(rq.hr.Context())
 	ta := rq.no.view.table.Load()
 	if ta.Version == rq.routesVersion {
@@ -92,6 +92,7 @@
 	case or.Name != rq.organisation.Name:
 		rq.organisation = or
 	}
+	rq.rank = ta.RankOf(rq.organisation, rq.route)
 	return false
 }
 
--- a/entry/direct/organisation_test.go
+++ b/entry/direct/organisation_test.go
@@ -54,13 +54,13 @@
 		no.view.table.Store(tc.next)
 		or, _ := tableOfKeys(1, "k-1").OrganisationOf("k-1")
 		rq := &request{no: no, routesVersion: 1, identified: true, key: paths.DigestOf("k-1"), organisation: or, mayHaveRun: tc.ran, route: &paths.Route{Anonymous: tc.anonymous}, hr: newHeadRequest("k-1")}
-		if got := rq.keyWithdrawn(); got != tc.withdrawn || rq.organisationName() != tc.organisationName {
+		if got := rq.recheckKey(); got != tc.withdrawn || rq.organisationName() != tc.organisationName {
 			t.Errorf("%s: withdrawn %t, organisation %q, want %t and %q", name, got, rq.organisationName(), tc.withdrawn, tc.organisationName)
 		}
 	}
 	no := newKeyNode(t, &scriptedLog{}, tableOfKeys(2, "k-1"))
 	rq := &request{no: no, routesVersion: 1, route: &paths.Route{}, hr: newHeadRequest("k-1")}
-	if rq.keyWithdrawn() || !rq.identified {
+	if rq.recheckKey() || !rq.identified {
 		t.Error("the key is forwarded although organisations have come into force since the request was read")
 	}
 }
--- a/entry/direct/progress.go
+++ b/entry/direct/progress.go
@@ -3,15 +3,12 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/spread"
 )
 
 const (
-	// stallMin, stallTargets and stallPauses tell for how long callers wait for a stream that brings nothing: 2 s, four times
-	// the response-time goal or eight times the longest pause that they accept, whichever is longest.
-	stallMin     = 2 * time.Second
-	stallTargets = 4
-	stallPauses  = 8
-	// stallShare is the part of that time after which another server is asked for what follows.
+	// stallShare is the part of the time for which callers wait after which another server is asked for what follows.
 	stallShare = 0.75
 	// stallGaps is how many times the longest gap of a stream so far another one may take.
 	stallGaps = 4
@@ -62,12 +59,11 @@
 
 // stalled reports whether a stream that has begun brings nothing any more. Callers that accept pauses of any length are
 // not told.
-func (pr *progress) stalled(target, pauseMax time.Duration, now time.Time) bool {
+func (pr *progress) stalled(gl spread.Goals, now time.Time) bool {
 	pr.mu.Lock()
 	defer pr.mu.Unlock()
-	if pauseMax <= 0 || pr.writing || pr.lastAt.IsZero() {
+	if gl.PauseMax <= 0 || pr.writing || pr.lastAt.IsZero() {
 		return false
 	}
-	waits := max(stallMin, stallTargets*target, stallPauses*pauseMax)
-	return now.Sub(pr.lastAt) > max(time.Duration(stallShare*float64(waits)), stallGaps*pr.longest)
+	return now.Sub(pr.lastAt) > max(time.Duration(stallShare*float64(gl.CallerWait())), stallGaps*pr.longest)
 }
--- a/entry/direct/progress_test.go
+++ b/entry/direct/progress_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/spread"
 )
 
 // A stream that callers are about to leave must count as stalled, whatever keeps its connection open. One with steady gaps must
@@ -39,17 +41,17 @@
 		{"nothing after steady gaps of 2 s", play(2*time.Second, 3, true), 0, pauseMax, 15 * time.Second, true},
 		{"any pause is accepted", play(0, 0, true), 0, 0, time.Hour, false},
 	} {
-		if got := te.pr.stalled(te.target, te.pauseMax, start.Add(te.after)); got != te.want {
+		if got := te.pr.stalled(spread.Goals{FirstEvent: te.target, PauseMax: te.pauseMax}, start.Add(te.after)); got != te.want {
 			t.Errorf("%s: stalled after %v: %t, want %t", te.name, te.after, got, te.want)
 		}
 	}
 	slow := play(0, 0, true)
 	slow.beginWrite(true, start)
-	if slow.stalled(0, pauseMax, start.Add(time.Hour)) {
+	if slow.stalled(spread.Goals{PauseMax: pauseMax}, start.Add(time.Hour)) {
 		t.Error("a stream is stalled while its caller does not read")
 	}
 	slow.endWrite(10 * time.Second)
-	if slow.stalled(0, pauseMax, start.Add(12*time.Second)) {
+	if slow.stalled(spread.Goals{PauseMax: pauseMax}, start.Add(12*time.Second)) {
 		t.Error("the time that a caller took counts against the server")
 	}
 }
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -148,7 +148,7 @@
 		co.PutBack()
 		return result{outcome: retry.Unsent, reason: reasonNodeStopping}, false
 	}
-	if rq.keyWithdrawn() {
+	if rq.recheckKey() {
 		co.PutBack()
 		return result{outcome: retry.Unsent, reason: reasonKeyWithdrawn}, false
 	}
--- a/entry/direct/watch.go
+++ b/entry/direct/watch.go
@@ -41,7 +41,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if rq.progress.stalled(rq.route.Target, rq.route.PauseMax, time.Now()) {
+		if rq.progress.stalled(rq.goals(), time.Now()) {
 			cancel(errStreamStalled)
 			return
 		}
