--- a/core/grant/backlog.go
+++ b/core/grant/backlog.go
@@ -31,5 +31,5 @@
 
 // PrefillTime returns the time that an engine needs to prefill tokens at the default rate.
 func PrefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / defaultPrefillRate * float64(time.Second))
+	return time.Duration(float64(tokens) / DefaultPrefillRate * float64(time.Second))
 }
--- a/core/grant/engine.go
+++ b/core/grant/engine.go
@@ -166,10 +166,10 @@
 	// averageLoadTime is the moving average of load times from the weight store.
 	averageLoadTime time.Duration
 	pacer           pacer
-	// shares holds what the organisations have used; turns is reused in each choice among them.
-	shares shares
-	turns  []turn
-	drain  drainMeter
+	// shares holds what the organisations have used; candidates is reused in each choice among them.
+	shares     shares
+	candidates []candidate
+	drain      drainMeter
 	// nextReviewAt is the earliest time at which waits are estimated again.
 	nextReviewAt time.Time
 	leaving      bool
@@ -214,22 +214,6 @@
 	Draining bool
 }
 
-// Speed is what the agent has measured of its engine.
-type Speed struct {
-	// Slow is true while the engine counts as slow.
-	Slow bool
-	// PrefillRate is the mean rate of the latest samples in tokens a second; EventTime is the time between two events of
-	// a stream. Both are zero if not known.
-	PrefillRate int
-	EventTime   time.Duration
-	// RateSamples and EventSamples are the numbers of samples so far.
-	RateSamples  int
-	EventSamples int
-}
-
-// Speed returns what was measured of the engine.
-func (en *Engine) Speed() Speed { return en.pacer.speed.measured() }
-
 // Load returns the engine's state and load at now.
 func (en *Engine) Load(now time.Time) Load {
 	return Load{
@@ -275,21 +259,6 @@
 	return list
 }
 
-// Stats holds counters since the agent's start.
-type Stats struct {
-	// Loads counts adapter loads; Evictions counts all unloads, including those of old versions.
-	Loads     int
-	Evictions int
-	// LoadStall is the total time from arrival to grant of the granted requests that named an
-	// adapter; unlike in core/sched it includes waits for other reasons.
-	LoadStall time.Duration
-}
-
-// Stats returns the counters so far.
-func (en *Engine) Stats() Stats {
-	return Stats{Loads: en.loads, Evictions: en.evictions, LoadStall: en.loadStall}
-}
-
 // pinCount returns the number of granted requests for an adapter.
 func (en *Engine) pinCount(ke Key) int { return en.pins[ke] }
 
--- a/core/grant/order.go
+++ b/core/grant/order.go
@@ -14,8 +14,8 @@
 	lateTurns = 4
 )
 
-// turn is the best matching request of an organisation.
-type turn struct {
+// candidate is the best matching request of an organisation.
+type candidate struct {
 	share *share
 	// index is the request's place in the queue.
 	index    int
@@ -30,77 +30,77 @@
 // it has waited. Organisations are compared by what they have used, because by the time that their requests
 // have waited the one with the longest queue would go before all others.
 func (en *Engine) bestWaiting(now time.Time, match func(rq *Request) bool) int {
-	turns := en.turns[:0]
+	candidates := en.candidates[:0]
 	for ix := range en.queue {
 		rq := &en.queue[ix]
 		if !match(rq) {
 			continue
 		}
-		candidate := turn{share: rq.share, index: ix, priority: rq.priority(now), late: en.yields(rq, now), urgency: rq.Urgency}
-		turns = addTurn(turns, &candidate)
+		ca := candidate{share: rq.share, index: ix, priority: rq.priority(now), late: en.yields(rq, now), urgency: rq.Urgency}
+		candidates = addCandidate(candidates, &ca)
 	}
-	en.turns = turns
+	en.candidates = candidates
 	best := -1
-	for ix := range turns {
-		if best < 0 || turns[ix].before(&turns[best], now) {
+	for ix := range candidates {
+		if best < 0 || candidates[ix].before(&candidates[best], now) {
 			best = ix
 		}
 	}
 	if best < 0 {
 		return -1
 	}
-	return turns[best].index
+	return candidates[best].index
 }
 
-// addTurn returns the turns with a request considered.
-func addTurn(turns []turn, candidate *turn) []turn {
-	for ix := range turns {
-		tu := &turns[ix]
-		if tu.share != candidate.share {
+// addCandidate returns the candidates with a request considered.
+func addCandidate(candidates []candidate, other *candidate) []candidate {
+	for ix := range candidates {
+		ca := &candidates[ix]
+		if ca.share != other.share {
 			continue
 		}
-		urgency := max(tu.urgency, candidate.urgency)
-		if candidate.beforeOwn(tu) {
-			*tu = *candidate
+		urgency := max(ca.urgency, other.urgency)
+		if other.beforeOwn(ca) {
+			*ca = *other
 		}
-		tu.urgency = urgency
-		return turns
+		ca.urgency = urgency
+		return candidates
 	}
-	return append(turns, *candidate)
+	return append(candidates, *other)
 }
 
 // beforeOwn reports whether a request goes before an earlier one of the same organisation. Within one level of
 // priority, requests that can still meet their goal go first.
-func (tu *turn) beforeOwn(other *turn) bool {
-	if tu.late != other.late && math.Floor(tu.priority) == math.Floor(other.priority) {
+func (ca *candidate) beforeOwn(other *candidate) bool {
+	if ca.late != other.late && math.Floor(ca.priority) == math.Floor(other.priority) {
 		return other.late
 	}
-	return tu.priority > other.priority
+	return ca.priority > other.priority
 }
 
 // before reports whether an organisation is served before another one: the one that has had too little for too
 // long, then the one with the more urgent request, then the one that has used less.
-func (tu *turn) before(other *turn, now time.Time) bool {
-	overdue, otherOverdue := tu.share.overdue(now), other.share.overdue(now)
+func (ca *candidate) before(other *candidate, now time.Time) bool {
+	overdue, otherOverdue := ca.share.overdue(now), other.share.overdue(now)
 	switch {
 	case overdue != otherOverdue:
 		return overdue
-	case overdue && tu.share.guaranteed != other.share.guaranteed:
-		return tu.share.guaranteed < other.share.guaranteed
-	case tu.urgency != other.urgency:
-		return tu.urgency > other.urgency
-	case tu.share.used != other.share.used:
-		return tu.share.used < other.share.used
-	case tu.priority != other.priority:
-		return tu.priority > other.priority
+	case overdue && ca.share.guaranteed != other.share.guaranteed:
+		return ca.share.guaranteed < other.share.guaranteed
+	case ca.urgency != other.urgency:
+		return ca.urgency > other.urgency
+	case ca.share.used != other.share.used:
+		return ca.share.used < other.share.used
+	case ca.priority != other.priority:
+		return ca.priority > other.priority
 	}
-	return tu.index < other.index
+	return ca.index < other.index
 }
 
 // yields reports whether a request lets those of its organisation go first that can still meet their goal. Shortly before
-// its deadline it no longer does, if it is the turn of such a request.
+// its deadline it no longer does, if such a request may be granted next.
 func (en *Engine) yields(rq *Request, now time.Time) bool {
-	return en.late(rq, now) && (rq.share.turnsOwed > 0 || rq.Deadline.Sub(now) > rescueTime)
+	return en.late(rq, now) && (rq.share.onTimeGrantsOwed > 0 || rq.Deadline.Sub(now) > rescueTime)
 }
 
 // late reports whether a request cannot meet its goal, as far as is known.
@@ -108,11 +108,11 @@
 	return rq.expectedLate || en.goalMissed(rq, now)
 }
 
-// turnTaken counts a grant to one of the organisation's requests, which was late or not.
-func (sh *share) turnTaken(late bool) {
-	sh.turnsOwed = max(0, sh.turnsOwed-1)
+// countGrant counts a grant to one of the organisation's requests, which was late or not.
+func (sh *share) countGrant(late bool) {
+	sh.onTimeGrantsOwed = max(0, sh.onTimeGrantsOwed-1)
 	if late {
-		sh.turnsOwed = lateTurns - 1
+		sh.onTimeGrantsOwed = lateTurns - 1
 	}
 }
 
--- a/core/grant/pacer.go
+++ b/core/grant/pacer.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// defaultPrefillRate is the number of prompt tokens that an engine of usual speed prefills
+	// DefaultPrefillRate is the number of prompt tokens that an engine of usual speed prefills
 	// in a second.
-	defaultPrefillRate = 17_000.0
+	DefaultPrefillRate = 17_000.0
 	// prefillRateWeight is the weight of a new sample in an engine's prefill rate. A sample
 	// must cover at least prefillSampleTokensMin, because the time of a shorter prompt is
 	// mostly network delay.
@@ -81,7 +81,7 @@
 // tokensPerSecond returns the engine's prefill rate.
 func (pa *pacer) tokensPerSecond() float64 {
 	if pa.prefillRate == 0 {
-		return defaultPrefillRate
+		return DefaultPrefillRate
 	}
 	return pa.prefillRate
 }
--- a/core/grant/pacer_test.go
+++ b/core/grant/pacer_test.go
@@ -174,7 +174,7 @@
 		t.Errorf("a prompt without a prefill report changed the rate to %.0f", rate)
 	}
 	pa.reset()
-	if rate := pa.tokensPerSecond(); rate != defaultPrefillRate {
+	if rate := pa.tokensPerSecond(); rate != DefaultPrefillRate {
 		t.Errorf("the rate after a restart is %.0f tokens a second", rate)
 	}
 }
--- a/core/grant/plan.go
+++ b/core/grant/plan.go
@@ -76,7 +76,7 @@
 			return actions
 		}
 		rq := en.queue[ix]
-		rq.share.turnTaken(en.late(&rq, now))
+		rq.share.countGrant(en.late(&rq, now))
 		en.shares.charge(rq.share, rq.tokens())
 		en.drain.granted(rq.tokens())
 		en.removeQueued(ix, now)
--- a/core/grant/reports.go
+++ b/core/grant/reports.go
@@ -53,9 +53,9 @@
 	case pr.readThroughout && len(sp.paces) == 0:
 		sp.addReported(rateSample{pr.read, time.Duration(unclockedShare * float64(interval))}, now)
 	case pr.readThroughout:
-		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*usualEventTime}, now)
+		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*eventTimeAllowance}, now)
 	case pr.read >= speedSampleTokensMin && pr.events > 0 && sp.eventSamples > 0:
-		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*max(usualEventTime, sp.eventTime)}, now)
+		sp.addReported(rateSample{pr.read, interval - time.Duration(pr.events)*max(eventTimeAllowance, sp.eventTime)}, now)
 	}
 	return true
 }
--- a/core/grant/shares.go
+++ b/core/grant/shares.go
@@ -38,10 +38,10 @@
 	// behindSince since when it has had less, the zero time if it has not.
 	guaranteed  float64
 	behindSince time.Time
-	// turnsOwed is the number of grants that go to requests which can meet their goal before one that cannot is
+	// onTimeGrantsOwed is the number of grants that go to requests which can meet their goal before one that cannot is
 	// served shortly before its deadline.
-	turnsOwed int
-	idleSince time.Time
+	onTimeGrantsOwed int
+	idleSince        time.Time
 	// ready and urgency are set by countWork: the work of the requests that can be granted without an adapter load, and the
 	// highest urgency among them.
 	ready   work
--- a/core/grant/speed.go
+++ b/core/grant/speed.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// slowBelow and soundAbove are shares of defaultPrefillRate. An engine counts as slow once its measured rate is
+	// slowBelow and soundAbove are shares of DefaultPrefillRate. An engine counts as slow once its measured rate is
 	// below the first, and until it is above the second. Engines that are alike differ by less than that.
 	slowBelow  = 0.7
 	soundAbove = 0.8
@@ -30,9 +30,9 @@
 	reportIntervalMax = 1500 * time.Millisecond
 	// measureInterval is the time between inspections while requests run on an engine that reports them.
 	measureInterval = 200 * time.Millisecond
-	// usualEventTime is more than the time between two events of a stream on an engine of usual speed while no prompt
-	// is read, which is 17 to 30 ms. This much of the time between reports never counts as time for prompts.
-	usualEventTime = 40 * time.Millisecond
+	// eventTimeAllowance is more than the time between two events of a stream on an engine of usual speed while no prompt
+	// is read. This much of the time between reports never counts as time for prompts.
+	eventTimeAllowance = 40 * time.Millisecond
 	// unclockedShare is the share of the time between reports that counts as time for prompts while no stream runs all
 	// the time. The rest is for the decoding steps of the streams that began and ended.
 	unclockedShare = 0.7
@@ -68,7 +68,7 @@
 
 // share returns the sample's rate as a share of the default rate.
 func (rs rateSample) share() float64 {
-	return float64(rs.tokens) / max(rs.took, time.Millisecond).Seconds() / defaultPrefillRate
+	return float64(rs.tokens) / max(rs.took, time.Millisecond).Seconds() / DefaultPrefillRate
 }
 
 // speed measures how fast an engine prefills prompts and makes events, and decides whether it counts as slow. The
@@ -103,7 +103,7 @@
 // measured returns the measured values.
 func (sp *speed) measured() Speed {
 	return Speed{
-		Slow: sp.slow, PrefillRate: int(sp.meanShare() * defaultPrefillRate), EventTime: sp.eventTime,
+		Slow: sp.slow, PrefillRate: int(sp.meanShare() * DefaultPrefillRate), EventTime: sp.eventTime,
 		RateSamples: sp.rateSamples, EventSamples: sp.eventSamples,
 	}
 }
@@ -122,9 +122,9 @@
 // default rate otherwise.
 func (sp *speed) rate() float64 {
 	if !sp.slow {
-		return defaultPrefillRate
+		return DefaultPrefillRate
 	}
-	return min(1, max(shareMin, sp.meanShare())) * defaultPrefillRate
+	return min(1, max(shareMin, sp.meanShare())) * DefaultPrefillRate
 }
 
 // prefillTime returns the time that the engine needs to prefill tokens.
@@ -181,7 +181,7 @@
 	case !sp.slow && sp.eventSamples > slowSamples && share < verySlowBelow && took > slowEventTime:
 		sp.eventTime = usual
 		// As much slower as the events are, so are prompts.
-		sp.addReported(rateSample{int(share * defaultPrefillRate * interval.Seconds()), interval}, now)
+		sp.addReported(rateSample{int(share * DefaultPrefillRate * interval.Seconds()), interval}, now)
 		if sp.slow {
 			sp.eventTime = took
 		}
--- a/core/grant/speed_test.go
+++ b/core/grant/speed_test.go
@@ -453,13 +453,13 @@
 	dr := newDriver(t, 6, "x")
 	dr.reserve("a", "x", 0, false)
 	before := dr.en.Load(dr.now)
-	dr.en.setSlow(defaultPrefillRate/4, 80*time.Millisecond, dr.now)
-	dr.en.pacer.rescale(defaultPrefillRate, dr.now)
+	dr.en.setSlow(DefaultPrefillRate/4, 80*time.Millisecond, dr.now)
+	dr.en.pacer.rescale(DefaultPrefillRate, dr.now)
 	after := dr.en.Load(dr.now)
 	if before.PrefillRate != 0 || before.EventTime != 0 || before.Backlog == 0 {
 		t.Errorf("load of a sound engine: %+v", before)
 	}
-	if after.PrefillRate != defaultPrefillRate/4 || after.EventTime != 80*time.Millisecond || after.Backlog.Round(time.Millisecond) != (4*before.Backlog).Round(time.Millisecond) {
+	if after.PrefillRate != DefaultPrefillRate/4 || after.EventTime != 80*time.Millisecond || after.Backlog.Round(time.Millisecond) != (4*before.Backlog).Round(time.Millisecond) {
 		t.Errorf("load of a slow engine: %+v, backlog before %s", after, before.Backlog)
 	}
 }
--- a/core/spread/speed.go
+++ b/core/spread/speed.go
@@ -7,11 +7,9 @@
 )
 
 const (
-	// usualPrefillRate is the number of prompt tokens that an engine of usual speed prefills in a second: the
-	// rate that grant.PrefillTime assumes.
-	usualPrefillRate = 17_000.0
-	// usualEventTime is the time between two events of a stream on an engine of usual speed; engines of usual
-	// speed were measured at 17 to 30 ms.
+	// usualPrefillRate is the number of prompt tokens that an engine of usual speed prefills in a second.
+	usualPrefillRate = grant.DefaultPrefillRate
+	// usualEventTime is the longest usual time between two events of a stream on an engine of usual speed.
 	usualEventTime = 30 * time.Millisecond
 	// slownessMax bounds how slow an engine is taken to be, so that a wrong report gives a finite wait.
 	slownessMax = 32.0
--- a/entry/direct/quotas.go
+++ b/entry/direct/quotas.go
@@ -66,25 +66,6 @@
 	return &quotas{no: no, parts: map[string]*quotaPart{}, names: map[string]bool{}}
 }
 
-// setHosts makes the list of the hosts from which keepers are chosen. The caller must hold as.mu.
-func (as *agents) setHosts() {
-	same := len(as.hosts) == len(as.servers)
-	for _, host := range as.hosts {
-		if _, ok := as.servers[host]; !ok {
-			same = false
-		}
-	}
-	if same {
-		return
-	}
-	hosts := make([]string, 0, len(as.servers))
-	for host := range as.servers {
-		hosts = append(hosts, host)
-	}
-	as.hosts = hosts
-	as.hostsNumber++
-}
-
 // quotaUnits returns the number of units that the request counts as.
 func (rq *request) quotaUnits() int64 {
 	if !rq.organisation.Quota.Tokens {
@@ -174,26 +155,6 @@
 	return fault.New(fault.RateLimited, "the organisation has used up its quota", "send it again after the time in Retry-After").WithRetryAfter(de.Wait)
 }
 
-// quotaKeeper returns the connection to the agent that keeps the account of an organisation, or nil if that one cannot
-// be asked. The caller must hold qs.mu; as.mu is taken after it.
-func (as *agents) quotaKeeper(organisation string, pa *quotaPart) *agentConn {
-	as.mu.Lock()
-	defer as.mu.Unlock()
-	if pa.hostsNumber != as.hostsNumber {
-		pa.keeper, pa.hostsNumber = quota.Keeper(organisation, as.hosts), as.hostsNumber
-	}
-	return as.keeperAt(pa.keeper)
-}
-
-// keeperAt returns the connection to the agent on a host, or nil if it does not respond or keeps no quotas. The caller must
-// hold as.mu.
-func (as *agents) keeperAt(host string) *agentConn {
-	if ac := as.working(host); ac != nil && ac.keepsQuotas {
-		return ac
-	}
-	return nil
-}
-
 // ask sends a query to the keeper and records the answer.
 func (qs *quotas) ask(ctx context.Context, organisation string, qu quota.Query) {
 	qs.mu.Lock()
@@ -225,35 +186,6 @@
 	}
 }
 
-// askQuota sends a query to an agent. It returns false if the agent has not answered in time. It waits also when the
-// caller leaves: others may wait for the answer.
-func (as *agents) askQuota(ctx context.Context, ac *agentConn, qq *wire.QuotaQuery) (quota.Answer, bool) {
-	gw := &grantWaiter{frames: make(chan *wire.Frame, 1)}
-	as.mu.Lock()
-	as.waiting[qq.Query] = gw
-	as.mu.Unlock()
-	defer func() {
-		as.mu.Lock()
-		defer as.mu.Unlock()
-		delete(as.waiting, qq.Query)
-	}()
-	if !ac.co.TrySend(&wire.Frame{QuotaQuery: qq}) {
-		return quota.Answer{}, false
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), agentAnswerTimeout)
-	defer cancel()
-	select {
-	case <-ctx.Done():
-		return quota.Answer{}, false
-	case fr := <-gw.frames:
-		an := fr.QuotaAnswer
-		if an == nil {
-			return quota.Answer{}, false
-		}
-		return quota.Answer{Amount: an.Amount, Wait: time.Duration(an.Wait) * time.Millisecond}, true
-	}
-}
-
 // makeChargedAttempt makes an attempt and records whether the request may have run, also if the answer breaks off with a
 // panic.
 func (rq *request) makeChargedAttempt(ctx context.Context, at *attempt) (result, bool) {
