Show that no entry node gets ready again where many versions are named

A starting node reads the newest records page by page within one time limit and begins anew after it.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -10,7 +10,7 @@
 )
 
 // scenarios maps the names of the cases to what plays them; it returns whether the rule was broken.
-var scenarios = map[string]func(sc *scene) (bool, error){"weights": playWeights, "settled": playSettled}
+var scenarios = map[string]func(sc *scene) (bool, error){"weights": playWeights, "settled": playSettled, "listing": playListing, "rolling": playRolling}
 
 // scene is what a case is played with.
 type scene struct {
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// pageMax is the most records that the platform's pages allow in an answer.
+const pageMax = 500
+
 // storeRecord is a record of a topic with keys. An empty value drops the key.
 type storeRecord struct {
 	key   string
@@ -19,8 +22,15 @@
 
 // Store is the platform's log, reduced to the topics with keys that the operator and the servers write.
 type Store struct {
-	mu      sync.Mutex
-	topics  map[string][]storeRecord
+	// Delay is how long each answer takes, on its way too; Page is the most records in an answer with the newest ones.
+	Delay time.Duration
+	Page  int
+
+	mu     sync.Mutex
+	topics map[string][]storeRecord
+	// newest maps the keys of each topic to the offsets of their newest records, keys holds those with a value, sorted.
+	newest  map[string]map[string]int
+	keys    map[string][]string
 	changed chan struct{}
 }
 
@@ -30,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &Store{topics: map[string][]storeRecord{}, changed: make(chan struct{})}
+	st := &Store{Page: pageMax, topics: map[string][]storeRecord{}, newest: map[string]map[string]int{}, keys: map[string][]string{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /bambooladder/log-newest", st.serveNewest)
 	mux.HandleFunc("GET /bambooladder/log-read", st.serveRead)
@@ -47,19 +57,38 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.topics[topic] = append(st.topics[topic], storeRecord{key, data})
+	st.index(topic, key, len(data) > 0)
 	close(st.changed)
 	st.changed = make(chan struct{})
 }
 
+// index notes the newest record of a key. The lock must be held.
+func (st *Store) index(topic, key string, present bool) {
+	if st.newest[topic] == nil {
+		st.newest[topic] = map[string]int{}
+	}
+	st.newest[topic][key] = len(st.topics[topic]) - 1
+	ix, found := slices.BinarySearch(st.keys[topic], key)
+	switch {
+	case present && !found:
+		st.keys[topic] = slices.Insert(st.keys[topic], ix, key)
+	case !present && found:
+		st.keys[topic] = slices.Delete(st.keys[topic], ix, ix+1)
+	}
+}
+
 // Version returns the newest version that the operator has named for a model or an adapter, at least one.
 func (st *Store) Version(model, adapter string) int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	newest := 1
-	for _, re := range st.topics["keyed.op"] {
+	key, newest := "version/"+model, 1
+	if adapter != "" {
+		key += "." + adapter
+	}
+	if offset, ok := st.newest["keyed.op"][key]; ok {
 		na := named{}
-		if re.key != "config" && json.Unmarshal(re.value, &na) == nil && na.Model == model && na.Adapter == adapter {
-			newest = max(newest, na.Version)
+		if json.Unmarshal(st.topics["keyed.op"][offset].value, &na) == nil {
+			newest = na.Version
 		}
 	}
 	return newest
@@ -79,27 +108,28 @@
 		Offset int    `json:"offset"`
 	}
 	topic, after := rq.URL.Query().Get("topic"), rq.URL.Query().Get("after")
+	time.Sleep(st.Delay)
 	st.mu.Lock()
-	newest := map[string]item{}
-	for ix, re := range st.topics[topic] {
-		newest[re.key] = item{re.key, re.value, ix}
+	keys := st.keys[topic]
+	ix, found := slices.BinarySearch(keys, after)
+	if found {
+		ix++
 	}
-	end := len(st.topics[topic])
-	st.mu.Unlock()
-	items := []item{}
-	for _, it := range newest {
-		if it.Key > after && len(it.Value) > 0 {
-			items = append(items, it)
-		}
+	page := keys[ix:min(len(keys), ix+st.Page)]
+	items, more, end := make([]item, 0, len(page)), ix+len(page) < len(keys), len(st.topics[topic])
+	for _, key := range page {
+		offset := st.newest[topic][key]
+		items = append(items, item{key, st.topics[topic][offset].value, offset})
 	}
-	slices.SortFunc(items, func(aa, bb item) int { return aa.Offset - bb.Offset })
-	_ = json.NewEncoder(wr).Encode(map[string]any{"items": items, "more": false, "end": end})
+	st.mu.Unlock()
+	_ = json.NewEncoder(wr).Encode(map[string]any{"items": items, "more": more, "end": end})
 }
 
 func (st *Store) serveRead(wr http.ResponseWriter, rq *http.Request) {
 	query := rq.URL.Query()
 	from, _ := strconv.Atoi(query.Get("from"))
 	millis, _ := strconv.Atoi(query.Get("wait_ms"))
+	time.Sleep(st.Delay)
 	timer := time.NewTimer(time.Duration(min(millis, 30_000)) * time.Millisecond)
 	defer timer.Stop()
 	for {
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -242,9 +242,9 @@
 }
 
 // Configure writes a manifest.
-func (sy *System) Configure(version int, route map[string]any) {
+func (sy *System) Configure(version int, routes ...map[string]any) {
 	sy.Store.Put("keyed.op", "config", map[string]any{
-		"version": version, "routes": []any{route},
+		"version": version, "routes": routes,
 		"services": []any{map[string]any{
 			"name": serviceName, "health_path": "/health", "max_conns": 360, "engine": map[string]any{
 				"slots": sy.Engines[0].Slots, "kv_capacity": memoryTokens, "weights_mb": 75000, "adapter_slots": sy.Engines[0].AdapterSlots,
