Take no reset that the upload has met for the end of an answer

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as the whole answer (MIXED).

Cause: the kernel reports a reset once. The upload is written beside the reading of the answer; if the write meets the reset, the read that follows returns 0, an orderly end, by which an answer without a length is whole.

Change: core/reply.Conn keeps the error of a write. A read that gets io.EOF first ends the write in progress, as its server sends nothing more, and returns that error instead. A broken pipe is none: the kernel reports it for a reset that follows an orderly end, whose answer is whole. All that reads answers uses such connections: entry nodes from backend servers, the log, the list of hosts and peers; agents from engines and services, inspections and orders; ctl.

Whole before and after: early answers with a length, in chunks and without either, from servers that read on, stop reading or close; and refusals with a length from servers that close at once.

The simulated network's deadline of writes now ends the write in progress, as that of real connections does.

--- a/agent/internal/client/once_test.go
+++ b/agent/internal/client/once_test.go
@@ -40,7 +40,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}))
-		cl := NewClient(&http.Client{Transport: &http.Transport{}}, sv.URL)
+		cl := NewClient(&http.Transport{}, sv.URL)
 		for range 2 {
 			resp, err := cl.Forward(context.Background(), &wire.Dispatch{Attempt: "first", Method: http.MethodGet, Path: "/sound"}, "")
 			if err != nil {
@@ -114,7 +114,7 @@
 			}
 			first := rejection(requestIDHeader + ": first\r\n")
 			own := "HTTP/1.1 200 OK\r\n" + requestIDHeader + ": second\r\nContent-Length: 0\r\n\r\n"
-			cl := NewClient(&http.Client{Transport: &http.Transport{}}, serveOnce(t, first, rejection(id)+own))
+			cl := NewClient(&http.Transport{}, serveOnce(t, first, rejection(id)+own))
 			resp, err := cl.Forward(t.Context(), &wire.Dispatch{Attempt: "named", Method: http.MethodPost, Path: "/", Body: []byte("{}")}, handle)
 			if err != nil {
 				t.Fatal(err)
@@ -168,7 +168,7 @@
 		"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
 	} {
 		cut := 0
-		cl := NewClient(&http.Client{Transport: &http.Transport{}}, serveAndClose(t, func() string { return head[:cut] }))
+		cl := NewClient(&http.Transport{}, serveAndClose(t, func() string { return head[:cut] }))
 		for ; cut <= len(head); cut++ {
 			di := &wire.Dispatch{Attempt: "a", Method: http.MethodPost, Path: "/", Body: []byte("{}")}
 			resp, err := cl.Forward(t.Context(), di, "")
@@ -236,7 +236,7 @@
 	for name, handle := range map[string]string{"service": "", "engine": "cure@1#boot-1"} {
 		for _, ls := range []*lateServer{{true, "200 OK", atomic.Int64{}}, {true, "503 Full", atomic.Int64{}}, {false, "200 OK", atomic.Int64{}}, {false, "503 Full", atomic.Int64{}}} {
 			t.Run(fmt.Sprintf("%s, %s, named %t", name, ls.status, ls.named), func(t *testing.T) {
-				cl := NewClient(&http.Client{Transport: &http.Transport{}}, ls.serve(t))
+				cl := NewClient(&http.Transport{}, ls.serve(t))
 				for number := range 6 {
 					di := &wire.Dispatch{Attempt: fmt.Sprint("attempt-", number), Method: http.MethodPost, Path: "/", Body: []byte("{}")}
 					resp, err := cl.Forward(t.Context(), di, handle)
@@ -267,7 +267,7 @@
 				wr.Header().Set(requestIDHeader, rq.Header.Get(requestIDHeader))
 			}
 		}))
-		cl := NewClient(&http.Client{Transport: &http.Transport{}}, sv.URL)
+		cl := NewClient(&http.Transport{}, sv.URL)
 		for number := range 20 {
 			resp, err := cl.Forward(t.Context(), &wire.Dispatch{Attempt: fmt.Sprint("attempt-", number), Method: http.MethodGet, Path: "/"}, "")
 			if err != nil {
--- a/agent/internal/client/orders.go
+++ b/agent/internal/client/orders.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/sched"
 )
 
@@ -68,9 +69,9 @@
 	repeatsIDs, leavesOutIDs atomic.Bool
 }
 
-// NewClient returns a client for a backend server's URL.
-func NewClient(hc *http.Client, baseURL string) *Client {
-	return &Client{http: hc, baseURL: baseURL}
+// NewClient returns a client for a backend server's URL, which alone may use the transport.
+func NewClient(tr *http.Transport, baseURL string) *Client {
+	return &Client{http: reply.NewClient(tr), baseURL: baseURL}
 }
 
 // BaseURL returns the backend server's URL.
--- a/agent/node/node.go
+++ b/agent/node/node.go
@@ -66,11 +66,8 @@
 
 // newClient returns the client of the backend server.
 func newClient(op Options) *client.Client {
-	tr := &http.Transport{
-		DialContext: op.Network.DialContext, MaxIdleConnsPerHost: idleConnsMax, DisableCompression: true,
-		MaxResponseHeaderBytes: conf.HeadBytesMax,
-	}
-	return client.NewClient(&http.Client{Transport: tr}, op.Settings.BackendURL)
+	tr := &http.Transport{DialContext: op.Network.DialContext, MaxIdleConnsPerHost: idleConnsMax, DisableCompression: true}
+	return client.NewClient(tr, op.Settings.BackendURL)
 }
 
 // newBroker returns a broker with a new boot ID, which begins with the name of the agent's host.
--- a/ctl/internal/remote/remote.go
+++ b/ctl/internal/remote/remote.go
@@ -12,6 +12,7 @@
 
 	"github.com/bambooladder/bambooladder/core/admin"
 	"github.com/bambooladder/bambooladder/core/fault"
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 const (
@@ -27,13 +28,14 @@
 
 // Client calls the administration API of one entry node.
 type Client struct {
+	http    *http.Client
 	baseURL string
 	token   string
 }
 
 // NewClient returns a client of the API at a base URL, which authenticates with a bearer token.
 func NewClient(baseURL, token string) *Client {
-	return &Client{baseURL: baseURL, token: token}
+	return &Client{http: reply.NewClient(&http.Transport{Proxy: http.ProxyFromEnvironment}), baseURL: baseURL, token: token}
 }
 
 // Settings returns the accepted settings and their revisions.
@@ -92,7 +94,7 @@
 	}
 	rq.Header.Set("Authorization", "Bearer "+cl.token)
 	rq.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(rq)
+	resp, err := cl.http.Do(rq)
 	if err != nil {
 		return fault.New(fault.Unavailable, "the entry node did not answer: "+err.Error(), "check --admin and that the node runs")
 	}
--- a/entry/direct/peers.go
+++ b/entry/direct/peers.go
@@ -12,10 +12,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/link"
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/reader"
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/roster"
 )
 
@@ -208,9 +208,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "direct: build request to peer")
 	}
-	hc := &http.Client{Transport: &http.Transport{
-		DialContext: no.options.Network.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conf.HeadBytesMax,
-	}}
+	hc := reply.NewClient(&http.Transport{DialContext: no.options.Network.DialContext, DisableKeepAlives: true})
 	resp, err := hc.Do(rq)
 	if err != nil {
 		return nil, errors.Wrap(err, "direct: request peer state")
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -97,8 +97,7 @@
 		// A server may answer before it has read the whole body.
 		go func() {
 			// The body is not copied.
-			parts := net.Buffers{head, rq.Body}
-			_, err := parts.WriteTo(co.nc)
+			_, err := co.nc.WriteParts(net.Buffers{head, rq.Body})
 			writeDone <- err
 		}()
 	}
--- a/entry/internal/pool/pool.go
+++ b/entry/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 const (
@@ -75,7 +76,7 @@
 type Conn struct {
 	po      *Pool
 	address string
-	nc      net.Conn
+	nc      *reply.Conn
 	hr      *headReader
 	br      *bufio.Reader
 	// Number identifies the connection among all of its pool.
@@ -108,11 +109,12 @@
 	if !ok {
 		return nil, ErrConnectionLimit
 	}
-	nc, err := po.dialer.DialContext(ctx, "tcp", address)
+	raw, err := po.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		po.release(address)
 		return nil, errors.Wrapf(err, "pool: dial %s", address)
 	}
+	nc := reply.NewConn(raw)
 	hr := &headReader{src: nc}
 	return &Conn{
 		po: po, address: address, Number: number, nc: nc, hr: hr, br: bufio.NewReaderSize(hr, readBufferBytes), idleTimeout: defaultIdleTimeout,
@@ -236,7 +238,7 @@
 	if co.br.Buffered() > 0 {
 		return false
 	}
-	if sc, ok := co.nc.(syscall.Conn); ok {
+	if sc, ok := co.nc.Conn.(syscall.Conn); ok {
 		return nothingToRead(sc)
 	}
 	return co.quiet()
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/link"
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/route"
 	"github.com/bambooladder/bambooladder/entry/internal/abort"
 	"github.com/bambooladder/bambooladder/entry/internal/admin"
@@ -93,10 +94,9 @@
 
 // newHTTPClient returns the HTTP client for requests to the platform and to peers.
 func newHTTPClient(op Options) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return reply.NewClient(&http.Transport{
 		DialContext: op.Network.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true,
-		MaxResponseHeaderBytes: conf.HeadBytesMax,
-	}}
+	})
 }
 
 // lockedRand is a random number generator that is safe for concurrent use.
--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -34,6 +34,8 @@
 	// hostileBlock is what an endless answer sends every hostilePause.
 	hostileBlock = 16 << 10
 	hostilePause = 10 * time.Millisecond
+	// hostileBodyBytes bounds the bodies of requests.
+	hostileBodyBytes = 16 << 20
 )
 
 // hostileAnswers are the ways in which servers misbehave.
@@ -116,10 +118,18 @@
 			Splits: []paths.Split{{Service: service, Weight: 1}},
 		}
 	}
-	return (&paths.Table{
-		Version: 1, Routes: []paths.Route{route("sound"), route("hostile"), route("long")},
-		Services: map[string]paths.Service{"sound": {Name: "sound"}, "hostile": {Name: "hostile"}, "long": {Name: "long"}},
-	}).Build()
+	ta := &paths.Table{Version: 1, Services: map[string]paths.Service{}, Limits: paths.Limits{BodyBytes: hostileBodyBytes}}
+	for _, service := range []string{"sound", "hostile", "long", "reset", "early"} {
+		ta.Routes = append(ta.Routes, route(service))
+		ta.Services[service] = paths.Service{Name: service}
+	}
+	for _, service := range []string{"reset-events", "early-events"} {
+		ro := route(service)
+		ro.Kind = paths.Stream
+		ta.Routes = append(ta.Routes, ro)
+		ta.Services[service] = paths.Service{Name: service}
+	}
+	return ta.Build()
 }
 
 // serve starts a server of a service that answers the first request of each connection.
--- a/proofs/network_test.go
+++ b/proofs/network_test.go
@@ -231,31 +231,36 @@
 	endOnce   sync.Once
 	// dropsData and dropsClose are shared by both ends.
 	dropsData, dropsClose *atomic.Bool
-	// writeTimer ends writes at their deadline by closing late; both are nil without one.
+	// writeTimer ends writes at their deadline by closing late. It is nil without one.
 	writeMu    sync.Mutex
 	writeTimer *time.Timer
 	late       chan struct{}
 }
 
-// SetWriteDeadline sets when writes fail that begin from now on, the zero time for never.
+// SetWriteDeadline sets when writes fail, also the one in progress, the zero time for never.
 func (co *conn) SetWriteDeadline(at time.Time) error {
+	late := co.writesLate()
 	co.writeMu.Lock()
 	defer co.writeMu.Unlock()
-	if co.writeTimer != nil {
-		co.writeTimer.Stop()
+	if co.writeTimer != nil && !co.writeTimer.Stop() {
+		// The deadline before has passed, or is about to.
+		co.late = make(chan struct{})
+		late = co.late
 	}
-	co.writeTimer, co.late = nil, nil
+	co.writeTimer = nil
 	if !at.IsZero() {
-		late := make(chan struct{})
-		co.late, co.writeTimer = late, time.AfterFunc(time.Until(at), func() { close(late) })
+		co.writeTimer = time.AfterFunc(time.Until(at), func() { close(late) })
 	}
 	return nil
 }
 
-// writesLate returns a channel that is closed at the deadline of writes, nil if there is none.
+// writesLate returns a channel that is closed at the deadline of writes.
 func (co *conn) writesLate() chan struct{} {
 	co.writeMu.Lock()
 	defer co.writeMu.Unlock()
+	if co.late == nil {
+		co.late = make(chan struct{})
+	}
 	return co.late
 }
 
