Take no answer whose status is none

Callers saw (shown here, after a report from another operator): a backend server in trouble sent an answer with the status 000, and the caller got it as an answer. - Product's own interface: as a 200 with that body, for calls; 101, 600 and 999 as they are. A repetition of a call got it from the log again. - Entry nodes that send requests themselves: 000, 001, 099 and 101 were taken for interim answers, so that the next head was read from the body: text that looks like an answer reached the caller as a 200.

Cause: nothing looked at the status but to compare it. The library reads any three characters that are a number; gin leaves out a status of 0, so that the default, 200, is sent; what is below 200 was skipped.

Evidence, before: 5 of 8 statuses failed in TestOwnAnswerWithAnInvalidStatusIsNotPassedOn, 8 of 8 in the same test of the direct way.

Change: core/reply names the statuses that are one, 200 to 599, and the interim ones, 100 to 199 without 101, as nothing asks for another protocol. Its HTTP client, by which all answers are read but those of the pool, fails with ErrInvalid and closes the connection, as the next answer may begin anywhere; the pool does the same. Entry nodes refuse frames and stored answers of earlier versions with such a status.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -16,6 +16,7 @@
 	"github.com/bambooladder/bambooladder/agent/internal/client"
 	"github.com/bambooladder/bambooladder/agent/internal/output"
 	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
@@ -35,6 +36,8 @@
 	reasonBackendLost  = "backend_lost"
 	reasonWrongAdapter = "wrong_adapter"
 	reasonOtherAnswer  = "other_answer"
+	// reasonInvalidAnswer means that what the backend server has sent is no answer.
+	reasonInvalidAnswer = "invalid_answer"
 	// reasonDeadline is also the reason if the attempt was stopped, as both end requestCtx.
 	reasonDeadline      = "deadline"
 	reasonEngineCrashed = "engine_crashed"
@@ -97,6 +100,8 @@
 		res.reason = reasonWrongAdapter
 	case errors.Is(err, client.ErrOtherAnswer):
 		res.reason = reasonOtherAnswer
+	case errors.Is(err, reply.ErrInvalid):
+		res.reason = reasonInvalidAnswer
 	case requestCtx.Err() != nil:
 		res.reason = reasonDeadline
 	}
--- a/core/reply/client.go
+++ b/core/reply/client.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/bambooladder/bambooladder/core/conf"
 )
 
 // NewClient returns an HTTP client with a transport, which must not be used otherwise. Its connections are those of this package,
-// and the heads that it reads have conf.HeadBytesMax bytes at most.
+// and the heads that it reads have conf.HeadBytesMax bytes at most. It fails with ErrInvalid if what comes is no answer.
 func NewClient(tr *http.Transport) *http.Client {
 	dial := tr.DialContext
 	if dial == nil {
@@ -23,5 +26,34 @@
 		}
 		return NewConn(nc), nil
 	}
-	return &http.Client{Transport: tr}
+	return &http.Client{Transport: &transport{tr}}
+}
+
+// transport checks the heads of the answers that it returns.
+type transport struct {
+	*http.Transport
+}
+
+// RoundTrip implements http.RoundTripper. A connection with an invalid head is closed: where the next answer begins is not known.
+func (tr *transport) RoundTrip(rq *http.Request) (*http.Response, error) {
+	nc := net.Conn(nil)
+	trace := &httptrace.ClientTrace{GotConn: func(gi httptrace.GotConnInfo) { nc = gi.Conn }}
+	resp, err := tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := check(resp); err != nil {
+		_ = resp.Body.Close()
+		_ = nc.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// check returns ErrInvalid unless an answer's head is one.
+func check(resp *http.Response) error {
+	if !IsFinal(resp.StatusCode) {
+		return errors.Wrapf(ErrInvalid, "status %q", resp.Status)
+	}
+	return nil
 }
--- a/entry/direct/peers_test.go
+++ b/entry/direct/peers_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/reply/fakes"
 )
 
 // loopback is the network of this host.
@@ -70,3 +71,18 @@
 		t.Errorf("peers in the order of versions %v", versions)
 	}
 }
+
+// A peer in trouble answers with a head that is none. Its state is not taken over.
+func TestStateOfAPeerWithAnInvalidHeadIsNotTakenOver(t *testing.T) {
+	data, err := cbor.Marshal(peerState{Epoch: 1, Table: &paths.Table{Version: 4}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fakes.ServeInvalid(t, string(data), func(address, answer string) {
+		no := newNode(Options{Settings: conf.DirectEntrySettings{Peers: []string{address}}, Network: &loopback{}, Logger: zerolog.Nop()})
+		defer no.cancel()
+		if ps, err := no.fetchPeerState(t.Context(), address); err == nil {
+			t.Errorf("%q: state %+v", answer, ps)
+		}
+	})
+}
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 const (
@@ -108,7 +110,7 @@
 		if err != nil {
 			return nil, &SendError{Written: true, Err: err}
 		}
-		if resp.StatusCode < http.StatusOK {
+		if reply.IsInterim(resp.StatusCode) {
 			continue
 		}
 		if !match(resp.Header) {
@@ -137,6 +139,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if !reply.IsInterim(resp.StatusCode) && !reply.IsFinal(resp.StatusCode) {
+		return nil, errors.Wrapf(ErrHeadInvalid, "status %q", resp.Status)
+	}
 	return resp, checkHead(head)
 }
 
--- a/entry/internal/pool/exchange_test.go
+++ b/entry/internal/pool/exchange_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/bambooladder/bambooladder/core/reply/fakes"
 )
 
 const (
@@ -163,3 +165,13 @@
 		})
 	}
 }
+
+// An answer with a status that is none is no interim answer either: its body must not be read as the head of the own one.
+func TestAnswersWithAnInvalidStatusAreInvalid(t *testing.T) {
+	for _, answer := range fakes.Invalid("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ntrouble") {
+		as := startServer(t, func(wr io.Writer) { _, _ = io.WriteString(wr, answer) })
+		if an, data, err := as.exchange(t, New(&net.Dialer{}, 0)); err == nil {
+			t.Errorf("%q: status %d, body %q", answer, an.Status, data)
+		}
+	}
+}
--- a/entry/internal/pool/head.go
+++ b/entry/internal/pool/head.go
@@ -15,8 +15,8 @@
 var (
 	// ErrHeadTooLong means that a server sent more than the bound before the end of a head.
 	ErrHeadTooLong = errors.New("pool: the head of the answer exceeds its bound; look at what the server sends")
-	// ErrHeadInvalid means that a head could be read in more than one way.
-	ErrHeadInvalid = errors.New("pool: the head of the answer is ambiguous; look at what the server sends")
+	// ErrHeadInvalid means that a head has no status, or could be read in more than one way.
+	ErrHeadInvalid = errors.New("pool: the head of the answer is invalid; look at what the server sends")
 )
 
 // headReader reads from a server and bounds what it reads while it waits for heads. Outside of heads it
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -10,6 +10,7 @@
 	"github.com/bambooladder/bambooladder/core/claim"
 	"github.com/bambooladder/bambooladder/core/fault"
 	"github.com/bambooladder/bambooladder/core/record"
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/wire"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
@@ -158,6 +159,9 @@
 		return fault.New(fault.Conflict, "the call ran, but its answer was too long to keep",
 			"look up its effect; do not send it again").WithOutcome(fault.Unknown)
 	}
+	if !reply.IsFinal(do.Status) {
+		return outcomeUnknownError("the call may have run, but what was kept of its answer is none")
+	}
 	if err := an.Head(do.Status, do.ContentType); err != nil {
 		return err
 	}
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/wire"
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
@@ -36,6 +37,8 @@
 	reasonOtherSoftware = "other_software"
 	// reasonNoStream means that an engine has answered with something else than a stream where one goes on.
 	reasonNoStream = "no_stream"
+	// reasonInvalidAnswer means that an answer has a status that is none.
+	reasonInvalidAnswer = "invalid_answer"
 
 	eventStreamType = "text/event-stream"
 
@@ -171,6 +174,8 @@
 		return result{}, false
 	}
 	switch {
+	case !reply.IsFinal(hd.Status):
+		return result{ending: interrupted, reason: reasonInvalidAnswer}, true
 	case re.begun && !isStream(hd):
 		return result{ending: interrupted, reason: reasonNoStream}, true
 	case re.begun && hd.Software != re.software:
--- /dev/null
+++ b/proofs/invalid_heads_test.go
@@ -0,0 +1,104 @@
+package proofs
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bambooladder/bambooladder/stand/engine"
+)
+
+// Statuses that are none, or not of an answer to any request here, with their reasons.
+var invalidStatuses = []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"}
+
+// answeredOK reports whether a caller got a success, or what looks like one.
+func answeredOK(status int, err error) bool {
+	return err == nil && (status < http.StatusBadRequest || status > 599)
+}
+
+// checkOwnHead sends a call that must not be repeated and chats, all of which are answered once with a head that is none, and
+// reports answers that the callers must not get. The text of the answer must not reach them.
+func checkOwnHead(t *testing.T, status, lines string) {
+	t.Helper()
+	for name, body := range map[string]string{"whole": `{"text":"trouble"}`, "an answer within": "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ntrouble", "empty": ""} {
+		sc, op := &ownScript{path: "/releases"}, smallSimulation()
+		op.front, op.engines = sc.front, 1
+		answer := ownRaw(status, lines, body)
+		if !strings.Contains(lines, "Length") {
+			answer = ownSized(status, lines, body)
+		}
+		runSimulation(t, op, func(t *testing.T, sm *simulation) {
+			sc.set(answer)
+			key := newIdempotencyKey()
+			for range 2 {
+				re := sm.postRelease("caller", entryName(0), key, `{"batch":1}`, 5*time.Second)
+				if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
+					t.Errorf("body %s, a call: status %d, %q, error %v", name, re.status, re.body, re.err)
+				}
+			}
+			if re := sm.postRelease("caller", entryName(0), newIdempotencyKey(), `{"batch":2}`, 5*time.Second); re.status != http.StatusCreated {
+				t.Errorf("the next call: status %d, error %v, %q", re.status, re.err, re.body)
+			}
+		})
+	}
+	for _, stream := range []bool{false, true} {
+		sc, op := &ownScript{}, smallSimulation()
+		op.front, op.retryPercent = sc.front, 100
+		runSimulation(t, op, func(t *testing.T, sm *simulation) {
+			text := `{"model":"HANDLE","choices":[{"message":{"content":"trouble"}}]}`
+			if stream {
+				text = "data: " + `{"model":"HANDLE","choices":[{"delta":{"content":"trouble"}}]}` + "\n\ndata: [DONE]\n\n"
+			}
+			sc.set(ownRaw(status, "Content-Type: "+map[bool]string{false: "application/json", true: "text/event-stream"}[stream]+"\r\n"+lines, text))
+			re := sm.sendChat("caller", entryName(0), ownModel, ownPrompt, ownCutTokens, stream, 9*time.Second)
+			got, complete := re.text()
+			whole := complete && got == engine.ExpectedText(ownModel, ownPrompt, ownCutTokens)
+			if answeredOK(re.status, re.err) && !whole || strings.Contains(re.body, "trouble") {
+				t.Errorf("a chat, stream %t: status %d, %q, error %v", stream, re.status, re.body, re.err)
+			}
+		})
+	}
+}
+
+// A backend server in trouble sends an answer whose status is none. Callers would get it as an answer.
+func TestOwnAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range invalidStatuses {
+		t.Run(status, func(t *testing.T) { checkOwnHead(t, status, "") })
+	}
+}
+
+// checkDirectHead sends requests of each kind that are answered with a head that is none, and reports answers that the callers
+// must not get, or get late.
+func checkDirectHead(t *testing.T, status, lines string) {
+	t.Helper()
+	for target, adapter := range map[string]string{"/safe/x": "", "/unsafe/x": "", "/once/x": "a1", "/stream/x": "a1"} {
+		for name, body := range map[string]string{"whole": "trouble", "an answer within": "HTTP/1.1 200 OK\r\nT-Id: id-1\r\nT-Seal: yes\r\nContent-Length: 7\r\n\r\ntrouble", "events": "id: 1\ndata: trouble\n\n", "empty": ""} {
+			runDirectSimulation(t, 2, 2, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				ds.setAllScripts(writeRaw(func(rq *http.Request) string {
+					if len(ds.allRequests()) > 1 {
+						return answerHead(rq, "500 Sound", "Content-Length: 0\r\n")
+					}
+					if strings.Contains(lines, "Length") || strings.Contains(lines, "Encoding") {
+						return answerHead(rq, status, lines) + body
+					}
+					return answerHead(rq, status, fmt.Sprintf("Content-Length: %d\r\n", len(body))+lines) + body
+				}))
+				re := cl.send(t.Context(), http.MethodPost, target, adapter, "body")
+				if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
+					t.Errorf("%s, body %s: status %d, %q, error %v", target, name, re.status, re.body, re.err)
+				}
+				if re.took > time.Second {
+					t.Errorf("%s, body %s: status %d after %v", target, name, re.status, re.took)
+				}
+			})
+		}
+	}
+}
+
+func TestDirectAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range invalidStatuses {
+		t.Run(status, func(t *testing.T) { checkDirectHead(t, status, "") })
+	}
+}
