Take no answer in whose head a name is none

Callers saw (shown here, after a report from another operator): a service sent a head with "Transfer-Encoding : chunked" or "Content-Length : 3", and the caller got a 200 whose body was the framing of the chunks, or all that came until the connection closed, also again from the log. A line such as "X-Trouble : 1" was ignored and the answer passed on.

Cause: the library's reader of heads accepts names with blanks, keeps them as they are, and so does not see what they say of the body's length. Entry nodes that send requests themselves checked the bytes of the head; agents, and all that is read of the log, the list of hosts, peers, reports, inspections and orders, did not.

Evidence, before: 4 of 13 lines, those with blanks, in TestOwnAnswerWithAnInvalidNameIsNotPassedOn, and the same ones in the tests of the agent's client, the platform's log and engine, the log and hosts of the product's own interface, both kinds of peers, and ctl. None of 13 in TestDirectAnswerWithAnInvalidNameIsNotPassedOn, which held already. Tabs, other control bytes and bytes above 127 were refused by the library.

Change: the HTTP client of core/reply refuses an answer with such a name as ErrInvalid, in interim heads too; the pool's check of the bytes uses the same rule. No sound head has such a name (TestClientReadsSoundHeads).

--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -2,12 +2,17 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// statusEnd is the first number beyond the statuses of the protocol.
-const statusEnd = 600
+const (
+	// statusEnd is the first number beyond the statuses of the protocol.
+	statusEnd = 600
+	// loggedBytesMax bounds what an error tells of a head.
+	loggedBytesMax = 40
+)
 
 // ErrInvalid means that a server has sent what is no answer in the protocol. Whether the request has run is not known.
 var ErrInvalid = errors.New("reply: what the server has sent is no answer; look at what it sends")
@@ -19,3 +24,27 @@
 func IsInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
+
+// IsName reports whether a name of a header field holds no blank and no other byte that a name must not hold. The library reads
+// names with blanks, and leaves out what they say of the length of a body.
+func IsName(name string) bool {
+	return name != "" && !strings.ContainsFunc(name, func(ch rune) bool { return ch <= ' ' || ch >= 0x7f || ch == ':' })
+}
+
+// checkNames returns ErrInvalid unless all names of a head are names.
+func checkNames(hd map[string][]string) error {
+	for name := range hd {
+		if !IsName(name) {
+			return errors.Wrapf(ErrInvalid, "header name %q", name[:min(len(name), loggedBytesMax)])
+		}
+	}
+	return nil
+}
+
+// check returns ErrInvalid unless an answer's head is one.
+func check(resp *http.Response) error {
+	if !IsFinal(resp.StatusCode) {
+		return errors.Wrapf(ErrInvalid, "status %q", resp.Status[:min(len(resp.Status), loggedBytesMax)])
+	}
+	return checkNames(resp.Header)
+}
--- a/core/reply/client.go
+++ b/core/reply/client.go
@@ -5,8 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-
-	"github.com/cockroachdb/errors"
+	"net/textproto"
 
 	"github.com/bambooladder/bambooladder/core/conf"
 )
@@ -37,7 +36,10 @@
 // RoundTrip implements http.RoundTripper. A connection with an invalid head is closed: where the next answer begins is not known.
 func (tr *transport) RoundTrip(rq *http.Request) (*http.Response, error) {
 	nc := net.Conn(nil)
-	trace := &httptrace.ClientTrace{GotConn: func(gi httptrace.GotConnInfo) { nc = gi.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(gi httptrace.GotConnInfo) { nc = gi.Conn },
+		Got1xxResponse: func(_ int, hd textproto.MIMEHeader) error { return checkNames(hd) },
+	}
 	resp, err := tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -49,11 +51,3 @@
 	}
 	return resp, nil
 }
-
-// check returns ErrInvalid unless an answer's head is one.
-func check(resp *http.Response) error {
-	if !IsFinal(resp.StatusCode) {
-		return errors.Wrapf(ErrInvalid, "status %q", resp.Status)
-	}
-	return nil
-}
--- a/core/reply/client_test.go
+++ b/core/reply/client_test.go
@@ -21,6 +21,16 @@
 	})
 }
 
+// The same for a head before the answer's own.
+func TestClientTakesNoAnswerAfterAnInvalidInterimHead(t *testing.T) {
+	answer := "HTTP/1.1 103 Early Hints\r\nContent-Length : 3\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ntrouble"
+	resp, err := NewClient(&http.Transport{}).Get("http://" + fakes.Serve(t, fakes.Send(answer, fakes.Close)))
+	if err == nil {
+		_ = resp.Body.Close()
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // What follows an invalid head on its connection must not be read as the answer to the next request.
 func TestClientUsesNoConnectionAfterAnInvalidHead(t *testing.T) {
 	conns := map[string]bool{}
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -140,7 +140,7 @@
 		return nil, err
 	}
 	if !reply.IsInterim(resp.StatusCode) && !reply.IsFinal(resp.StatusCode) {
-		return nil, errors.Wrapf(ErrHeadInvalid, "status %q", resp.Status)
+		return nil, errors.Wrapf(ErrHeadInvalid, "status %d", resp.StatusCode)
 	}
 	return resp, checkHead(head)
 }
--- a/entry/internal/pool/head.go
+++ b/entry/internal/pool/head.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 // keptHeadBytes is the capacity up to which a connection keeps its buffer for heads.
@@ -73,7 +75,7 @@
 		line, rest, _ := bytes.Cut(lines, []byte("\n"))
 		lines = rest
 		name, _, found := bytes.Cut(line, []byte(":"))
-		if found && bytes.ContainsAny(name, " \t") || len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+		if found && !reply.IsName(string(name)) || len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
 			return errors.Wrapf(ErrHeadInvalid, "header line %q", line[:min(len(line), 40)])
 		}
 		length = length || strings.EqualFold(string(name), "Content-Length")
--- a/proofs/invalid_heads_test.go
+++ b/proofs/invalid_heads_test.go
@@ -13,6 +13,12 @@
 // Statuses that are none, or not of an answer to any request here, with their reasons.
 var invalidStatuses = []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"}
 
+// Header lines whose names are none, which are between sound ones.
+var invalidNames = []string{
+	"X Trouble: 1", "X-Trouble : 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content-Length\t: 3", "X\tTrouble: 1", "X-\x01Trouble: 1",
+	"X-Trouble\x00: 1", "X-\x7fTrouble: 1", "X-\rTrouble: 1", "\x0bContent-Length: 3", "X-\x80Trouble: 1", ": 1",
+}
+
 // answeredOK reports whether a caller got a success, or what looks like one.
 func answeredOK(status int, err error) bool {
 	return err == nil && (status < http.StatusBadRequest || status > 599)
@@ -69,6 +75,14 @@
 	}
 }
 
+// A backend server in trouble sends a head with a name that is none. Callers would get a body that is framed in another way, or
+// is followed by what belongs to no answer.
+func TestOwnAnswerWithAnInvalidNameIsNotPassedOn(t *testing.T) {
+	for _, line := range invalidNames {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkOwnHead(t, "200 OK", "Server: s\r\n"+line+"\r\nVia: v\r\n") })
+	}
+}
+
 // checkDirectHead sends requests of each kind that are answered with a head that is none, and reports answers that the callers
 // must not get, or get late.
 func checkDirectHead(t *testing.T, status, lines string) {
@@ -102,3 +116,9 @@
 		t.Run(status, func(t *testing.T) { checkDirectHead(t, status, "") })
 	}
 }
+
+func TestDirectAnswerWithAnInvalidNameIsNotPassedOn(t *testing.T) {
+	for _, line := range invalidNames {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkDirectHead(t, "200 OK", "Server: s\r\n"+line+"\r\nVia: v\r\n") })
+	}
+}
