Bound what an agent holds of all answers of its engine

Its agent holds up to 16 MiB of each before it gives up, and a line of a stream up to 1 MiB, and nothing bounds the sum: where many requests run, the process runs out of memory, and the requests of all callers at that backend server end with it.

Change: beyond 64 KiB each, the agent holds 64 MiB of all answers that it must have whole before it passes them on. Where there is no more room, the longest one that is still arriving ends (answer_not_held); answers that hold less, and those that have arrived whole, keep theirs. So whole answers are held beside any number without an end (TestEndlessAnswersTakeNoRoomFromWholeOnes), and a single one may still have 16 MiB.

--- a/agent/internal/broker/broker.go
+++ b/agent/internal/broker/broker.go
@@ -62,6 +62,8 @@
 	// holds the requests and answers of the accepted ones.
 	ta       *runs.Table
 	attempts map[string]*attempt
+	// held counts what the requests at the engine hold of their answers. They use it in goroutines of their own.
+	held holdings
 	// sessions maps each connection to the number of Dispatch frames received on it.
 	sessions map[Session]uint64
 
--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -38,6 +38,8 @@
 	reasonOtherAnswer  = "other_answer"
 	// reasonInvalidAnswer means that what the backend server has sent is no answer.
 	reasonInvalidAnswer = "invalid_answer"
+	// reasonNotHeld means that the agent had no room for so long an answer.
+	reasonNotHeld = "answer_not_held"
 	// reasonDeadline is also the reason if the attempt was stopped, as both end requestCtx.
 	reasonDeadline      = "deadline"
 	reasonEngineCrashed = "engine_crashed"
@@ -59,6 +61,9 @@
 	out    *output.Output
 	// boot identifies the engine process as of the time when the request was forwarded.
 	boot string
+	// held counts what the agent holds of all answers, ho what it holds of this one.
+	held *holdings
+	ho   *holding
 }
 
 // run forwards the request, sends the answer to the entry node and returns how it ended. The request
@@ -66,6 +71,8 @@
 // after that runs in ctx.
 func (fw *forwarding) run(requestCtx, ctx context.Context) *forwardResult {
 	res := &forwardResult{attempt: fw.di.Attempt, handle: fw.handle, outcome: answered, reason: "whole"}
+	fw.ho, requestCtx = fw.held.open(requestCtx)
+	defer fw.ho.release()
 	resp, err := fw.cl.Forward(requestCtx, fw.di, fw.handle)
 	if err != nil {
 		return fw.handleFailure(requestCtx, ctx, res, err)
@@ -102,6 +109,8 @@
 		res.reason = reasonOtherAnswer
 	case errors.Is(err, reply.ErrInvalid):
 		res.reason = reasonInvalidAnswer
+	case errors.Is(err, errNotHeld), errors.Is(context.Cause(requestCtx), errNotHeld):
+		res.reason = reasonNotHeld
 	case requestCtx.Err() != nil:
 		res.reason = reasonDeadline
 	}
@@ -184,7 +193,7 @@
 // sendJSON sends a JSON answer with the adapter's name and version instead of its
 // handle.
 func (fw *forwarding) sendJSON(ctx context.Context, resp *http.Response, contentType string) error {
-	data, err := readWhole(resp.Body, answerBytesMax)
+	data, err := fw.ho.readWhole(resp.Body, answerBytesMax)
 	if err != nil {
 		return err
 	}
@@ -197,24 +206,12 @@
 	return fw.out.Finish(ctx, data)
 }
 
-// readWhole reads a body. It fails if the body has more than the given number of bytes, as a part of it must
-// not pass for the whole.
-func readWhole(rd io.Reader, bytesMax int) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(rd, int64(bytesMax)+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "broker: read answer")
-	}
-	if len(data) > bytesMax {
-		return nil, errors.Newf("broker: the answer has more than %d bytes; look at what the server sends", bytesMax)
-	}
-	return data, nil
-}
-
 // sendEvents sends the events of a stream, each with the adapter's name and version instead of its
 // handle. A stream without an event answers nothing, neither from the start nor where one goes on.
 func (fw *forwarding) sendEvents(ctx context.Context, resp *http.Response) error {
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, lineBufferBytes), lineBytesMax)
+	lines.Split(fw.splitLines)
 	first := true
 	for lines.Scan() {
 		data, err := eventData(lines.Bytes())
@@ -248,6 +245,15 @@
 	return errors.New("broker: the stream ended before its last event")
 }
 
+// splitLines splits a stream into lines. A line that goes on needs room for a buffer of twice the size.
+func (fw *forwarding) splitLines(data []byte, atEOF bool) (int, []byte, error) {
+	advance, line, err := bufio.ScanLines(data, atEOF)
+	if advance == 0 && line == nil && err == nil && !fw.ho.grow(max(lineBufferBytes, 2*len(data))) {
+		return 0, nil, errNotHeld
+	}
+	return advance, line, err
+}
+
 // eventData returns the data of a line of an event stream, nil if it has none: an empty line, a comment or another field.
 // Any other line is no part of a stream, so what follows it is none either.
 func eventData(line []byte) ([]byte, error) {
