Bound what an entry node buffers of all answers

On the product's own interface an entry node buffers up to 1 MiB of each until it is complete, and nothing bounds the sum: with enough requests the process runs out of memory, and those of other callers end with it.

--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -13,8 +13,6 @@
 )
 
 const (
-	// maxBufferedBytes is the maximum size of an answer that is buffered until it is complete.
-	maxBufferedBytes = 1 << 20
 	// writeTimeout is the timeout of each write to the caller.
 	writeTimeout = 30 * time.Second
 
@@ -24,8 +22,8 @@
 )
 
 // answer writes the response to a caller. An event stream is sent part by part. Any other answer is
-// buffered until it is complete or longer than maxBufferedBytes, so that a failed attempt can still
-// be retried.
+// buffered until it is complete or there is no more room for it, so that a failed attempt can still
+// be retried. It must be released.
 type answer struct {
 	wr     http.ResponseWriter
 	rc     *http.ResponseController
@@ -34,7 +32,7 @@
 	status      int
 	contentType string
 	// buffer has the parts that are not sent yet.
-	buffer bytes.Buffer
+	buffer buffer
 	// statusSent is true once the status is sent to the caller.
 	statusSent bool
 	// tokens is the number of events with generated text that were sent in an event stream. Each
@@ -47,12 +45,15 @@
 	resumed bool
 }
 
-// newAnswer returns the answer to a request. stream is true if the caller asked for an event
+// newAnswer returns the answer to a request, whose buffer is one of all. stream is true if the caller asked for an event
 // stream.
-func newAnswer(wr http.ResponseWriter, stream bool) *answer {
-	return &answer{wr: wr, rc: http.NewResponseController(wr), stream: stream}
+func newAnswer(wr http.ResponseWriter, stream bool, all *buffers) *answer {
+	return &answer{wr: wr, rc: http.NewResponseController(wr), stream: stream, buffer: buffer{all: all}}
 }
 
+// release gives the memory of the answer back.
+func (an *answer) release() { an.buffer.reset() }
+
 // Head sets the status and the content type. It has no effect once the status is sent: a later
 // attempt then continues the same answer.
 func (an *answer) Head(status int, contentType string) error {
@@ -88,11 +89,9 @@
 	an.uncounted = an.uncounted || !ev.counted
 }
 
-// bufferOrSend buffers a part. If the answer gets longer than maxBufferedBytes, it sends the buffer
-// and the part instead.
+// bufferOrSend buffers a part. If there is no room for it, it sends the buffer and the part instead.
 func (an *answer) bufferOrSend(data []byte) error {
-	if !an.statusSent && an.buffer.Len()+len(data) <= maxBufferedBytes {
-		an.buffer.Write(data)
+	if !an.statusSent && an.buffer.add(data) {
 		return nil
 	}
 	if err := an.sendBuffer(); err != nil {
@@ -103,12 +102,11 @@
 
 // sendBuffer sends the buffered parts.
 func (an *answer) sendBuffer() error {
-	if an.buffer.Len() == 0 {
+	if len(an.buffer.data) == 0 {
 		return nil
 	}
-	data := bytes.Clone(an.buffer.Bytes())
-	an.buffer.Reset()
-	return an.send(data)
+	defer an.buffer.reset()
+	return an.send(an.buffer.data)
 }
 
 // send writes data to the caller and flushes it. It fails if the caller reads too slowly.
@@ -149,7 +147,7 @@
 func (an *answer) TokensSent() int { return an.tokens }
 
 // Reset discards the buffered parts.
-func (an *answer) Reset() { an.buffer.Reset() }
+func (an *answer) Reset() { an.buffer.reset() }
 
 // Finish completes the answer by sending the status and the buffered parts if they are not sent
 // yet.
@@ -164,10 +162,10 @@
 // Kept returns the status, the content type and the body of the answer. It returns no body and
 // false if a part was sent already or the body is longer than the limit.
 func (an *answer) Kept(limit int) (int, string, []byte, bool) {
-	if an.statusSent || an.buffer.Len() > limit {
+	if an.statusSent || len(an.buffer.data) > limit {
 		return an.status, an.contentType, nil, false
 	}
-	return an.status, an.contentType, bytes.Clone(an.buffer.Bytes()), true
+	return an.status, an.contentType, bytes.Clone(an.buffer.data), true
 }
 
 // abort breaks off the answer to a request that was partly sent and cannot be completed, so that
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -69,6 +69,8 @@
 	op Options
 	// memory is what the node may hold of bodies.
 	memory memory.Budget
+	// buffers counts the buffers of answers.
+	buffers buffers
 
 	// mu protects teams.
 	mu    sync.Mutex
--- a/entry/internal/caller/completion.go
+++ b/entry/internal/caller/completion.go
@@ -36,11 +36,12 @@
 		ho.Linger(gc.Writer, gc.Request)
 		return
 	}
-	ca.runRequest(gc, vi.Tree.Teams[own.Team], rq, newAnswer(gc.Writer, rq.Stream))
+	ca.runRequest(gc, vi.Tree.Teams[own.Team], rq, newAnswer(gc.Writer, rq.Stream, &ca.buffers))
 }
 
 // runRequest admits a request, runs it and answers it.
 func (ca *Caller) runRequest(gc *gin.Context, te conf.Team, rq *relay.Request, an *answer) {
+	defer an.release()
 	release, err := ca.admit(rq.Team, te.Limits)
 	if err != nil {
 		ca.abortWithError(gc, err)
--- a/entry/internal/caller/service.go
+++ b/entry/internal/caller/service.go
@@ -27,7 +27,7 @@
 		ho.Linger(gc.Writer, gc.Request)
 		return
 	}
-	ca.runRequest(gc, vi.Tree.Teams[own.Team], rq, newAnswer(gc.Writer, false))
+	ca.runRequest(gc, vi.Tree.Teams[own.Team], rq, newAnswer(gc.Writer, false, &ca.buffers))
 }
 
 // parseServiceCall reads and validates a call to a plain service.
