Bound what a node holds of all reads of the log

A node of the product's own interface reads some twenty streams at the same time and keeps up to 64 MiB of each in a buffer that doubles: the process runs out of memory, and requests end with it.

Change: core/reply.Room bounds the bodies that are read at the same time, 128 MiB for the reads of a node. A read without room fails like any other and is repeated after a pause, so that others go on; a single page may still have 64 MiB. The list of hosts is read in the same way. What is not of interest of a response is read up to 1 MiB instead of 64.

--- a/entry/internal/plat/hosts.go
+++ b/entry/internal/plat/hosts.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/bambooladder/bambooladder/core/member"
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 // loggedBytesMax bounds what is logged of a host that cannot be read.
@@ -31,6 +31,7 @@
 	http    *http.Client
 	baseURL string
 	lg      zerolog.Logger
+	room    reply.Room
 }
 
 // NewHosts returns a client of the host list at a base URL.
@@ -64,7 +65,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("plat: host list returned status %d", resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := hs.room.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "plat: read host list")
 	}
--- a/entry/internal/plat/invalid_test.go
+++ b/entry/internal/plat/invalid_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -27,3 +29,42 @@
 		}
 	})
 }
+
+const (
+	// streamCount is more streams than a node reads at the same time.
+	streamCount = 24
+	// heapSlack is what connections and goroutines take beside bodies, in bytes.
+	heapSlack = 32 << 20
+)
+
+// The log sends what has no end to each of the reads of a node. All of them must fail, and hold no more than there is room for.
+func TestEndlessAnswersOfTheLogHoldBoundedMemory(t *testing.T) {
+	for name, text := range map[string]string{
+		"a head":        "HTTP/1.1 200 OK\r\nA: ",
+		"a string":      "HTTP/1.1 200 OK\r\n\r\n{\"records\":[{\"data\":\"",
+		"no JSON":       "HTTP/1.1 200 OK\r\n\r\n",
+		"an other code": "HTTP/1.1 410 Gone\r\n\r\n{\"records\":[{\"data\":\"",
+	} {
+		hc, url := reply.NewClient(&http.Transport{}), "http://"+fakes.Serve(t, fakes.Endless(text, "e"))
+		lo := NewLog(hc, url)
+		peak := fakes.PeakHeap(func() {
+			wg := sync.WaitGroup{}
+			for range streamCount {
+				wg.Go(func() {
+					if _, err := lo.Read(t.Context(), "s", 0, 3*time.Second); err == nil || errors.Is(err, ErrExpired) {
+						t.Errorf("%s without an end: error %v", name, err)
+					}
+				})
+			}
+			wg.Wait()
+		})
+		// The collector lets as much again be there that is not held any more.
+		if want := int64(2*maxAllReadBytes + heapSlack); peak > want {
+			t.Errorf("%s without an end, %d times: %d MiB, want at most %d", name, streamCount, peak>>20, want>>20)
+		}
+		t.Logf("%s: %d MiB", name, peak>>20)
+		if list, err := NewHosts(hc, url, zerolog.Nop()).List(t.Context()); err == nil {
+			t.Errorf("%s without an end: hosts %v", name, list)
+		}
+	}
+}
--- a/entry/internal/plat/log.go
+++ b/entry/internal/plat/log.go
@@ -13,13 +13,18 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooladder/bambooladder/core/record"
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 const (
 	appendTimeout = 2 * time.Second
 	// readTimeout limits a read, in addition to the time for which the log waits for a record.
 	readTimeout = 1500 * time.Millisecond
-	// maxResponseBytes is the maximum size of a response body. The rest is not read.
+	// maxDrainBytes limits what is read of a response that is not of interest.
+	maxDrainBytes = 1 << 20
+	// maxAllReadBytes bounds what is held of all pages that are being read at the same time.
+	maxAllReadBytes = 128 << 20
+	// maxResponseBytes is the maximum size of a response body. A longer one is an error.
 	maxResponseBytes = 64 << 20
 )
 
@@ -45,11 +50,13 @@
 type Log struct {
 	http    *http.Client
 	baseURL string
+	// room bounds what is held of the pages that are being read at the same time.
+	room reply.Room
 }
 
 // NewLog returns a client of the log at a base URL.
 func NewLog(hc *http.Client, baseURL string) *Log {
-	return &Log{http: hc, baseURL: baseURL}
+	return &Log{http: hc, baseURL: baseURL, room: reply.Room{BytesMax: maxAllReadBytes}}
 }
 
 // logRecord is one record in the response to a read.
@@ -112,8 +119,12 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
 		return Page{}, errors.Newf("plat: read returned status %d", resp.StatusCode)
 	}
+	data, err := lo.room.ReadAll(resp.Body, maxResponseBytes)
+	if err != nil {
+		return Page{}, errors.Wrap(err, "plat: read page")
+	}
 	lp := logPage{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&lp); err != nil {
+	if err := json.Unmarshal(data, &lp); err != nil {
 		return Page{}, errors.Wrap(err, "plat: decode page")
 	}
 	page := Page{First: lp.First, Next: lp.Next, LogRecords: make([]record.LogRecord, 0, len(lp.Records))}
@@ -126,9 +137,9 @@
 	return page, nil
 }
 
-// drainAndClose reads the rest of a response, up to maxResponseBytes, and closes its body, so that
+// drainAndClose reads the rest of a response, up to maxDrainBytes, and closes its body, so that
 // the connection can be reused.
 func drainAndClose(resp *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDrainBytes))
 	_ = resp.Body.Close()
 }
