Bound what a node holds of all its peers' answers

The process runs out of memory, and requests end with it.

Change: the answers of peers share a room of 128 MiB. A peer whose answer has no room counts as not reachable; a single one may still have 64 MiB.

--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,12 +11,14 @@
 	"github.com/bambooladder/bambooladder/core/admin"
 	"github.com/bambooladder/bambooladder/core/member"
 	"github.com/bambooladder/bambooladder/core/record"
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 const (
 	requestTimeout = 2 * time.Second
-	// maxResponseBytes limits a response body. A longer one is cut off and fails to decode.
+	// maxResponseBytes limits a response body, maxAllReadBytes what is held of all that are being read at the same time.
 	maxResponseBytes = 64 << 20
+	maxAllReadBytes  = 128 << 20
 	// maxPeersAsked is the maximum number of peers that one call of LatestImage asks, one after
 	// another.
 	maxPeersAsked = 3
@@ -40,11 +41,13 @@
 	self string
 	// random returns random numbers in [0, 1).
 	random func() float64
+	// room bounds what is held of the responses that are being read at the same time.
+	room reply.Room
 }
 
 // NewPeers returns a client of the entry nodes in a directory, except the node named self.
 func NewPeers(hc *http.Client, di Directory, self string, random func() float64) *Peers {
-	return &Peers{http: hc, dir: di, self: self, random: random}
+	return &Peers{http: hc, dir: di, self: self, random: random, room: reply.Room{BytesMax: maxAllReadBytes}}
 }
 
 // others returns the entry nodes in the directory, except this one.
@@ -127,6 +130,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("peers: %s returned status %d", ho.Name, resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := pe.room.ReadAll(resp.Body, maxResponseBytes)
 	return data, errors.Wrapf(err, "peers: read response from %s", ho.Name)
 }
--- a/entry/internal/peers/peers_test.go
+++ b/entry/internal/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -35,3 +36,44 @@
 	fakes.ServeInvalid(t, string(data), read)
 	fakes.ServeInvalid(t, `{"name":"peer","revision":7}`, read)
 }
+
+const (
+	// peerCount is a usual number of entry nodes.
+	peerCount = 20
+	// heapSlack is what connections and goroutines take beside bodies, in bytes.
+	heapSlack = 32 << 20
+)
+
+// manyPeers lists many peers at an address.
+type manyPeers string
+
+func (mp manyPeers) Entries() []member.Host {
+	list := make([]member.Host, 0, peerCount)
+	for number := range peerCount {
+		list = append(list, member.Host{Name: fmt.Sprint("peer-", number), Address: string(mp)})
+	}
+	return list
+}
+
+// What stands at the addresses of peers sends what has no end. None of it is a status, and no more is held than there is room for.
+func TestEndlessAnswersOfPeersHoldBoundedMemory(t *testing.T) {
+	for name, text := range map[string]string{"head": "HTTP/1.1 200 OK\r\nA: ", "body": "HTTP/1.1 200 OK\r\n\r\n{\"name\":\""} {
+		address := fakes.Serve(t, fakes.Endless(text, "e"))
+		pe := NewPeers(reply.NewClient(&http.Transport{}), manyPeers(address), "self", func() float64 { return 0 })
+		peak := fakes.PeakHeap(func() {
+			for _, no := range pe.Statuses(t.Context()) {
+				if no.Reachable {
+					t.Errorf("a peer that sends a %s without an end is reachable", name)
+				}
+			}
+			if _, found := pe.LatestImage(t.Context()); found {
+				t.Errorf("a %s without an end is an image", name)
+			}
+		})
+		// The collector lets as much again be there that is not held any more.
+		if want := int64(2*maxAllReadBytes + heapSlack); peak > want {
+			t.Errorf("a %s without an end, %d times: %d MiB, want at most %d", name, peerCount, peak>>20, want>>20)
+		}
+		t.Logf("%s: %d MiB", name, peak>>20)
+	}
+}
