Bound what a node holds of all reports of servers' runs

An entry node keeps up to 1 MiB of each, and nothing bounds the sum on a host with little memory.

Change: such reports share a room of 16 MiB. Without room the run is not known, and the stream goes on elsewhere or is confirmed by the log, as after any failure. A report of 1 MiB is read as before.

--- a/agent/internal/client/invalid_test.go
+++ b/agent/internal/client/invalid_test.go
@@ -36,3 +36,28 @@
 		}
 	})
 }
+
+// heapMax bounds what an inspection, a cancellation or an order may hold, in bytes: an answer of the largest size, and connections.
+const heapMax = 32 << 20
+
+// An engine in trouble sends what has no end to inspections, cancellations and orders. They end, and hold little.
+func TestEndlessAnswersOfAnEngineHoldBoundedMemory(t *testing.T) {
+	for name, text := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nA: ", "body": "HTTP/1.1 200 OK\r\n\r\n", "inventory": "HTTP/1.1 200 OK\r\n\r\n{\"boot\":\"", "chunk line": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		cl := NewClient(&http.Transport{}, "http://"+fakes.Serve(t, fakes.Endless(text, "e")))
+		peak := fakes.PeakHeap(func() {
+			if iv, err := cl.Inspect(t.Context()); err == nil {
+				t.Errorf("a %s without an end: inventory %+v", name, iv)
+			}
+			_, cancelErr := cl.Cancel(t.Context(), "a")
+			load, _ := cl.Load(t.Context(), Order{Handle: "h"})
+			if name == "head" && (cancelErr == nil || load != sched.Lost) {
+				t.Errorf("a %s without an end: a load has the result %v, a cancellation %v", name, load, cancelErr)
+			}
+		})
+		if peak > heapMax {
+			t.Errorf("a %s without an end: %d MiB", name, peak>>20)
+		}
+	}
+}
--- /dev/null
+++ b/entry/direct/endless_test.go
@@ -0,0 +1,87 @@
+package direct
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bambooladder/bambooladder/core/conf"
+	"github.com/bambooladder/bambooladder/core/reply/fakes"
+	"github.com/bambooladder/bambooladder/entry/internal/pool"
+)
+
+const (
+	// askedRuns is the number of servers that are asked for their run at the same time.
+	askedRuns = 200
+	// askedPeers is the most peers that the settings name.
+	askedPeers = 3
+	// heapSlack is what connections and goroutines take beside bodies, in bytes.
+	heapSlack = 32 << 20
+)
+
+// runProtocol takes the length of a report for the start of a run.
+type runProtocol struct{ Protocol }
+
+func (runProtocol) MatchesRequest(http.Header, *RequestInfo, bool) bool { return true }
+
+func (runProtocol) ReportTarget() string { return "/report" }
+
+func (runProtocol) ReportedRun(_ int, report []byte) (int64, error) { return int64(len(report)), nil }
+
+// Servers that are asked which of their runs they are in send what has no end. No run is taken from it, and no more is held than
+// there is room for.
+func TestEndlessReportsHoldBoundedMemory(t *testing.T) {
+	for name, text := range map[string]string{"head": "HTTP/1.1 200 OK\r\nA: ", "body": "HTTP/1.1 200 OK\r\n\r\n"} {
+		no := newNode(Options{Network: &loopback{}, Protocol: runProtocol{}, Logger: zerolog.Nop()})
+		defer no.cancel()
+		address := fakes.Serve(t, fakes.Endless(text, "e"))
+		peak := fakes.PeakHeap(func() {
+			wg := sync.WaitGroup{}
+			for range askedRuns {
+				wg.Go(func() {
+					if born, err := no.fetchRun(t.Context(), address, pool.Want{}); err == nil {
+						t.Errorf("a report with a %s without an end: run %d", name, born)
+					}
+				})
+			}
+			wg.Wait()
+		})
+		// The collector lets as much again be there that is not held any more.
+		if want := int64(2*allReportBytesMax + heapSlack); peak > want {
+			t.Errorf("%d reports with a %s without an end: %d MiB, want at most %d", askedRuns, name, peak>>20, want>>20)
+		}
+		t.Logf("%s: %d MiB", name, peak>>20)
+	}
+	no := newNode(Options{Network: &loopback{}, Protocol: runProtocol{}, Logger: zerolog.Nop()})
+	defer no.cancel()
+	report := strings.Repeat("r", reportBytesMax)
+	if born, err := no.fetchRun(t.Context(), fakes.Serve(t, fakes.Send("HTTP/1.1 200 OK\r\n\r\n"+report, fakes.Close)), pool.Want{}); err != nil || born != reportBytesMax {
+		t.Errorf("a long report: run %d, error %v", born, err)
+	}
+}
+
+// What stands at the addresses of peers sends what has no end. No state is taken from it, and what is held is bounded for each.
+func TestEndlessStatesOfPeersHoldBoundedMemory(t *testing.T) {
+	for name, text := range map[string]string{"head": "HTTP/1.1 200 OK\r\nA: ", "body": "HTTP/1.1 200 OK\r\n\r\n"} {
+		address := fakes.Serve(t, fakes.Endless(text, "e"))
+		settings := conf.DirectEntrySettings{}
+		for range askedPeers {
+			settings.Peers = append(settings.Peers, address)
+		}
+		no := newNode(Options{Settings: settings, Network: &loopback{}, Logger: zerolog.Nop()})
+		defer no.cancel()
+		peak := fakes.PeakHeap(func() {
+			if list := no.fetchPeerStates(t.Context()); len(list) > 0 {
+				t.Errorf("a %s without an end: %d states", name, len(list))
+			}
+		})
+		// The buffer that grows is twice as long as what has arrived, and the one before it is still there.
+		if want := int64(2*askedPeers*2*maxPeerStateBytes + heapSlack); peak > want {
+			t.Errorf("%d peers with a %s without an end: %d MiB, want at most %d", askedPeers, name, peak>>20, want>>20)
+		}
+		t.Logf("%s: %d MiB", name, peak>>20)
+	}
+}
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/poison"
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/entry/internal/conns"
@@ -58,6 +59,8 @@
 	quotas  *quotas
 	freezes freezes
 	held    heldBytes
+	// reports bounds what is held of the answers of servers that are asked for their runs.
+	reports reply.Room
 	memory  memory.Budget
 	pool    *pool.Pool
 	// boot identifies this run of the node.
@@ -111,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), callersEnded: make(chan struct{}), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, reports: reply.Room{BytesMax: allReportBytesMax}, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), callersEnded: make(chan struct{}), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.memory.SetBytes(no.callersBytes())
 	no.held.budget = &no.memory
--- a/entry/direct/takeup_run.go
+++ b/entry/direct/takeup_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,8 +13,10 @@
 const (
 	// runAnswerMax bounds the wait for a server that is asked which of its runs it is in.
 	runAnswerMax = 400 * time.Millisecond
-	// reportBytesMax bounds the bytes that are read of a server's answer.
-	reportBytesMax = 1 << 20
+	// reportBytesMax bounds the bytes that are read of a server's answer, allReportBytesMax those of all that are asked at the same
+	// time.
+	reportBytesMax    = 1 << 20
+	allReportBytesMax = 16 << 20
 	// reasonRunUnknown means that a stream did not go on at a server that may have started again since the node last heard of it.
 	reasonRunUnknown = "run_unknown"
 )
@@ -99,7 +100,7 @@
 		return 0, err
 	}
 	defer an.Close()
-	report, err := io.ReadAll(io.LimitReader(an.Body, reportBytesMax))
+	report, err := no.reports.ReadAll(an.Body, reportBytesMax)
 	if err != nil {
 		return 0, err
 	}
