Write the checks of readers of answers once

The two readers of answers to long uploads, in the pool and in the agent's client, are checked by the same cases; invalid statuses and names stand in one place; agents read whole answers by the reader of core/reply, with room that longer answers give up.

--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -109,7 +109,7 @@
 		res.reason = reasonOtherAnswer
 	case errors.Is(err, reply.ErrInvalid):
 		res.reason = reasonInvalidAnswer
-	case errors.Is(err, errNotHeld), errors.Is(context.Cause(requestCtx), errNotHeld):
+	case errors.Is(err, errNotHeld), errors.Is(err, reply.ErrTooLong), errors.Is(context.Cause(requestCtx), errNotHeld):
 		res.reason = reasonNotHeld
 	case requestCtx.Err() != nil:
 		res.reason = reasonDeadline
--- a/agent/internal/broker/held.go
+++ b/agent/internal/broker/held.go
@@ -6,14 +6,14 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 const (
 	// heldBytesMax bounds what the agent holds of all answers of its engine together, beyond heldFreeBytes of each.
 	heldBytesMax  = 64 << 20
 	heldFreeBytes = 64 << 10
-	// firstHoldBytes is the size of the first buffer of an answer.
-	firstHoldBytes = 4 << 10
 )
 
 // errNotHeld means that an answer is so long that the agent has no room for it beside the others.
@@ -114,25 +114,10 @@
 // readWhole reads a body. It fails if the body has more than the given number of bytes, as a part of it must not pass for the
 // whole, or if it has no room.
 func (ho *holding) readWhole(rd io.Reader, bytesMax int) ([]byte, error) {
-	data := []byte(nil)
-	for {
-		if len(data) == cap(data) {
-			size := min(max(firstHoldBytes, 2*cap(data)), bytesMax+1)
-			if !ho.grow(size) {
-				return nil, errNotHeld
-			}
-			data = append(make([]byte, 0, size), data...)
-		}
-		count, err := rd.Read(data[len(data):cap(data)])
-		data = data[:len(data)+count]
-		switch {
-		case len(data) > bytesMax:
-			return nil, errors.Newf("broker: the answer has more than %d bytes; look at what the server sends", bytesMax)
-		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-			ho.whole()
-			return data, nil
-		case err != nil:
-			return nil, errors.Wrap(err, "broker: read answer")
-		}
+	data, err := reply.ReadAll(rd, bytesMax, ho.grow)
+	if err != nil {
+		return nil, errors.Wrap(err, "broker: read answer")
 	}
+	ho.whole()
+	return data, nil
 }
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -5,22 +5,26 @@
 	"testing"
 )
 
-// invalidStatuses are no statuses of answers to any request here.
-var invalidStatuses = []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"}
+// InvalidStatuses returns statuses, with their reasons, that are none, or not of an answer to any request here.
+func InvalidStatuses() []string {
+	return []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"}
+}
 
-// invalidNames are header lines whose names are none.
-var invalidNames = []string{
-	"X Trouble: 1", "X-Trouble : 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content-Length\t: 3", "X\tTrouble: 1", "X-\x01Trouble: 1",
-	"X-Trouble\x00: 1", "X-\x7fTrouble: 1", "X-\rTrouble: 1", "\x0bContent-Length: 3", "X-\x80Trouble: 1", ": 1",
+// InvalidNames returns header lines whose names are none.
+func InvalidNames() []string {
+	return []string{
+		"X Trouble: 1", "X-Trouble : 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content-Length\t: 3", "X\tTrouble: 1", "X-\x01Trouble: 1",
+		"X-Trouble\x00: 1", "X-\x7fTrouble: 1", "X-\rTrouble: 1", "\x0bContent-Length: 3", "X-\x80Trouble: 1", ": 1",
+	}
 }
 
 // Invalid returns answers with a body, whose heads are those of no answer.
 func Invalid(body string) []string {
-	list := make([]string, 0, len(invalidStatuses)+2*len(invalidNames))
-	for _, status := range invalidStatuses {
+	list := make([]string, 0)
+	for _, status := range InvalidStatuses() {
 		list = append(list, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
 	}
-	for _, line := range invalidNames {
+	for _, line := range InvalidNames() {
 		list = append(list,
 			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\nVia: v\r\n\r\n%s", len(body), line, body),
 			fmt.Sprintf("HTTP/1.1 200 OK\r\nVia: v\r\n%s\r\n\r\n%s", line, body))
--- a/core/reply/room.go
+++ b/core/reply/room.go
@@ -50,17 +50,30 @@
 
 // ReadAll reads a whole body of bytesMax bytes at most. It fails with ErrTooLong if the body is longer or there is no room for it.
 func (ro *Room) ReadAll(body io.Reader, bytesMax int) ([]byte, error) {
+	taken := 0
+	defer func() { ro.release(taken) }()
+	return ReadAll(body, bytesMax, func(size int) bool {
+		// While a buffer grows, the one before is still there.
+		if !ro.take(size) {
+			return false
+		}
+		ro.release(taken)
+		taken = size
+		return true
+	})
+}
+
+// ReadAll reads a whole body of bytesMax bytes at most into a buffer that grows where grow allows its size. It fails with
+// ErrTooLong if the body is longer or its buffer must not grow.
+func ReadAll(body io.Reader, bytesMax int, grow func(size int) bool) ([]byte, error) {
 	data := []byte(nil)
-	defer func() { ro.release(cap(data)) }()
 	for {
 		if len(data) == cap(data) {
 			size := min(max(firstBufferBytes, 2*cap(data)), bytesMax+1)
-			if !ro.take(size) {
+			if !grow(size) {
 				return nil, errors.Wrapf(ErrTooLong, "no room beyond %d bytes", len(data))
 			}
-			grown := append(make([]byte, 0, size), data...)
-			ro.release(cap(data))
-			data = grown
+			data = append(make([]byte, 0, size), data...)
 		}
 		count, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+count]
--- a/proofs/invalid_heads_test.go
+++ b/proofs/invalid_heads_test.go
@@ -7,18 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/bambooladder/bambooladder/core/reply/fakes"
 	"github.com/bambooladder/bambooladder/stand/engine"
 )
 
-// Statuses that are none, or not of an answer to any request here, with their reasons.
-var invalidStatuses = []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"}
-
-// Header lines whose names are none, which are between sound ones.
-var invalidNames = []string{
-	"X Trouble: 1", "X-Trouble : 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content-Length\t: 3", "X\tTrouble: 1", "X-\x01Trouble: 1",
-	"X-Trouble\x00: 1", "X-\x7fTrouble: 1", "X-\rTrouble: 1", "\x0bContent-Length: 3", "X-\x80Trouble: 1", ": 1",
-}
-
 // answeredOK reports whether a caller got a success, or what looks like one.
 func answeredOK(status int, err error) bool {
 	return err == nil && (status < http.StatusBadRequest || status > 599)
@@ -70,7 +62,7 @@
 
 // A backend server in trouble sends an answer whose status is none. Callers would get it as an answer.
 func TestOwnAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
-	for _, status := range invalidStatuses {
+	for _, status := range fakes.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) { checkOwnHead(t, status, "") })
 	}
 }
@@ -78,7 +70,7 @@
 // A backend server in trouble sends a head with a name that is none. Callers would get a body that is framed in another way, or
 // is followed by what belongs to no answer.
 func TestOwnAnswerWithAnInvalidNameIsNotPassedOn(t *testing.T) {
-	for _, line := range invalidNames {
+	for _, line := range fakes.InvalidNames() {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkOwnHead(t, "200 OK", "Server: s\r\n"+line+"\r\nVia: v\r\n") })
 	}
 }
@@ -112,13 +104,13 @@
 }
 
 func TestDirectAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
-	for _, status := range invalidStatuses {
+	for _, status := range fakes.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) { checkDirectHead(t, status, "") })
 	}
 }
 
 func TestDirectAnswerWithAnInvalidNameIsNotPassedOn(t *testing.T) {
-	for _, line := range invalidNames {
+	for _, line := range fakes.InvalidNames() {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkDirectHead(t, "200 OK", "Server: s\r\n"+line+"\r\nVia: v\r\n") })
 	}
 }
