--- a/core/reply/fakes/endless.go
+++ b/core/reply/fakes/endless.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// PeakHeap calls fn and returns how many bytes of live objects there were at most more than before.
+// PeakHeap calls fn and returns how many bytes the heap had at most more than before. It collects garbage before each look.
 func PeakHeap(fn func()) int64 {
-	before, peak, done := liveBytes(), int64(0), make(chan struct{})
+	before, peak, done := heapBytes(), int64(0), make(chan struct{})
 	go func() {
 		defer close(done)
 		fn()
@@ -42,13 +42,13 @@
 		case <-done:
 			return peak
 		case <-time.After(heapPause):
-			peak = max(peak, liveBytes()-before)
+			peak = max(peak, heapBytes()-before)
 		}
 	}
 }
 
-// liveBytes returns the bytes of live objects.
-func liveBytes() int64 {
+// heapBytes returns the bytes of objects on the heap right after a collection.
+func heapBytes() int64 {
 	runtime.GC()
 	ms := runtime.MemStats{}
 	runtime.ReadMemStats(&ms)
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -20,7 +20,7 @@
 
 // Invalid returns answers with a body, whose heads are those of no answer.
 func Invalid(body string) []string {
-	list := make([]string, 0)
+	list := make([]string, 0, len(InvalidStatuses())+2*len(InvalidNames()))
 	for _, status := range InvalidStatuses() {
 		list = append(list, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
 	}
