Choose the addresses of tests from ports that no connection gets

Cause, traced in the test: it takes a port that the system picks, gives it back, starts forty servers at ports that the system picks too, and listens at the first only then. Ports of this kind (32768 to 60999) also go to each connection that is opened meanwhile.

What the tests check is the same.

--- a/core/reply/fakes/doc.go
+++ b/core/reply/fakes/doc.go
@@ -1,2 +1,2 @@
-// Package fakes holds a server for tests, which sends what is no answer, or ends its connections in the middle of one.
+// Package fakes holds addresses for tests, and a server that sends what is no answer or ends its connections in the middle of one.
 package fakes
--- a/proofs/bench_test.go
+++ b/proofs/bench_test.go
@@ -21,6 +21,7 @@
 	agentnode "github.com/bambooladder/bambooladder/agent/node"
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/proc"
+	"github.com/bambooladder/bambooladder/core/reply/fakes"
 	entrynode "github.com/bambooladder/bambooladder/entry/node"
 	"github.com/bambooladder/bambooladder/stand/engine"
 	"github.com/bambooladder/bambooladder/stand/hostls"
@@ -59,7 +60,7 @@
 	be := &bench{tb: tb, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	be.engine = be.serve(en.Handler())
 	logURL, hostsURL := be.serve(logsvc.New(300, time.Hour).Handler()), be.serve(li.Handler())
-	agentAddress, callerAddress, adminAddress := freeAddress(tb), freeAddress(tb), freeAddress(tb)
+	agentAddress, callerAddress, adminAddress := fakes.FreeAddress(tb), fakes.FreeAddress(tb), fakes.FreeAddress(tb)
 	li.Seed(hostls.Host{Name: "runner", Role: "agent", Address: agentAddress, Region: "region", Zone: "zone"})
 	agent := agentnode.New(agentnode.Options{Network: &proc.Network{}, Logger: zerolog.Nop(), Settings: conf.AgentSettings{
 		Place: conf.Place{Name: "runner", Region: "region", Zone: "zone"}, ListenAddress: agentAddress, BackendURL: be.engine,
@@ -96,16 +97,6 @@
 	return "http://" + ls.Addr().String()
 }
 
-// freeAddress returns a loopback address with a free port.
-func freeAddress(tb testing.TB) string {
-	ls, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		tb.Fatal(err)
-	}
-	defer func() { _ = ls.Close() }()
-	return ls.Addr().String()
-}
-
 // applySettings applies settings with one team and one adapter and waits for the first answer.
 func (be *bench) applySettings(admin string) {
 	body := `{"id":"first","edits":[
--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -20,6 +20,7 @@
 	"github.com/bambooladder/bambooladder/core/conf"
 	"github.com/bambooladder/bambooladder/core/paths"
 	"github.com/bambooladder/bambooladder/core/proc"
+	"github.com/bambooladder/bambooladder/core/reply/fakes"
 	"github.com/bambooladder/bambooladder/core/roster"
 	"github.com/bambooladder/bambooladder/entry/direct"
 )
@@ -82,7 +83,7 @@
 // newHostileLoad starts the entry node and the servers.
 func newHostileLoad(tb testing.TB) *hostileLoad {
 	hl := &hostileLoad{
-		tb: tb, source: &testSource{changed: make(chan struct{}), epoch: 1}, entry: freeAddress(tb),
+		tb: tb, source: &testSource{changed: make(chan struct{}), epoch: 1}, entry: fakes.FreeAddress(tb),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}},
 	}
 	hl.source.appendRecord(direct.OperatorsTopic, direct.LogRecord{Table: hostileTable()})
@@ -96,8 +97,8 @@
 	}
 	app := direct.New(direct.Options{
 		Settings: conf.DirectEntrySettings{
-			Place: conf.Place{Name: "entry", Region: "region-1", Zone: directZone}, CallerAddress: hl.entry, ReadyAddress: freeAddress(tb),
-			PeerAddress: freeAddress(tb), AgentPort: 7, LogAddress: "log:1", StopMs: 3000, LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500,
+			Place: conf.Place{Name: "entry", Region: "region-1", Zone: directZone}, CallerAddress: hl.entry, ReadyAddress: fakes.FreeAddress(tb),
+			PeerAddress: fakes.FreeAddress(tb), AgentPort: 7, LogAddress: "log:1", StopMs: 3000, LeaveMs: 2500, VersionMs: 5000, RoutesMs: 2500,
 			RetryShare: 0.2, RetryWindowMs: 10_000, RetrySlack: 100, Regions: conf.DirectEntrySettingsRegions{directZone: "region-1"},
 		},
 		Network: &proc.Network{}, LogReader: hl.source, Protocol: testProtocol{}, Logger: zerolog.Nop(),
