--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -5,11 +5,16 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooladder/bambooladder/core/conf"
 )
 
 const (
 	// statusEnd is the first number beyond the statuses of the protocol.
 	statusEnd = 600
+	// emptyHeadBytes is the size of the shortest head, emptyLineBytes that of a line without a name and a value.
+	emptyHeadBytes = len("HTTP/1.1 100 \r\n\r\n")
+	emptyLineBytes = len(": \r\n")
 	// loggedBytesMax bounds what an error tells of a head.
 	loggedBytesMax = 40
 )
@@ -41,6 +46,25 @@
 	return nil
 }
 
+// interimHeads counts the heads before an answer's own. The library does not bound them where they are looked at.
+type interimHeads struct {
+	bytes int
+}
+
+// add counts a head. It returns ErrInvalid unless all names are names, or if the heads are too long.
+func (ih *interimHeads) add(hd map[string][]string) error {
+	ih.bytes += emptyHeadBytes
+	for name, values := range hd {
+		for _, value := range values {
+			ih.bytes += emptyLineBytes + len(name) + len(value)
+		}
+	}
+	if ih.bytes > conf.HeadBytesMax {
+		return errors.Wrapf(ErrInvalid, "interim heads of more than %d bytes", conf.HeadBytesMax)
+	}
+	return checkNames(hd)
+}
+
 // check returns ErrInvalid unless an answer's head is one.
 func check(resp *http.Response) error {
 	if !IsFinal(resp.StatusCode) {
--- a/core/reply/client.go
+++ b/core/reply/client.go
@@ -11,7 +11,7 @@
 )
 
 // NewClient returns an HTTP client with a transport, which must not be used otherwise. Its connections are those of this package,
-// and the heads that it reads have conf.HeadBytesMax bytes at most. It fails with ErrInvalid if what comes is no answer.
+// and the heads that it reads have conf.HeadBytesMax bytes at most, all interim ones of an answer together too. It fails with ErrInvalid if what comes is no answer.
 func NewClient(tr *http.Transport) *http.Client {
 	dial := tr.DialContext
 	if dial == nil {
@@ -35,10 +35,10 @@
 
 // RoundTrip implements http.RoundTripper. A connection with an invalid head is closed: where the next answer begins is not known.
 func (tr *transport) RoundTrip(rq *http.Request) (*http.Response, error) {
-	nc := net.Conn(nil)
+	nc, heads := net.Conn(nil), interimHeads{}
 	trace := &httptrace.ClientTrace{
 		GotConn:        func(gi httptrace.GotConnInfo) { nc = gi.Conn },
-		Got1xxResponse: func(_ int, hd textproto.MIMEHeader) error { return checkNames(hd) },
+		Got1xxResponse: func(_ int, hd textproto.MIMEHeader) error { return heads.add(hd) },
 	}
 	resp, err := tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
 	if err != nil {
