--- a/proofs/direct_upload_test.go
+++ b/proofs/direct_upload_test.go
@@ -93,3 +93,19 @@
 		}
 	}
 }
+
+// A server refuses a long upload without a length and closes the connection at once, which resets it. Its head says that the request
+// has not run, and the caller must learn that.
+func TestDirectRefusalThatIsResetBesideItsUploadIsARefusal(t *testing.T) {
+	hl := newHostileLoad(t)
+	hl.serve("refused", 0, func(nc net.Conn, id string) {
+		_, _ = fmt.Fprintf(nc, "HTTP/1.1 503 Full\r\n%s: %s\r\n%s: 1\r\n\r\nfull", headerID, id, headerNotRun)
+		_ = nc.Close()
+	})
+	time.Sleep(time.Second)
+	for range uploadRuns {
+		if status, body, err := hl.upload("refused"); status != http.StatusServiceUnavailable || err != nil || !strings.Contains(body, `"outcome":"not_run"`) {
+			t.Errorf("status %d, %q, error %v", status, body, err)
+		}
+	}
+}
--- a/proofs/hostile_test.go
+++ b/proofs/hostile_test.go
@@ -120,7 +120,7 @@
 		}
 	}
 	ta := &paths.Table{Version: 1, Services: map[string]paths.Service{}, Limits: paths.Limits{BodyBytes: hostileBodyBytes}}
-	for _, service := range []string{"sound", "hostile", "long", "reset", "early"} {
+	for _, service := range []string{"sound", "hostile", "long", "reset", "early", "refused"} {
 		ta.Routes = append(ta.Routes, route(service))
 		ta.Services[service] = paths.Service{Name: service}
 	}
