Check the bytes of heads wherever responses are read

Callers saw (shown here): a service sent a head that can be read in more than one way, a length beside chunks, a folded line or a line of blanks, and the caller got a 200 with what the agent's library made of it. A repetition of the call got it again.

Cause: agents, and all that reads the log, hosts, peers, reports and inspections, see the library's response, which does not show what it left out. Only the pool of entry nodes looked at the bytes.

Change: the check of the bytes moves from the pool to core/reply. Connections keep the heads of the response that is being read, and the HTTP client checks them before it returns it.

--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -1,74 +1,101 @@
 package reply
 
 import (
+	"bytes"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/bambooladder/bambooladder/core/conf"
 )
 
 const (
-	// statusEnd is the first number beyond the statuses of the protocol.
+	// statusEnd is one more than the highest status code.
 	statusEnd = 600
-	// emptyHeadBytes is the size of the shortest head, emptyLineBytes that of a line without a name and a value.
-	emptyHeadBytes = len("HTTP/1.1 100 \r\n\r\n")
-	emptyLineBytes = len(": \r\n")
-	// loggedBytesMax bounds what an error tells of a head.
+	// statusDigits is the number of digits of a status code.
+	statusDigits = 3
+	// loggedBytesMax bounds what an error quotes of a head.
 	loggedBytesMax = 40
 )
 
-// ErrInvalid means that a server has sent what is no answer in the protocol. Whether the request has run is not known.
-var ErrInvalid = errors.New("reply: what the server has sent is no answer; look at what it sends")
+// ErrInvalid means that a server has not sent a valid HTTP response, or one that can be read in more than one way. The request may
+// have run.
+var ErrInvalid = errors.New("reply: the server has sent an invalid response; look at what it sends")
 
-// IsFinal reports whether a status is that of an answer to a request.
-func IsFinal(status int) bool { return status >= http.StatusOK && status < statusEnd }
+// IsFinalStatus reports whether a status code is that of a final response.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status < statusEnd }
 
-// IsInterim reports whether a status is one that the answer's own head follows. No request here asks for another protocol.
-func IsInterim(status int) bool {
+// IsInterimStatus reports whether a status code is that of an interim response, which the final one follows. No request here asks to
+// switch protocols.
+func IsInterimStatus(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
-// IsName reports whether a name of a header field holds no blank and no other byte that a name must not hold. The library reads
-// names with blanks, and leaves out what they say of the length of a body.
-func IsName(name string) bool {
-	return name != "" && !strings.ContainsFunc(name, func(ch rune) bool { return ch <= ' ' || ch >= 0x7f || ch == ':' })
+// isFieldName reports whether a text has no byte that a field name must not have, such as a blank. The library accepts blanks, and
+// does not recognize the fields that determine the length of the body then.
+func isFieldName(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(ch rune) bool { return ch <= ' ' || ch >= 0x7f })
+}
+
+// head is what the check of a head needs to know of it.
+type head struct {
+	status int
+	// chunked and sized are true if the head has the fields Transfer-Encoding and Content-Length.
+	chunked, sized bool
 }
 
-// checkNames returns ErrInvalid unless all names of a head are names.
-func checkNames(hd map[string][]string) error {
-	for name := range hd {
-		if !IsName(name) {
-			return errors.Wrapf(ErrInvalid, "header name %q", name[:min(len(name), loggedBytesMax)])
+// CheckHead returns ErrInvalid unless the bytes of a head, as received, have one meaning only. Another reader of the same bytes
+// might see another end of the response.
+func CheckHead(data []byte) error {
+	line, fields := cutLine(data)
+	hd := head{status: statusOf(line)}
+	if !IsFinalStatus(hd.status) && !IsInterimStatus(hd.status) {
+		return invalid("status line", line)
+	}
+	for len(fields) > 0 {
+		line, fields = cutLine(fields)
+		if err := hd.addField(line); err != nil {
+			return err
 		}
 	}
+	if hd.chunked && hd.sized {
+		return errors.Wrap(ErrInvalid, "a length beside chunks")
+	}
 	return nil
 }
 
-// interimHeads counts the heads before an answer's own. The library does not bound them where they are looked at.
-type interimHeads struct {
-	bytes int
-}
-
-// add counts a head. It returns ErrInvalid unless all names are names, or if the heads are too long.
-func (ih *interimHeads) add(hd map[string][]string) error {
-	ih.bytes += emptyHeadBytes
-	for name, values := range hd {
-		for _, value := range values {
-			ih.bytes += emptyLineBytes + len(name) + len(value)
-		}
+// addField reads a line of a head, which is empty at its end.
+func (hd *head) addField(line []byte) error {
+	if len(line) == 0 {
+		return nil
 	}
-	if ih.bytes > conf.HeadBytesMax {
-		return errors.Wrapf(ErrInvalid, "interim heads of more than %d bytes", conf.HeadBytesMax)
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !isFieldName(string(name)) {
+		return invalid("field", line)
 	}
-	return checkNames(hd)
+	hd.chunked = hd.chunked || strings.EqualFold(string(name), "Transfer-Encoding")
+	hd.sized = hd.sized || strings.EqualFold(string(name), "Content-Length")
+	return nil
 }
 
-// check returns ErrInvalid unless an answer's head is one.
-func check(resp *http.Response) error {
-	if !IsFinal(resp.StatusCode) {
-		return errors.Wrapf(ErrInvalid, "status %q", resp.Status[:min(len(resp.Status), loggedBytesMax)])
+// statusOf returns the status code of a status line, zero if there is none.
+func statusOf(line []byte) int {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	rest = bytes.TrimLeft(rest, " ")
+	status, err := strconv.Atoi(string(rest[:min(len(rest), statusDigits)]))
+	if err != nil {
+		return 0
 	}
-	return checkNames(resp.Header)
+	return status
+}
+
+// cutLine returns the first line of a head, without its end, and what follows it.
+func cutLine(data []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(data, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
+
+// invalid returns ErrInvalid with the beginning of a line.
+func invalid(what string, line []byte) error {
+	return errors.Wrapf(ErrInvalid, "%s %q", what, line[:min(len(line), loggedBytesMax)])
 }
--- a/core/reply/client.go
+++ b/core/reply/client.go
@@ -5,13 +5,12 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/textproto"
 
 	"github.com/bambooladder/bambooladder/core/conf"
 )
 
-// NewClient returns an HTTP client with a transport, which must not be used otherwise. Its connections are those of this package,
-// and the heads that it reads have conf.HeadBytesMax bytes at most, all interim ones of an answer together too. It fails with ErrInvalid if what comes is no answer.
+// NewClient returns an HTTP client that uses a transport, which it changes and which must not be used otherwise. It opens connections
+// of type Conn, reads heads of up to conf.HeadBytesMax bytes, and fails with ErrInvalid if a response is invalid.
 func NewClient(tr *http.Transport) *http.Client {
 	dial := tr.DialContext
 	if dial == nil {
@@ -28,26 +27,45 @@
 	return &http.Client{Transport: &transport{tr}}
 }
 
-// transport checks the heads of the answers that it returns.
+// transport returns valid responses only.
 type transport struct {
 	*http.Transport
 }
 
-// RoundTrip implements http.RoundTripper. A connection with an invalid head is closed: where the next answer begins is not known.
+// RoundTrip implements http.RoundTripper. It closes the connection of an invalid response, as it is not known where the next one
+// begins.
 func (tr *transport) RoundTrip(rq *http.Request) (*http.Response, error) {
-	nc, heads := net.Conn(nil), interimHeads{}
-	trace := &httptrace.ClientTrace{
-		GotConn:        func(gi httptrace.GotConnInfo) { nc = gi.Conn },
-		Got1xxResponse: func(_ int, hd textproto.MIMEHeader) error { return heads.add(hd) },
-	}
+	nc := net.Conn(nil)
+	trace := &httptrace.ClientTrace{GotConn: func(gi httptrace.GotConnInfo) {
+		nc = gi.Conn
+		if co, ok := nc.(*Conn); ok {
+			co.beginHeads()
+		}
+	}}
 	resp, err := tr.Transport.RoundTrip(rq.WithContext(httptrace.WithClientTrace(rq.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := check(resp); err != nil {
+	if err := checkResponse(resp, nc); err != nil {
 		_ = resp.Body.Close()
 		_ = nc.Close()
 		return nil, err
 	}
 	return resp, nil
 }
+
+// checkResponse returns ErrInvalid unless a response is valid. The bytes of one that was encrypted are not known.
+func checkResponse(resp *http.Response, nc net.Conn) error {
+	if co, ok := nc.(*Conn); ok {
+		return co.endHeads()
+	}
+	if !IsFinalStatus(resp.StatusCode) {
+		return invalid("status line", []byte(resp.Status))
+	}
+	for name := range resp.Header {
+		if !isFieldName(name) {
+			return invalid("field", []byte(name))
+		}
+	}
+	return nil
+}
--- a/core/reply/conn.go
+++ b/core/reply/conn.go
@@ -11,15 +11,17 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Conn is a connection to a server on which a reset does not look like an orderly end. The kernel reports a reset once: if that
-// is to a write, reads that follow get io.EOF, by which an answer without a length is whole. There must be one write at a time.
+// Conn is a connection to a server on which a reset is not taken for an orderly close. The kernel reports a reset once. If a write
+// gets that error, later reads get io.EOF, which completes a response without a length. Writes must not overlap.
 type Conn struct {
 	net.Conn
 	mu sync.Mutex
-	// writing is closed at the end of the write in progress, nil if there is none.
+	// writing is closed when the write in progress ends, nil if there is none.
 	writing chan struct{}
-	// lost is how the connection was lost to a write, nil if it was not.
-	lost error
+	// writeErr is the error that shows that the connection was not closed in an orderly way, nil if no write got one.
+	writeErr error
+	// heads checks the heads of the response that is being read, nil if that is not wanted.
+	heads *heads
 }
 
 // NewConn returns a connection over an open one.
@@ -33,7 +35,7 @@
 	return count, err
 }
 
-// WriteParts writes the parts one after another, without copying them where the system allows it.
+// WriteParts writes buffers one after another, without copying them where the system allows that.
 func (co *Conn) WriteParts(parts net.Buffers) (int64, error) {
 	defer co.beginWrite()()
 	count, err := parts.WriteTo(co.Conn)
@@ -41,20 +43,46 @@
 	return count, err
 }
 
-// Read implements io.Reader. It returns io.EOF only if the server has closed the connection in an orderly way. It then ends a
-// write in progress, which would have to wait for a server that sends nothing more.
+// Read implements io.Reader. It returns io.EOF only if the server has closed the connection in an orderly way, and cancels a write
+// in progress then: the server sends nothing more.
 func (co *Conn) Read(buf []byte) (int, error) {
 	count, err := co.Conn.Read(buf)
+	co.addToHeads(buf[:count])
 	if !errors.Is(err, io.EOF) {
 		return count, err
 	}
-	if lost := co.endWrites(); lost != nil {
-		return count, lost
+	if writeErr := co.cancelWrite(); writeErr != nil {
+		return count, writeErr
 	}
 	return count, err
 }
 
-// beginWrite records the begin of a write and returns what records its end.
+// beginHeads starts the check of the heads of the next response.
+func (co *Conn) beginHeads() {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.heads = &heads{}
+}
+
+// addToHeads adds received bytes to the heads, if they are checked.
+func (co *Conn) addToHeads(data []byte) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if co.heads != nil {
+		co.heads.add(data)
+	}
+}
+
+// endHeads ends the check of the heads and returns its result.
+func (co *Conn) endHeads() error {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	err := co.heads.check()
+	co.heads = nil
+	return err
+}
+
+// beginWrite marks a write as in progress and returns a function that ends it.
 func (co *Conn) beginWrite() func() {
 	done := make(chan struct{})
 	co.mu.Lock()
@@ -68,8 +96,8 @@
 	}
 }
 
-// note records the error of a write if it means that the connection was lost. A server that has closed its end, and does not read
-// what still arrives, resets the connection after all that it has sent: the kernel reports that as a broken pipe.
+// note keeps the error of a write, unless the server may have closed the connection in an orderly way before. If data arrives after
+// that, the server resets the connection, which the kernel reports as a broken pipe.
 func (co *Conn) note(err error) {
 	switch {
 	case err == nil, errors.Is(err, syscall.EPIPE), errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
@@ -77,20 +105,20 @@
 	}
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.lost = err
+	co.writeErr = err
 }
 
-// endWrites ends the write in progress, if there is one, and returns how the connection was lost to a write.
-func (co *Conn) endWrites() error {
+// cancelWrite cancels the write in progress, if there is one, and returns the error that note has kept.
+func (co *Conn) cancelWrite() error {
 	co.mu.Lock()
 	writing := co.writing
 	co.mu.Unlock()
 	if writing != nil {
-		// A connection whose deadline cannot be set has ended, and its writes with it.
+		// If the deadline cannot be set, the connection is closed, and the write ends anyway.
 		_ = co.SetWriteDeadline(time.Unix(1, 0))
 		<-writing
 	}
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	return co.lost
+	return co.writeErr
 }
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -18,7 +18,20 @@
 	}
 }
 
-// Invalid returns answers with a body, whose heads are those of no answer.
+// Ambiguous returns responses with header lines and a body, whose heads can be read in more than one way.
+func Ambiguous(lines, body string) []string {
+	length := fmt.Sprintf("%d\r\n", len(body))
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	return []string{
+		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + length + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\n" + lines + "Transfer-Encoding: chunked\r\nContent-Length: " + length + "\r\n" + chunks,
+		"HTTP/1.1 200 OK\r\n" + lines + "X-Folded: a\r\n Content-Length: 1\r\nContent-Length: " + length + "\r\n" + body,
+		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length:\r\n\t" + length + "\r\n" + body,
+		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + length + " \r\nX-After: a\r\n\r\n" + body,
+	}
+}
+
+// Invalid returns responses with a body, whose heads are invalid or ambiguous.
 func Invalid(body string) []string {
 	list := make([]string, 0, len(InvalidStatuses())+2*len(InvalidNames()))
 	for _, status := range InvalidStatuses() {
@@ -29,7 +42,7 @@
 			fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\nVia: v\r\n\r\n%s", len(body), line, body),
 			fmt.Sprintf("HTTP/1.1 200 OK\r\nVia: v\r\n%s\r\n\r\n%s", line, body))
 	}
-	return list
+	return append(list, Ambiguous("", body)...)
 }
 
 // ServeInvalid starts a server for each answer that Invalid returns, and calls read with its address and the answer.
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -9,6 +9,7 @@
 
 	"github.com/bambooladder/bambooladder/core/grant"
 	"github.com/bambooladder/bambooladder/core/paths"
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/core/retry"
 	"github.com/bambooladder/bambooladder/core/spread"
 	"github.com/bambooladder/bambooladder/core/wire"
@@ -222,7 +223,7 @@
 		reason = "time_over"
 	case errors.Is(err, pool.ErrHeadTooLong):
 		reason = "head_too_long"
-	case errors.Is(err, pool.ErrHeadInvalid):
+	case errors.Is(err, reply.ErrInvalid):
 		reason = "head_invalid"
 	}
 	if !callerGone {
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -110,7 +110,7 @@
 		if err != nil {
 			return nil, &SendError{Written: true, Err: err}
 		}
-		if reply.IsInterim(resp.StatusCode) {
+		if reply.IsInterimStatus(resp.StatusCode) {
 			continue
 		}
 		if !match(resp.Header) {
@@ -127,7 +127,7 @@
 	return nil, &SendError{Written: true, Err: errors.New("the server sent only answers to other requests")}
 }
 
-// readHead reads the head of an answer.
+// readHead reads the head of an answer. It fails with reply.ErrInvalid if that is invalid.
 func (co *Conn) readHead(method string) (*http.Response, error) {
 	read, err := co.br.Peek(co.br.Buffered())
 	if err != nil {
@@ -139,10 +139,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !reply.IsInterim(resp.StatusCode) && !reply.IsFinal(resp.StatusCode) {
-		return nil, errors.Wrapf(ErrHeadInvalid, "status %d", resp.StatusCode)
-	}
-	return resp, checkHead(head)
+	return resp, reply.CheckHead(head)
 }
 
 // skipAnswer reads and discards an answer that belongs to another request. It fails if the answer
--- a/entry/internal/pool/head.go
+++ b/entry/internal/pool/head.go
@@ -1,25 +1,16 @@
 package pool
 
 import (
-	"bytes"
 	"io"
-	"strings"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/bambooladder/bambooladder/core/reply"
 )
 
 // keptHeadBytes is the capacity up to which a connection keeps its buffer for heads.
 const keptHeadBytes = 4 << 10
 
-// Errors of heads. Each of them ends the exchange and its connection.
-var (
-	// ErrHeadTooLong means that a server sent more than the bound before the end of a head.
-	ErrHeadTooLong = errors.New("pool: the head of the answer exceeds its bound; look at what the server sends")
-	// ErrHeadInvalid means that a head has no status, or could be read in more than one way.
-	ErrHeadInvalid = errors.New("pool: the head of the answer is invalid; look at what the server sends")
-)
+// ErrHeadTooLong means that a server sent more than the bound before the end of a head. It ends the exchange and its connection.
+var ErrHeadTooLong = errors.New("pool: the head of the answer exceeds its bound; look at what the server sends")
 
 // headReader reads from a server and bounds what it reads while it waits for heads. Outside of heads it
 // only passes on.
@@ -65,24 +56,3 @@
 	}
 	return head
 }
-
-// checkHead returns ErrHeadInvalid if a head has folded lines, names that are no names, or a length beside
-// chunks. Other readers of the same bytes might find the end of the answer elsewhere.
-func checkHead(head []byte) error {
-	_, lines, _ := bytes.Cut(head, []byte("\n"))
-	length, chunks := false, false
-	for len(lines) > 0 {
-		line, rest, _ := bytes.Cut(lines, []byte("\n"))
-		lines = rest
-		name, _, found := bytes.Cut(line, []byte(":"))
-		if found && !reply.IsName(string(name)) || len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
-			return errors.Wrapf(ErrHeadInvalid, "header line %q", line[:min(len(line), 40)])
-		}
-		length = length || strings.EqualFold(string(name), "Content-Length")
-		chunks = chunks || strings.EqualFold(string(name), "Transfer-Encoding")
-	}
-	if length && chunks {
-		return errors.Wrap(ErrHeadInvalid, "a length beside chunks")
-	}
-	return nil
-}
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -159,7 +159,7 @@
 		return fault.New(fault.Conflict, "the call ran, but its answer was too long to keep",
 			"look up its effect; do not send it again").WithOutcome(fault.Unknown)
 	}
-	if !reply.IsFinal(do.Status) {
+	if !reply.IsFinalStatus(do.Status) {
 		return outcomeUnknownError("the call may have run, but what was kept of its answer is none")
 	}
 	if err := an.Head(do.Status, do.ContentType); err != nil {
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -174,7 +174,7 @@
 		return result{}, false
 	}
 	switch {
-	case !reply.IsFinal(hd.Status):
+	case !reply.IsFinalStatus(hd.Status):
 		return result{ending: interrupted, reason: reasonInvalidAnswer}, true
 	case re.begun && !isStream(hd):
 		return result{ending: interrupted, reason: reasonNoStream}, true
--- a/proofs/invalid_heads_test.go
+++ b/proofs/invalid_heads_test.go
@@ -1,6 +1,7 @@
 package proofs
 
 import (
+	"bufio"
 	"fmt"
 	"net/http"
 	"strings"
@@ -75,6 +76,50 @@
 	}
 }
 
+// ownText writes a response to a connection, with the request's ID in place of ID.
+func ownText(response string) ownAnswer {
+	return func(wr http.ResponseWriter, rq *http.Request, _ http.Handler) {
+		hijack(wr, func(bw *bufio.ReadWriter) {
+			_, _ = bw.WriteString(strings.ReplaceAll(response, "ID", rq.Header.Get(engine.RequestHeader)))
+		})
+	}
+}
+
+// A service sends a head that can be read in more than one way. The caller must not get what one of the readers makes of it, nor may
+// a repetition of the call.
+func TestOwnAnswerWithAnAmbiguousHeadIsNotPassedOn(t *testing.T) {
+	for number, response := range fakes.Ambiguous(engine.RequestHeader+": ID\r\n", "trouble") {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			sc, op := &ownScript{path: "/releases"}, smallSimulation()
+			op.front, op.engines = sc.front, 1
+			runSimulation(t, op, func(t *testing.T, sm *simulation) {
+				sc.set(ownText(response))
+				key := newIdempotencyKey()
+				for range 2 {
+					re := sm.postRelease("caller", entryName(0), key, `{"batch":1}`, 5*time.Second)
+					if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
+						t.Errorf("%q: status %d, %q, error %v", response, re.status, re.body, re.err)
+					}
+				}
+			})
+		})
+	}
+}
+
+func TestDirectAnswerWithAnAmbiguousHeadIsNotPassedOn(t *testing.T) {
+	for number, response := range fakes.Ambiguous(headerID+": id-1\r\n"+headerSeal+": yes\r\n", "trouble") {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			runDirectSimulation(t, 2, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+				ds.setAllScripts(writeRaw(func(*http.Request) string { return response }))
+				re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "body")
+				if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
+					t.Errorf("%q: status %d, %q, error %v", response, re.status, re.body, re.err)
+				}
+			})
+		})
+	}
+}
+
 // checkDirectHead sends requests of each kind that are answered with a head that is none, and reports answers that the callers
 // must not get, or get late.
 func checkDirectHead(t *testing.T, status, lines string) {
