Take no chunks in a response of HTTP/1.0

Callers saw (shown here, both ways): a server answered with HTTP/1.0 and chunks, and the caller got a 200 whose body was the chunks with their sizes, on the product's own interface again from the log.

Cause: HTTP/1.0 has no chunks, so the library ignores the field and takes all until the close for the body. Other readers decode the chunks.

Evidence, before: "HTTP/1.0 200 OK" with "7\r\ntrouble\r\n0\r\n\r\n" was passed on in TestOwnAnswerWithAnAmbiguousHeadIsNotPassedOn and TestDirectAnswerWithAnAmbiguousHeadIsNotPassedOn.

Change: such a head is invalid, as the standard demands (RFC 9112, 6.1). Responses of HTTP/1.0 with a length or without either are read as before.

--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -58,8 +58,12 @@
 			return err
 		}
 	}
-	if hd.chunked && hd.sized {
+	switch {
+	case hd.chunked && hd.sized:
 		return errors.Wrap(ErrInvalid, "a length beside chunks")
+	case hd.chunked && bytes.HasPrefix(data, []byte("HTTP/1.0 ")):
+		// HTTP/1.0 has no chunks: the library takes them for the body.
+		return errors.Wrap(ErrInvalid, "chunks in HTTP/1.0")
 	}
 	return nil
 }
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -28,6 +28,7 @@
 		"HTTP/1.1 200 OK\r\n" + lines + "X-Folded: a\r\n Content-Length: 1\r\nContent-Length: " + length + "\r\n" + body,
 		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length:\r\n\t" + length + "\r\n" + body,
 		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + length + " \r\nX-After: a\r\n\r\n" + body,
+		"HTTP/1.0 200 OK\r\n" + lines + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
 	}
 }
 
