Take no status line that is invalid

Callers saw (shown here, both ways): a server sent a status line with a carriage return or another control byte, with two blanks, or with the version 0.9 or 2.0, and the caller got a 200.

Cause: the library trims blanks, ignores what follows the status code, and takes any version of one digit. A reader to which the carriage return ends a line sees another length, one that knows the version another protocol.

Change: a status line is a version 1.x, a blank, three digits and, after another blank, a text without control characters; the text may be missing, as before (TestClientReadsSoundHeads).

--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -82,17 +82,29 @@
 	return nil
 }
 
-// statusOf returns the status code of a status line, zero if there is none.
+// statusOf returns the status code of a status line, zero if that is invalid. Versions from HTTP/1.2 on have the format of HTTP/1.1.
 func statusOf(line []byte) int {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	rest = bytes.TrimLeft(rest, " ")
-	status, err := strconv.Atoi(string(rest[:min(len(rest), statusDigits)]))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
+	if len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(rune(version[len(version)-1])) {
+		return 0
+	}
+	if len(code) != statusDigits || bytes.ContainsFunc(code, func(ch rune) bool { return !isDigit(ch) }) || bytes.ContainsFunc(reason, isControl) {
+		return 0
+	}
+	status, err := strconv.Atoi(string(code))
 	if err != nil {
 		return 0
 	}
 	return status
 }
 
+// isDigit reports whether a character is a decimal digit.
+func isDigit(ch rune) bool { return ch >= '0' && ch <= '9' }
+
+// isControl reports whether a character is a control character other than a tab.
+func isControl(ch rune) bool { return ch < ' ' && ch != '\t' || ch == 0x7f }
+
 // cutLine returns the first line of a head, without its end, and what follows it.
 func cutLine(data []byte) (line, rest []byte) {
 	line, rest, _ = bytes.Cut(data, []byte("\n"))
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -29,6 +29,11 @@
 		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length:\r\n\t" + length + "\r\n" + body,
 		"HTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + length + " \r\nX-After: a\r\n\r\n" + body,
 		"HTTP/1.0 200 OK\r\n" + lines + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 200 OK\rContent-Length: 1\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
+		"HTTP/1.1 200 O\x00K\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
+		"HTTP/1.1  200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
+		"HTTP/2.0 200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
+		"HTTP/0.9 200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
 	}
 }
 
