Take no length or chunks where a response has no body

Callers saw (shown here, both ways): a server answered with 204 and a length or chunks, and the caller got the 204, while what followed stayed on the connection; an interim response with a length was taken for one without.

Cause: the library ignores both fields where the status allows no body. Other readers take what follows for the body, which here is the beginning of the next response.

Change: 204 and interim responses have no chunks and no length but zero, as the standard demands (RFC 9110, 8.6). 204 with a length of zero is read as before (TestClientReadsSoundHeads); 304 may state the length that it would have.

--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -31,6 +31,9 @@
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
 
+// hasNoBody reports whether responses with a status code have no body, whatever their heads say.
+func hasNoBody(status int) bool { return IsInterimStatus(status) || status == http.StatusNoContent }
+
 // isFieldName reports whether a text has no byte that a field name must not have, such as a blank. The library accepts blanks, and
 // does not recognize the fields that determine the length of the body then.
 func isFieldName(text string) bool {
@@ -40,8 +43,8 @@
 // head is what the check of a head needs to know of it.
 type head struct {
 	status int
-	// chunked and sized are true if the head has the fields Transfer-Encoding and Content-Length.
-	chunked, sized bool
+	// chunked and sized are true if the head has the fields Transfer-Encoding and Content-Length, filled if a length is not zero.
+	chunked, sized, filled bool
 }
 
 // CheckHead returns ErrInvalid unless the bytes of a head, as received, have one meaning only. Another reader of the same bytes
@@ -64,6 +67,8 @@
 	case hd.chunked && bytes.HasPrefix(data, []byte("HTTP/1.0 ")):
 		// HTTP/1.0 has no chunks: the library takes them for the body.
 		return errors.Wrap(ErrInvalid, "chunks in HTTP/1.0")
+	case (hd.chunked || hd.filled) && hasNoBody(hd.status):
+		return errors.Wrapf(ErrInvalid, "a body with status %d", hd.status)
 	}
 	return nil
 }
@@ -73,12 +78,14 @@
 	if len(line) == 0 {
 		return nil
 	}
-	name, _, found := bytes.Cut(line, []byte(":"))
+	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isFieldName(string(name)) {
 		return invalid("field", line)
 	}
 	hd.chunked = hd.chunked || strings.EqualFold(string(name), "Transfer-Encoding")
-	hd.sized = hd.sized || strings.EqualFold(string(name), "Content-Length")
+	if strings.EqualFold(string(name), "Content-Length") {
+		hd.sized, hd.filled = true, hd.filled || string(bytes.TrimSpace(value)) != "0"
+	}
 	return nil
 }
 
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -34,6 +34,9 @@
 		"HTTP/1.1  200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
 		"HTTP/2.0 200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
 		"HTTP/0.9 200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
+		"HTTP/1.1 204 No Content\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
+		"HTTP/1.1 204 No Content\r\n" + lines + "Transfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.1 103 Early Hints\r\nContent-Length: " + length + "\r\nHTTP/1.1 200 OK\r\n" + lines + "Content-Length: " + length + "\r\n" + body,
 	}
 }
 
