Take no trailer with an invalid field name

Callers saw (shown here, both ways): a server ended its chunks with a trailer whose field name had a blank, and the caller got a 200. Readers that refuse such names have no whole response there.

Cause: the library accepts blanks in the names of trailers too, and nothing looked at them.

Evidence, before: TestOwnAnswerWithAnInvalidTrailerIsNotWhole and TestDirectAnswerWithAnInvalidTrailerIsNotWhole failed.

Change: the end of a body in chunks is one only if the names of its trailer are valid. Sound trailers are dropped as before (TestCutAnswersAreBrokenOffAndWholeOnesAreEqual has one).

--- a/core/reply/check.go
+++ b/core/reply/check.go
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// CheckTrailer returns ErrInvalid if a field name of a trailer is invalid.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !isFieldName(name) {
+			return invalid("trailer field", []byte(name))
+		}
+	}
+	return nil
+}
+
 // statusOf returns the status code of a status line, zero if that is invalid. Versions from HTTP/1.2 on have the format of HTTP/1.1.
 func statusOf(line []byte) int {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
--- a/core/reply/client.go
+++ b/core/reply/client.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooladder/bambooladder/core/conf"
 )
 
@@ -51,9 +54,29 @@
 		_ = nc.Close()
 		return nil, err
 	}
+	if len(resp.TransferEncoding) > 0 {
+		resp.Body = &chunkedBody{ReadCloser: resp.Body, resp: resp}
+	}
 	return resp, nil
 }
 
+// chunkedBody checks the trailer at the end of a body.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (cb *chunkedBody) Read(buf []byte) (int, error) {
+	count, err := cb.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if trailerErr := CheckTrailer(cb.resp.Trailer); trailerErr != nil {
+			return count, trailerErr
+		}
+	}
+	return count, err
+}
+
 // checkResponse returns ErrInvalid unless a response is valid. The bytes of one that was encrypted are not known.
 func checkResponse(resp *http.Response, nc net.Conn) error {
 	if co, ok := nc.(*Conn); ok {
--- a/entry/internal/pool/exchange.go
+++ b/entry/internal/pool/exchange.go
@@ -174,6 +174,9 @@
 func (ab *answerBody) Read(buf []byte) (int, error) {
 	count, err := ab.an.resp.Body.Read(buf)
 	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		if trailerErr := reply.CheckTrailer(ab.an.resp.Trailer); trailerErr != nil {
+			return count, trailerErr
+		}
 		ab.an.complete = true
 		return count, io.EOF
 	}
--- a/proofs/invalid_heads_test.go
+++ b/proofs/invalid_heads_test.go
@@ -85,41 +85,69 @@
 	}
 }
 
+// checkOwnResponse sends a call, and again, to a service that sends a response once, and reports whether the caller gets it.
+func checkOwnResponse(t *testing.T, response string) {
+	t.Helper()
+	sc, op := &ownScript{path: "/releases"}, smallSimulation()
+	op.front, op.engines = sc.front, 1
+	runSimulation(t, op, func(t *testing.T, sm *simulation) {
+		sc.set(ownText(response))
+		key := newIdempotencyKey()
+		for range 2 {
+			re := sm.postRelease("caller", entryName(0), key, `{"batch":1}`, 5*time.Second)
+			if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
+				t.Errorf("%q: status %d, %q, error %v", response, re.status, re.body, re.err)
+			}
+		}
+	})
+}
+
+// checkDirectResponse sends a call to servers that send a response, and reports whether the caller gets it.
+func checkDirectResponse(t *testing.T, response string) {
+	t.Helper()
+	runDirectSimulation(t, 2, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
+		ds.setAllScripts(writeRaw(func(*http.Request) string { return response }))
+		re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "body")
+		if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
+			t.Errorf("%q: status %d, %q, error %v", response, re.status, re.body, re.err)
+		}
+	})
+}
+
+// Header lines of responses to the first request.
+const (
+	ownLines    = engine.RequestHeader + ": ID\r\n"
+	directLines = headerID + ": id-1\r\n" + headerSeal + ": yes\r\n"
+)
+
 // A service sends a head that can be read in more than one way. The caller must not get what one of the readers makes of it, nor may
 // a repetition of the call.
 func TestOwnAnswerWithAnAmbiguousHeadIsNotPassedOn(t *testing.T) {
-	for number, response := range fakes.Ambiguous(engine.RequestHeader+": ID\r\n", "trouble") {
-		t.Run(fmt.Sprint(number), func(t *testing.T) {
-			sc, op := &ownScript{path: "/releases"}, smallSimulation()
-			op.front, op.engines = sc.front, 1
-			runSimulation(t, op, func(t *testing.T, sm *simulation) {
-				sc.set(ownText(response))
-				key := newIdempotencyKey()
-				for range 2 {
-					re := sm.postRelease("caller", entryName(0), key, `{"batch":1}`, 5*time.Second)
-					if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
-						t.Errorf("%q: status %d, %q, error %v", response, re.status, re.body, re.err)
-					}
-				}
-			})
-		})
+	for number, response := range fakes.Ambiguous(ownLines, "trouble") {
+		t.Run(fmt.Sprint(number), func(t *testing.T) { checkOwnResponse(t, response) })
 	}
 }
 
 func TestDirectAnswerWithAnAmbiguousHeadIsNotPassedOn(t *testing.T) {
-	for number, response := range fakes.Ambiguous(headerID+": id-1\r\n"+headerSeal+": yes\r\n", "trouble") {
-		t.Run(fmt.Sprint(number), func(t *testing.T) {
-			runDirectSimulation(t, 2, 0, func(t *testing.T, ds *directSimulation, cl *directCaller) {
-				ds.setAllScripts(writeRaw(func(*http.Request) string { return response }))
-				re := cl.send(t.Context(), http.MethodPost, "/unsafe/x", "", "body")
-				if answeredOK(re.status, re.err) || strings.Contains(re.body, "trouble") {
-					t.Errorf("%q: status %d, %q, error %v", response, re.status, re.body, re.err)
-				}
-			})
-		})
+	for number, response := range fakes.Ambiguous(directLines, "trouble") {
+		t.Run(fmt.Sprint(number), func(t *testing.T) { checkDirectResponse(t, response) })
 	}
 }
 
+// trailerResponse returns a response in chunks with a trailer line whose name has a blank.
+func trailerResponse(lines string) string {
+	return "HTTP/1.1 200 OK\r\n" + lines + "Transfer-Encoding: chunked\r\n\r\n7\r\ntrouble\r\n0\r\nX-Trailer : 1\r\n\r\n"
+}
+
+// A trailer with an invalid name ends a response that must not be taken for whole.
+func TestOwnAnswerWithAnInvalidTrailerIsNotWhole(t *testing.T) {
+	checkOwnResponse(t, trailerResponse(ownLines))
+}
+
+func TestDirectAnswerWithAnInvalidTrailerIsNotWhole(t *testing.T) {
+	checkDirectResponse(t, trailerResponse(directLines))
+}
+
 // checkDirectHead sends requests of each kind that are answered with a head that is none, and reports answers that the callers
 // must not get, or get late.
 func checkDirectHead(t *testing.T, status, lines string) {
