Take no weights from a response that breaks off

Callers would see: the simulated engine counts an adapter as loaded whose weights came in part only, by the status alone.

Cause: it closed the body without reading it, and used the library's client, which takes invalid heads too.

Evidence, before: TestFetchTakesNoBrokenResponseForWeights failed for a length, chunks and a reset that cut the body short.

Change: it reads the body to its end, by the client of core/reply. The product itself reads no weights; engines do, and agents read what their orders are answered with.

--- a/stand/engine/fetch.go
+++ b/stand/engine/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 )
 
@@ -13,7 +14,7 @@
 }
 
 // Fetch loads the weights of an adapter version and returns the HTTP status of the response. It
-// returns 502 if there was none.
+// returns 502 if there was none, or if it broke off.
 func (hs HTTPStore) Fetch(ctx context.Context, adapter string, version int) int {
 	url := fmt.Sprintf("%s/weights/%s/%d", hs.URL, adapter, version)
 	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -25,5 +26,8 @@
 		return http.StatusBadGateway
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return http.StatusBadGateway
+	}
 	return resp.StatusCode
 }
--- a/stand/internal/launch/launch.go
+++ b/stand/internal/launch/launch.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/bambooladder/bambooladder/core/reply"
 	"github.com/bambooladder/bambooladder/stand/engine"
 	"github.com/bambooladder/bambooladder/stand/faulty"
 	"github.com/bambooladder/bambooladder/stand/hostls"
@@ -139,7 +140,7 @@
 	case "store":
 		return weight.New(op.loadsPerSecond).Handler(), nil
 	case "engine":
-		en := engine.New(op.engine, engine.HTTPStore{Client: http.DefaultClient, URL: op.storeURL})
+		en := engine.New(op.engine, engine.HTTPStore{Client: reply.NewClient(&http.Transport{}), URL: op.storeURL})
 		go en.Run(ctx)
 		return faulty.New(en.Handler(), faulty.Mode(op.answerMode)), nil
 	}
