Use the field's terms in the reading of responses, and count rejections

New counters show invalid answers, answers over the budget and the memory that answers take. The checks of readers of uploads have a case with interim answers, which held before.

--- a/agent/internal/broker/actions.go
+++ b/agent/internal/broker/actions.go
@@ -95,7 +95,7 @@
 	br.lg.Debug().Str("attempt", fo.Attempt).Str("request", at.di.Request).Str("handle", fo.Handle).Msg("attempt_forwarded")
 	requestCtx, cancel := context.WithTimeout(ctx, time.Duration(at.di.Budget)*time.Millisecond)
 	at.cancel = cancel
-	fw := &forwarding{cl: br.cl, di: at.di, handle: fo.Handle, out: at.out, boot: br.engineBoot, held: &br.held}
+	fw := &forwarding{cl: br.cl, di: at.di, handle: fo.Handle, out: at.out, boot: br.engineBoot, budget: &br.budget}
 	go func() {
 		defer cancel()
 		br.postEvent(ctx, event{forwardEnded: fw.run(requestCtx, ctx)})
--- a/agent/internal/broker/budget_test.go
+++ b/agent/internal/broker/budget_test.go
@@ -15,14 +15,14 @@
 	"github.com/leanovate/gopter/prop"
 )
 
-// open returns the holding of an answer, which is released at the end of the test.
-func open(tb testing.TB, hs *holdings) *holding {
-	ho, _ := hs.open(context.Background())
-	tb.Cleanup(ho.release)
-	return ho
+// open returns the buffer of an answer, which is released at the end of the test.
+func open(tb testing.TB, ab *answerBudget) *answerBuffer {
+	bu, _ := ab.open(context.Background())
+	tb.Cleanup(bu.release)
+	return bu
 }
 
-// endless is a body without an end, which its context ends.
+// endless is an endless body, which fails once its context is canceled.
 type endless struct {
 	ctx context.Context
 }
@@ -34,86 +34,86 @@
 	return copy(buf, "eeee"), nil
 }
 
-// Beside answers without an end, which end at their bound or lose their room, whole ones are held.
-func TestEndlessAnswersTakeNoRoomFromWholeOnes(t *testing.T) {
-	hs, wg := &holdings{}, sync.WaitGroup{}
+// Whole answers arrive beside endless ones, which reach their limit or are evicted.
+func TestEndlessAnswersDoNotEvictWholeOnes(t *testing.T) {
+	ab, wg := &answerBudget{}, sync.WaitGroup{}
 	for range 30 {
 		wg.Go(func() {
-			ho, ctx := hs.open(t.Context())
-			defer ho.release()
-			if data, err := ho.readWhole(endless{ctx}, answerBytesMax); err == nil {
-				t.Errorf("an answer without an end is whole with %d bytes", len(data))
+			bu, ctx := ab.open(t.Context())
+			defer bu.release()
+			if data, err := bu.readWhole(endless{ctx}, answerBytesMax); err == nil {
+				t.Errorf("an endless answer is whole with %d bytes", len(data))
 			}
 		})
 	}
 	whole := strings.Repeat("w", 200<<10)
 	for range 200 {
 		wg.Go(func() {
-			ho, ctx := hs.open(t.Context())
-			defer ho.release()
-			data, err := ho.readWhole(io.MultiReader(strings.NewReader(whole[:100<<10]), strings.NewReader(whole[100<<10:])), answerBytesMax)
+			bu, ctx := ab.open(t.Context())
+			defer bu.release()
+			data, err := bu.readWhole(io.MultiReader(strings.NewReader(whole[:100<<10]), strings.NewReader(whole[100<<10:])), answerBytesMax)
 			if err != nil || string(data) != whole || ctx.Err() != nil {
 				t.Errorf("%d bytes, error %v", len(data), err)
 			}
 		})
 	}
 	wg.Wait()
-	if hs.held != 0 || len(hs.growing) != 0 {
-		t.Errorf("%d bytes in %d answers are held at the end", hs.held, len(hs.growing))
+	if ab.used != 0 || len(ab.receiving) != 0 {
+		t.Errorf("%d bytes in %d answers are held at the end", ab.used, len(ab.receiving))
 	}
 }
 
-// Whatever answers grow to, what counts stays within the bound, what has lost its room does not count, and all of it comes back.
-func TestHoldingsStayWithinTheirBound(t *testing.T) {
+// Whatever the buffers grow to, the memory in use stays within the budget and is returned, and small buffers always fit.
+func TestAnswerBudgetIsKept(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
 	properties.Property("bounded", prop.ForAll(func(sizes []int) string {
-		hs, list := &holdings{}, make([]*holding, 0, len(sizes))
+		ab, list := &answerBudget{}, make([]*answerBuffer, 0, len(sizes))
 		for ix, size := range sizes {
-			ho, ctx := hs.open(context.Background())
-			list = append(list, ho)
-			got := ho.grow(size)
-			if hs.held > heldBytesMax {
-				return fmt.Sprintf("%d bytes are held after %d", hs.held, ix)
+			bu, ctx := ab.open(context.Background())
+			list = append(list, bu)
+			got := bu.grow(size)
+			if ab.used > budgetBytes {
+				return fmt.Sprintf("%d bytes are held after %d", ab.used, ix)
 			}
-			if size <= heldFreeBytes && !got {
-				return fmt.Sprintf("a buffer of %d bytes has no room", size)
+			if size <= freeBytes && !got {
+				return fmt.Sprintf("a buffer of %d bytes does not fit", size)
 			}
 			if ctx.Err() != nil {
-				return "an answer lost its room to itself"
+				return "an answer was evicted by itself"
 			}
 			for _, other := range list[:ix] {
-				if other.bytes > 0 && other.ended {
-					return "an answer that has lost its room still counts"
+				if other.bytes > 0 && other.evicted {
+					return "an evicted buffer still counts"
 				}
 			}
 		}
-		for _, ho := range list {
-			ho.release()
+		for _, bu := range list {
+			bu.release()
 		}
-		if hs.held != 0 || len(hs.growing) != 0 {
-			return fmt.Sprintf("%d bytes are held at the end", hs.held)
+		if ab.used != 0 || len(ab.receiving) != 0 {
+			return fmt.Sprintf("%d bytes are held at the end", ab.used)
 		}
 		return ""
 	}, gen.SliceOf(gen.IntRange(1, answerBytesMax+1))))
 	properties.TestingRun(t)
 }
 
-// The longest answer gives up its room, unless it has arrived whole.
-func TestLongestAnswerGivesUpItsRoom(t *testing.T) {
-	hs := &holdings{}
-	whole := open(t, hs)
+// The largest buffer is evicted, unless its answer has arrived whole.
+func TestLargestBufferIsEvicted(t *testing.T) {
+	ab := &answerBudget{}
+	whole := open(t, ab)
 	if data, err := whole.readWhole(bytes.NewReader(make([]byte, answerBytesMax)), answerBytesMax); err != nil || len(data) != answerBytesMax {
 		t.Fatalf("%d bytes, %v", len(data), err)
 	}
-	long, ctx := hs.open(t.Context())
+	long, ctx := ab.open(t.Context())
 	defer long.release()
-	if !long.grow(heldBytesMax - answerBytesMax) {
-		t.Fatal("no room for a long answer")
+	if !long.grow(budgetBytes - answerBytesMax) {
+		t.Fatal("a long answer does not fit")
 	}
-	if short := open(t, hs); !short.grow(1<<20) || !errors.Is(context.Cause(ctx), errNotHeld) || long.grow(1<<10) {
-		t.Errorf("the longer answer keeps its room: %v", context.Cause(ctx))
+	if short := open(t, ab); !short.grow(1<<20) || !errors.Is(context.Cause(ctx), errOverBudget) || long.grow(1<<10) {
+		t.Errorf("the larger buffer is not evicted: %v", context.Cause(ctx))
 	}
-	if longer := open(t, hs); longer.grow(heldBytesMax) {
-		t.Error("an answer has room that others hold")
+	if longer := open(t, ab); longer.grow(budgetBytes) {
+		t.Error("a buffer fits that needs the memory of whole answers")
 	}
 }
--- a/agent/internal/broker/forward.go
+++ b/agent/internal/broker/forward.go
@@ -36,10 +36,10 @@
 	reasonBackendLost  = "backend_lost"
 	reasonWrongAdapter = "wrong_adapter"
 	reasonOtherAnswer  = "other_answer"
-	// reasonInvalidAnswer means that what the backend server has sent is no answer.
+	// reasonInvalidAnswer means that the backend server has sent an invalid response.
 	reasonInvalidAnswer = "invalid_answer"
-	// reasonNotHeld means that the agent had no room for so long an answer.
-	reasonNotHeld = "answer_not_held"
+	// reasonOverBudget means that the answer needed more memory than the agent has for it.
+	reasonOverBudget = "answer_over_budget"
 	// reasonDeadline is also the reason if the attempt was stopped, as both end requestCtx.
 	reasonDeadline      = "deadline"
 	reasonEngineCrashed = "engine_crashed"
@@ -61,9 +61,9 @@
 	out    *output.Output
 	// boot identifies the engine process as of the time when the request was forwarded.
 	boot string
-	// held counts what the agent holds of all answers, ho what it holds of this one.
-	held *holdings
-	ho   *holding
+	// budget limits the memory of all answers, buffer is the share of this one.
+	budget *answerBudget
+	buffer *answerBuffer
 }
 
 // run forwards the request, sends the answer to the entry node and returns how it ended. The request
@@ -71,8 +71,8 @@
 // after that runs in ctx.
 func (fw *forwarding) run(requestCtx, ctx context.Context) *forwardResult {
 	res := &forwardResult{attempt: fw.di.Attempt, handle: fw.handle, outcome: answered, reason: "whole"}
-	fw.ho, requestCtx = fw.held.open(requestCtx)
-	defer fw.ho.release()
+	fw.buffer, requestCtx = fw.budget.open(requestCtx)
+	defer fw.buffer.release()
 	resp, err := fw.cl.Forward(requestCtx, fw.di, fw.handle)
 	if err != nil {
 		return fw.handleFailure(requestCtx, ctx, res, err)
@@ -109,8 +109,10 @@
 		res.reason = reasonOtherAnswer
 	case errors.Is(err, reply.ErrInvalid):
 		res.reason = reasonInvalidAnswer
-	case errors.Is(err, errNotHeld), errors.Is(err, reply.ErrTooLong), errors.Is(context.Cause(requestCtx), errNotHeld):
-		res.reason = reasonNotHeld
+		metricInvalidAnswers.Add(1)
+	case errors.Is(err, errOverBudget), errors.Is(err, reply.ErrTooLong), errors.Is(context.Cause(requestCtx), errOverBudget):
+		res.reason = reasonOverBudget
+		metricOverBudget.Add(1)
 	case requestCtx.Err() != nil:
 		res.reason = reasonDeadline
 	}
@@ -193,7 +195,7 @@
 // sendJSON sends a JSON answer with the adapter's name and version instead of its
 // handle.
 func (fw *forwarding) sendJSON(ctx context.Context, resp *http.Response, contentType string) error {
-	data, err := fw.ho.readWhole(resp.Body, answerBytesMax)
+	data, err := fw.buffer.readWhole(resp.Body, answerBytesMax)
 	if err != nil {
 		return err
 	}
@@ -245,11 +247,11 @@
 	return errors.New("broker: the stream ended before its last event")
 }
 
-// splitLines splits a stream into lines. A line that goes on needs room for a buffer of twice the size.
+// splitLines splits a stream into lines. For a line that has not ended, the scanner doubles its buffer.
 func (fw *forwarding) splitLines(data []byte, atEOF bool) (int, []byte, error) {
 	advance, line, err := bufio.ScanLines(data, atEOF)
-	if advance == 0 && line == nil && err == nil && !fw.ho.grow(max(lineBufferBytes, 2*len(data))) {
-		return 0, nil, errNotHeld
+	if advance == 0 && line == nil && err == nil && !fw.buffer.grow(max(lineBufferBytes, 2*len(data))) {
+		return 0, nil, errOverBudget
 	}
 	return advance, line, err
 }
--- a/agent/internal/broker/report.go
+++ b/agent/internal/broker/report.go
@@ -19,6 +19,11 @@
 	metricForwarded    = newMetric("forwarded")
 	metricRunning      = newMetric("running")
 	metricWaiting      = newMetric("waiting")
+	// metricHeldBytes is the memory of answers that have not been passed on.
+	metricHeldBytes = newMetric("held_answer_bytes")
+	// metricInvalidAnswers and metricOverBudget count invalid responses and answers that needed too much memory.
+	metricInvalidAnswers = newMetric("invalid_answers")
+	metricOverBudget     = newMetric("answers_over_budget")
 )
 
 // newMetric publishes a value under a name and returns it.
--- a/agent/internal/client/invalid_test.go
+++ b/agent/internal/client/invalid_test.go
@@ -9,9 +9,9 @@
 	"github.com/bambooladder/bambooladder/core/wire"
 )
 
-// A backend server in trouble answers with a head that is none. Nothing of it is believed: a request may have run, an order may
-// still be carried out, and what an engine holds is not known.
-func TestInvalidHeadIsBelievedInNothing(t *testing.T) {
+// A backend server sends an invalid head. The client must not conclude anything from it: a request may have run, an order may still
+// be carried out, and what an engine holds is not known.
+func TestInvalidHeadIsAnError(t *testing.T) {
 	const inventory = `{"boot":"b","fence":1,"held":[]}`
 	fakes.ServeInvalid(t, inventory, func(address, answer string) {
 		cl := NewClient(&http.Transport{}, "http://"+address)
@@ -41,23 +41,23 @@
 // bytes.
 const readMax = 48 << 20
 
-// An engine in trouble sends what has no end to inspections, cancellations and orders. They end, and do not read on.
-func TestEndlessAnswersOfAnEngineAreNotReadOn(t *testing.T) {
+// An engine sends endless responses to inspections, cancellations and orders. The client must stop reading.
+func TestClientStopsReadingEndlessResponses(t *testing.T) {
 	for name, text := range map[string]string{
 		"head": "HTTP/1.1 200 OK\r\nA: ", "body": "HTTP/1.1 200 OK\r\n\r\n", "inventory": "HTTP/1.1 200 OK\r\n\r\n{\"boot\":\"", "chunk line": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	} {
 		en := &fakes.Endless{Text: text, Block: "e"}
 		cl := NewClient(&http.Transport{}, "http://"+fakes.Serve(t, en.Answer))
 		if iv, err := cl.Inspect(t.Context()); err == nil {
-			t.Errorf("a %s without an end: inventory %+v", name, iv)
+			t.Errorf("an endless %s: inventory %+v", name, iv)
 		}
 		_, cancelErr := cl.Cancel(t.Context(), "a")
 		load, _ := cl.Load(t.Context(), Order{Handle: "h"})
 		if name == "head" && (cancelErr == nil || load != sched.Lost) {
-			t.Errorf("a %s without an end: a load has the result %v, a cancellation %v", name, load, cancelErr)
+			t.Errorf("an endless %s: a load has the result %v, a cancellation %v", name, load, cancelErr)
 		}
 		if en.Sent() > readMax {
-			t.Errorf("a %s without an end: %d MiB", name, en.Sent()>>20)
+			t.Errorf("an endless %s: %d MiB", name, en.Sent()>>20)
 		}
 	}
 }
--- a/agent/internal/client/upload_test.go
+++ b/agent/internal/client/upload_test.go
@@ -34,3 +34,7 @@
 func TestForwardTakesARefusalOfAnUploadWithALengthForWhole(t *testing.T) {
 	fakes.CheckRefusal(t, upload(t))
 }
+
+func TestForwardTakesAnAnswerAfterInterimAnswersForWhole(t *testing.T) {
+	fakes.CheckInterim(t, upload(t))
+}
--- a/core/reply/budget.go
+++ b/core/reply/budget.go
@@ -8,70 +8,71 @@
 )
 
 const (
-	// defaultRoomBytes is the default size of a room.
-	defaultRoomBytes = 128 << 20
+	// defaultBudgetBytes is the default size of a Budget.
+	defaultBudgetBytes = 128 << 20
 	// firstBufferBytes is the size of the first buffer of a body.
 	firstBufferBytes = 4 << 10
 )
 
-// ErrTooLong means that a body has more bytes than an answer may have, or than there is room for beside others that are being read.
-var ErrTooLong = errors.New("reply: the answer is too long; look at what the server sends")
+// ErrTooLong means that a body exceeds its limit or the memory that is left for it.
+var ErrTooLong = errors.New("reply: the body of the response is too long; look at what the server sends")
 
-// Room bounds the bodies that are read at the same time. What has arrived whole does not count any more. The zero value has 128 MiB.
-type Room struct {
-	// BytesMax is the size of the room in bytes, zero for the default.
+// Budget limits the memory of the bodies that are being read. Bodies that have arrived whole do not count. The zero value has the
+// default size.
+type Budget struct {
+	// BytesMax is the size in bytes, zero for the default.
 	BytesMax int
 
 	mu   sync.Mutex
-	held int
+	used int
 }
 
-// take counts more bytes, and reports whether there is room for them.
-func (ro *Room) take(count int) bool {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	bytesMax := ro.BytesMax
+// take reserves memory, and reports whether there is enough.
+func (bu *Budget) take(count int) bool {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	bytesMax := bu.BytesMax
 	if bytesMax == 0 {
-		bytesMax = defaultRoomBytes
+		bytesMax = defaultBudgetBytes
 	}
-	if ro.held+count > bytesMax {
+	if bu.used+count > bytesMax {
 		return false
 	}
-	ro.held += count
+	bu.used += count
 	return true
 }
 
-// release gives bytes back.
-func (ro *Room) release(count int) {
-	ro.mu.Lock()
-	defer ro.mu.Unlock()
-	ro.held -= count
+// release returns memory.
+func (bu *Budget) release(count int) {
+	bu.mu.Lock()
+	defer bu.mu.Unlock()
+	bu.used -= count
 }
 
-// ReadAll reads a whole body of bytesMax bytes at most. It fails with ErrTooLong if the body is longer or there is no room for it.
-func (ro *Room) ReadAll(body io.Reader, bytesMax int) ([]byte, error) {
+// ReadAll reads a whole body. It fails with ErrTooLong if the body has more than bytesMax bytes or the budget is used up.
+func (bu *Budget) ReadAll(body io.Reader, bytesMax int) ([]byte, error) {
 	taken := 0
-	defer func() { ro.release(taken) }()
+	defer func() { bu.release(taken) }()
 	return ReadAll(body, bytesMax, func(size int) bool {
-		// While a buffer grows, the one before is still there.
-		if !ro.take(size) {
+		// The smaller buffer is needed until its contents are copied.
+		if !bu.take(size) {
 			return false
 		}
-		ro.release(taken)
+		bu.release(taken)
 		taken = size
 		return true
 	})
 }
 
-// ReadAll reads a whole body of bytesMax bytes at most into a buffer that grows where grow allows its size. It fails with
-// ErrTooLong if the body is longer or its buffer must not grow.
+// ReadAll reads a whole body. It calls grow with each size of its buffer. It fails with ErrTooLong if the body has more than bytesMax
+// bytes or grow returns false.
 func ReadAll(body io.Reader, bytesMax int, grow func(size int) bool) ([]byte, error) {
 	data := []byte(nil)
 	for {
 		if len(data) == cap(data) {
 			size := min(max(firstBufferBytes, 2*cap(data)), bytesMax+1)
 			if !grow(size) {
-				return nil, errors.Wrapf(ErrTooLong, "no room beyond %d bytes", len(data))
+				return nil, errors.Wrapf(ErrTooLong, "no memory beyond %d bytes", len(data))
 			}
 			data = append(make([]byte, 0, size), data...)
 		}
--- a/core/reply/client_test.go
+++ b/core/reply/client_test.go
@@ -78,7 +78,7 @@
 // socketBuffersMax bounds what the sockets of a connection hold, in bytes.
 const socketBuffersMax = 16 << 20
 
-// A server sends interim responses without an end. The client must not read on until the request times out.
+// A server sends endless interim responses. The client must not read on until the request times out.
 func TestClientReadsNoInterimHeadsWithoutAnEnd(t *testing.T) {
 	for name, block := range map[string]string{"short": "HTTP/1.1 100 \r\n\r\n", "long": "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("l", 8<<10) + "\r\n\r\n"} {
 		en := &fakes.Endless{Block: block}
@@ -87,7 +87,7 @@
 			_ = resp.Body.Close()
 		}
 		if err == nil || en.Sent() > socketBuffersMax {
-			t.Errorf("%s interim responses without an end: error %v after %d MiB", name, err, en.Sent()>>20)
+			t.Errorf("endless interim responses, %s: error %v after %d MiB", name, err, en.Sent()>>20)
 		}
 	}
 }
--- a/core/reply/conn_test.go
+++ b/core/reply/conn_test.go
@@ -19,8 +19,8 @@
 	settleTime = 150 * time.Millisecond
 )
 
-// upload sends a long request to a server that answers it by a text at once and then ends the connection. It returns what can be
-// read, at once or after the write has met the end of the connection.
+// upload sends a long request to a server that responds with a text at once and then ends the connection. It returns what can be read,
+// during the write or after its end.
 func upload(t *testing.T, text string, end func(nc *net.TCPConn), readsLate bool) (string, error) {
 	t.Helper()
 	nc, err := net.Dial("tcp", fakes.Serve(t, fakes.Send(text, end)))
@@ -39,9 +39,9 @@
 	return string(data), err
 }
 
-// A server sends what it has to say while a long request is being written. If the connection is reset, no read must end as if
-// the server had closed it in order, whether the write meets the reset before a read does or beside it.
-func TestResetThatAWriteMeetsIsNoOrderlyEnd(t *testing.T) {
+// A server resets the connection during an upload. Reads must return an error other than io.EOF, whether the write or the read gets
+// the error of the reset.
+func TestResetDuringAWriteIsNoOrderlyClose(t *testing.T) {
 	for readsLate, runs := range map[bool]int{false: 20, true: 2} {
 		for range runs {
 			if text, err := upload(t, "a part", fakes.Reset, readsLate); err == nil || text != "a part" {
@@ -51,8 +51,8 @@
 	}
 }
 
-// A server that closes its end in order has sent all that it has to say, whatever becomes of the request.
-func TestOrderlyEndBesideAWriteIsOne(t *testing.T) {
+// A server closes the connection in an orderly way during an upload. Reads must return io.EOF, whatever error the write gets.
+func TestOrderlyCloseDuringAWriteIsOne(t *testing.T) {
 	for name, end := range fakes.Endings() {
 		for readsLate, runs := range map[bool]int{false: 10, true: 2} {
 			for range runs {
@@ -64,7 +64,7 @@
 	}
 }
 
-// lateWriter is a connection whose write has met the reset, but has not returned when a read ends.
+// lateWriter is a connection whose write gets the error of the reset, and returns after the read.
 type lateWriter struct {
 	net.Conn
 	answer io.Reader
--- a/core/reply/doc.go
+++ b/core/reply/doc.go
@@ -1,3 +1,3 @@
-// Package reply makes sure that what a server sends is an answer in the protocol, and that an answer which breaks off does not
-// pass for whole.
+// Package reply reads responses of servers. It rejects invalid ones and those that could be read in more than one way, detects ones
+// that break off, and limits the memory of many.
 package reply
--- a/core/reply/fakes/doc.go
+++ b/core/reply/fakes/doc.go
@@ -1,2 +1,2 @@
-// Package fakes holds addresses for tests, and a server that sends what is no answer or ends its connections in the middle of one.
+// Package fakes provides a server for tests that sends invalid, broken and endless responses, and addresses for tests.
 package fakes
--- a/core/reply/fakes/endless.go
+++ b/core/reply/fakes/endless.go
@@ -10,19 +10,18 @@
 )
 
 const (
-	// endlessBlockBytes is the size of one write of what has no end, endlessMax how much is written at most, so that a test ends on
-	// any code.
+	// endlessBlockBytes is the size of a write. endlessMax limits the bytes sent on a connection, so that every test ends.
 	endlessBlockBytes = 64 << 10
 	endlessMax        = 256 << 20
 )
 
-// Endless sends a text and then a block again and again, until the connection is closed.
+// Endless is a server that sends a text and then a block repeatedly until the connection is closed.
 type Endless struct {
 	Text, Block string
-	// StallAfter is how many bytes are sent until nothing more comes on a connection that stays open, zero for no such end.
+	// StallAfter is the number of bytes after which the server sends nothing more and keeps the connection open, zero for never.
 	StallAfter int
 
-	// sent counts the bytes of all connections, ended the connections on which nothing more is sent.
+	// sent counts the bytes sent, ended the connections on which nothing more is sent.
 	sent, ended atomic.Int64
 }
 
@@ -41,8 +40,8 @@
 // Sent returns how many bytes were sent on all connections.
 func (en *Endless) Sent() int64 { return en.sent.Load() }
 
-// HeapWhenStalled calls fn, which opens a number of connections, and returns how many bytes more than before are on the heap once
-// nothing more comes on any of them. Readers that go on until nothing comes are then all there, and nothing is garbage.
+// HeapWhenStalled calls fn, which opens a number of connections, and returns the growth of the heap, in bytes, once nothing more is
+// sent on any of them. There is no garbage then, as all readers wait or have returned.
 func (en *Endless) HeapWhenStalled(conns int, fn func()) int64 {
 	before, done := heapBytes(), make(chan struct{})
 	go func() {
--- a/core/reply/fakes/heads.go
+++ b/core/reply/fakes/heads.go
@@ -5,12 +5,12 @@
 	"testing"
 )
 
-// InvalidStatuses returns statuses, with their reasons, that are none, or not of an answer to any request here.
+// InvalidStatuses returns status codes, some with reasons, that no response to a request of the system may have.
 func InvalidStatuses() []string {
 	return []string{"000 Trouble", "000", "001 Trouble", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"}
 }
 
-// InvalidNames returns header lines whose names are none.
+// InvalidNames returns header lines with invalid field names.
 func InvalidNames() []string {
 	return []string{
 		"X Trouble: 1", "X-Trouble : 1", "Content-Length : 3", "Transfer-Encoding : chunked", "Content-Length\t: 3", "X\tTrouble: 1", "X-\x01Trouble: 1",
--- a/core/reply/fakes/server.go
+++ b/core/reply/fakes/server.go
@@ -62,7 +62,7 @@
 // Close closes a connection at once, which resets it if a part of the request has not been read.
 func Close(nc *net.TCPConn) { _ = nc.Close() }
 
-// Endings returns the orderly ways to end a connection, by name: what was sent before is whole.
+// Endings returns ways to close a connection in an orderly way, by name.
 func Endings() map[string]func(nc *net.TCPConn) {
 	return map[string]func(nc *net.TCPConn){
 		"reads the rest": func(nc *net.TCPConn) {
--- a/ctl/internal/remote/remote_test.go
+++ b/ctl/internal/remote/remote_test.go
@@ -6,7 +6,7 @@
 	"github.com/bambooladder/bambooladder/core/reply/fakes"
 )
 
-// What answers in place of an entry node sends a head that is none. It is no state of the settings.
+// Something else at the address of an entry node sends an invalid head. That must not be taken for settings.
 func TestAnswerWithAnInvalidHeadIsAnError(t *testing.T) {
 	fakes.ServeInvalid(t, `{}`, func(address, answer string) {
 		if st, err := NewClient("http://"+address, "token").Settings(t.Context()); err == nil {
--- a/entry/direct/endless_test.go
+++ b/entry/direct/endless_test.go
@@ -31,8 +31,8 @@
 
 func (runProtocol) ReportedRun(_ int, report []byte) (int64, error) { return int64(len(report)), nil }
 
-// Servers that are asked which of their runs they are in send what has no end. No run is taken from it, and no more is held than
-// there is room for.
+// Servers send endless reports when they are asked for their run. The reports must not be used, and take no more memory than their
+// budget.
 func TestEndlessReportsHoldBoundedMemory(t *testing.T) {
 	for name, en := range map[string]*fakes.Endless{
 		"head": {Text: "HTTP/1.1 200 OK\r\nA: ", Block: "e"},
@@ -46,14 +46,14 @@
 			for range askedRuns {
 				wg.Go(func() {
 					if born, err := no.fetchRun(t.Context(), address, pool.Want{}); err == nil {
-						t.Errorf("a report with a %s without an end: run %d", name, born)
+						t.Errorf("a report with an endless %s: run %d", name, born)
 					}
 				})
 			}
 			wg.Wait()
 		})
 		if want := int64(allReportBytesMax + heapSlack); held > want {
-			t.Errorf("%d reports with a %s without an end: %d MiB, want at most %d", askedRuns, name, held>>20, want>>20)
+			t.Errorf("%d reports with an endless %s: %d MiB, want at most %d", askedRuns, name, held>>20, want>>20)
 		}
 		t.Logf("%s: %d MiB", name, held>>20)
 	}
@@ -68,7 +68,7 @@
 	}
 }
 
-// What stands at the addresses of peers sends what has no end. No state is taken from it, and what is held is bounded for each.
+// Something else at the addresses of peers sends endless responses. They must not be used, and the memory of each is limited.
 func TestEndlessStatesOfPeersHoldBoundedMemory(t *testing.T) {
 	for name, en := range map[string]*fakes.Endless{
 		"head": {Text: "HTTP/1.1 200 OK\r\nA: ", Block: "e"},
@@ -84,12 +84,12 @@
 		defer no.cancel()
 		held := en.HeapWhenStalled(askedPeers, func() {
 			if list := no.fetchPeerStates(t.Context()); len(list) > 0 {
-				t.Errorf("a %s without an end: %d states", name, len(list))
+				t.Errorf("an endless %s: %d states", name, len(list))
 			}
 		})
 		// A buffer that grows is twice as long as what has arrived.
 		if want := int64(askedPeers*2*maxPeerStateBytes + heapSlack); held > want {
-			t.Errorf("%d peers with a %s without an end: %d MiB, want at most %d", askedPeers, name, held>>20, want>>20)
+			t.Errorf("%d peers with an endless %s: %d MiB, want at most %d", askedPeers, name, held>>20, want>>20)
 		}
 		t.Logf("%s: %d MiB", name, held>>20)
 	}
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -43,6 +43,8 @@
 	// on as they arrived because they were too long for that.
 	metricHeldBytes = newCounter("held_answer_bytes")
 	metricPassedOn  = newCounter("answers_not_held")
+	// metricInvalidAnswers counts invalid responses.
+	metricInvalidAnswers = newCounter("invalid_answers")
 	// metricPauses counts the pauses that servers have asked for, metricHeldBack the requests refused
 	// because of pauses and limits of servers.
 	metricPauses   = newCounter("server_pauses")
--- a/entry/direct/node.go
+++ b/entry/direct/node.go
@@ -59,8 +59,8 @@
 	quotas  *quotas
 	freezes freezes
 	held    heldBytes
-	// reports bounds what is held of the answers of servers that are asked for their runs.
-	reports reply.Room
+	// reports limits the memory of the reports of servers that are being read.
+	reports reply.Budget
 	memory  memory.Budget
 	pool    *pool.Pool
 	// boot identifies this run of the node.
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	no := &Node{
 		options: options, logger: options.Logger, view: newLogView(), pool: pool.New(options.Network, options.Settings.AnswerHeadBytes), boot: uuid.Must(uuid.NewV7()).String(),
-		ctx: ctx, cancel: cancel, reports: reply.Room{BytesMax: allReportBytesMax}, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), callersEnded: make(chan struct{}), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
+		ctx: ctx, cancel: cancel, reports: reply.Budget{BytesMax: allReportBytesMax}, drain: newDraining(), callers: conns.NewSet(callerLimits, options.Logger), callersEnded: make(chan struct{}), addresses: map[string]string{}, retryWindows: map[string]*retry.Window{},
 	}
 	no.memory.SetBytes(no.callersBytes())
 	no.held.budget = &no.memory
--- a/entry/direct/peers_test.go
+++ b/entry/direct/peers_test.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// A peer in trouble answers with a head that is none. Its state is not taken over.
+// A peer sends an invalid head. Its state must not be used.
 func TestStateOfAPeerWithAnInvalidHeadIsNotTakenOver(t *testing.T) {
 	data, err := cbor.Marshal(peerState{Epoch: 1, Table: &paths.Table{Version: 4}})
 	if err != nil {
--- a/entry/direct/send.go
+++ b/entry/direct/send.go
@@ -225,6 +225,7 @@
 		reason = "head_too_long"
 	case errors.Is(err, reply.ErrInvalid):
 		reason = "head_invalid"
+		metricInvalidAnswers.Add(1)
 	}
 	if !callerGone {
 		rq.no.recordFailure(at.server)
--- a/entry/direct/takeup_run.go
+++ b/entry/direct/takeup_run.go
@@ -13,8 +13,7 @@
 const (
 	// runAnswerMax bounds the wait for a server that is asked which of its runs it is in.
 	runAnswerMax = 400 * time.Millisecond
-	// reportBytesMax bounds the bytes that are read of a server's answer, allReportBytesMax those of all that are asked at the same
-	// time.
+	// reportBytesMax limits a server's report, allReportBytesMax the memory of all that are being read.
 	reportBytesMax    = 1 << 20
 	allReportBytesMax = 16 << 20
 	// reasonRunUnknown means that a stream did not go on at a server that may have started again since the node last heard of it.
--- a/entry/internal/caller/answer.go
+++ b/entry/internal/caller/answer.go
@@ -22,7 +22,7 @@
 )
 
 // answer writes the response to a caller. An event stream is sent part by part. Any other answer is
-// buffered until it is complete or there is no more room for it, so that a failed attempt can still
+// buffered until it is complete or does not fit any more, so that a failed attempt can still
 // be retried. It must be released.
 type answer struct {
 	wr     http.ResponseWriter
@@ -45,13 +45,13 @@
 	resumed bool
 }
 
-// newAnswer returns the answer to a request, whose buffer is one of all. stream is true if the caller asked for an event
+// newAnswer returns the answer to a request; its buffer counts among all. stream is true if the caller asked for an event
 // stream.
 func newAnswer(wr http.ResponseWriter, stream bool, all *buffers) *answer {
 	return &answer{wr: wr, rc: http.NewResponseController(wr), stream: stream, buffer: buffer{all: all}}
 }
 
-// release gives the memory of the answer back.
+// release returns the memory of the answer.
 func (an *answer) release() { an.buffer.reset() }
 
 // Head sets the status and the content type. It has no effect once the status is sent: a later
@@ -89,7 +89,7 @@
 	an.uncounted = an.uncounted || !ev.counted
 }
 
-// bufferOrSend buffers a part. If there is no room for it, it sends the buffer and the part instead.
+// bufferOrSend buffers a part. If it does not fit, it sends the buffer and the part instead.
 func (an *answer) bufferOrSend(data []byte) error {
 	if !an.statusSent && an.buffer.add(data) {
 		return nil
--- a/entry/internal/caller/buffer_test.go
+++ b/entry/internal/caller/buffer_test.go
@@ -10,7 +10,7 @@
 	"github.com/leanovate/gopter/prop"
 )
 
-// However answers grow, their buffers stay within the bound for all, short ones always have room, and all of it comes back.
+// Whatever the answers, their buffers stay within the limit, short answers always fit, and all memory is returned.
 func TestBuffersStayWithinTheirBound(t *testing.T) {
 	properties := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(1))
 	properties.Property("bounded", prop.ForAll(func(parts []int) string {
@@ -26,22 +26,22 @@
 			case added != (len(bu.data) == before+size):
 				return "a part was added in part"
 			case !added && 2*(before+size) <= freeBufferBytes:
-				return fmt.Sprintf("an answer of %d bytes has no room", before+size)
-			case all.held > maxAllBufferedBytes:
-				return fmt.Sprintf("%d bytes are buffered", all.held)
+				return fmt.Sprintf("an answer of %d bytes does not fit", before+size)
+			case all.used > maxAllBufferedBytes:
+				return fmt.Sprintf("%d bytes are buffered", all.used)
 			}
 		}
 		for _, bu := range list {
 			counted += max(0, cap(bu.data)-freeBufferBytes)
 		}
-		if counted != all.held {
-			return fmt.Sprintf("%d bytes count, want %d", all.held, counted)
+		if counted != all.used {
+			return fmt.Sprintf("%d bytes count, want %d", all.used, counted)
 		}
 		for _, bu := range list {
 			bu.reset()
 		}
-		if all.held != 0 {
-			return fmt.Sprintf("%d bytes count at the end", all.held)
+		if all.used != 0 {
+			return fmt.Sprintf("%d bytes count at the end", all.used)
 		}
 		return ""
 	}, gen.SliceOfN(200, gen.IntRange(0, maxBufferedBytes))))
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -42,6 +42,8 @@
 	metricRefusals = expvar.NewMap("refusals")
 	// metricMemory has what each node of the process holds of bodies.
 	metricMemory = expvar.NewMap("callers_memory")
+	// metricBuffers has the state of each node's buffers of answers.
+	metricBuffers = expvar.NewMap("answer_buffers")
 )
 
 // Settings provides the settings in force.
@@ -69,7 +71,7 @@
 	op Options
 	// memory is what the node may hold of bodies.
 	memory memory.Budget
-	// buffers counts the buffers of answers.
+	// buffers limits the memory of answers that are not sent yet.
 	buffers buffers
 
 	// mu protects teams.
@@ -81,6 +83,7 @@
 func NewCaller(op Options) *Caller {
 	ca := &Caller{op: op}
 	metricMemory.Set(op.Place.Name, expvar.Func(func() any { return ca.memory.Stats() }))
+	metricBuffers.Set(op.Place.Name, expvar.Func(func() any { return ca.buffers.stats() }))
 	return ca
 }
 
--- a/entry/internal/peers/peers.go
+++ b/entry/internal/peers/peers.go
@@ -16,7 +16,7 @@
 
 const (
 	requestTimeout = 2 * time.Second
-	// maxResponseBytes limits a response body, maxAllReadBytes what is held of all that are being read at the same time.
+	// maxResponseBytes limits a response body, maxAllReadBytes the memory of all that are being read.
 	maxResponseBytes = 64 << 20
 	maxAllReadBytes  = 128 << 20
 	// maxPeersAsked is the maximum number of peers that one call of LatestImage asks, one after
@@ -41,13 +41,13 @@
 	self string
 	// random returns random numbers in [0, 1).
 	random func() float64
-	// room bounds what is held of the responses that are being read at the same time.
-	room reply.Room
+	// budget limits the memory of the responses that are being read.
+	budget reply.Budget
 }
 
 // NewPeers returns a client of the entry nodes in a directory, except the node named self.
 func NewPeers(hc *http.Client, di Directory, self string, random func() float64) *Peers {
-	return &Peers{http: hc, dir: di, self: self, random: random, room: reply.Room{BytesMax: maxAllReadBytes}}
+	return &Peers{http: hc, dir: di, self: self, random: random, budget: reply.Budget{BytesMax: maxAllReadBytes}}
 }
 
 // others returns the entry nodes in the directory, except this one.
@@ -130,6 +130,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("peers: %s returned status %d", ho.Name, resp.StatusCode)
 	}
-	data, err := pe.room.ReadAll(resp.Body, maxResponseBytes)
+	data, err := pe.budget.ReadAll(resp.Body, maxResponseBytes)
 	return data, errors.Wrapf(err, "peers: read response from %s", ho.Name)
 }
--- a/entry/internal/peers/peers_test.go
+++ b/entry/internal/peers/peers_test.go
@@ -18,7 +18,7 @@
 	return []member.Host{{Name: "peer", Address: string(di)}}
 }
 
-// A peer in trouble answers with a head that is none. Neither settings nor a status are taken from it.
+// A peer sends an invalid head. Its settings and its status must not be used.
 func TestAnswerOfAPeerWithAnInvalidHeadIsNone(t *testing.T) {
 	data, err := record.Encode(&record.Envelope{Image: &record.Image{Next: 7}})
 	if err != nil {
@@ -55,7 +55,7 @@
 	return list
 }
 
-// What stands at the addresses of peers sends what has no end. None of it is a status, and no more is held than there is room for.
+// Something else at the addresses of peers sends endless responses. They must not be used, and take no more memory than their budget.
 func TestEndlessAnswersOfPeersHoldBoundedMemory(t *testing.T) {
 	for name, en := range map[string]*fakes.Endless{
 		"head": {Text: "HTTP/1.1 200 OK\r\nA: ", Block: "e"},
@@ -66,16 +66,16 @@
 		held := en.HeapWhenStalled(peerCount, func() {
 			for _, no := range pe.Statuses(t.Context()) {
 				if no.Reachable {
-					t.Errorf("a peer that sends a %s without an end is reachable", name)
+					t.Errorf("a peer that sends an endless %s is reachable", name)
 				}
 			}
 		})
 		// Peers are asked one after another for an image.
 		if _, found := pe.LatestImage(t.Context()); found {
-			t.Errorf("a %s without an end is an image", name)
+			t.Errorf("an endless %s is an image", name)
 		}
 		if want := int64(maxAllReadBytes + heapSlack); held > want {
-			t.Errorf("a %s without an end, %d times: %d MiB, want at most %d", name, peerCount, held>>20, want>>20)
+			t.Errorf("an endless %s, %d times: %d MiB, want at most %d", name, peerCount, held>>20, want>>20)
 		}
 		t.Logf("%s: %d MiB", name, held>>20)
 	}
--- a/entry/internal/plat/hosts.go
+++ b/entry/internal/plat/hosts.go
@@ -31,7 +31,7 @@
 	http    *http.Client
 	baseURL string
 	lg      zerolog.Logger
-	room    reply.Room
+	budget  reply.Budget
 }
 
 // NewHosts returns a client of the host list at a base URL.
@@ -65,7 +65,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("plat: host list returned status %d", resp.StatusCode)
 	}
-	data, err := hs.room.ReadAll(resp.Body, maxResponseBytes)
+	data, err := hs.budget.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "plat: read host list")
 	}
--- a/entry/internal/plat/invalid_test.go
+++ b/entry/internal/plat/invalid_test.go
@@ -13,7 +13,7 @@
 	"github.com/bambooladder/bambooladder/core/reply/fakes"
 )
 
-// The platform in trouble answers with a head that is none. No host nor record is taken from it, and an append may have happened.
+// The platform sends an invalid head. Hosts and records must not be used, and an append may have happened.
 func TestAnswerOfThePlatformWithAnInvalidHeadIsAnError(t *testing.T) {
 	hc := reply.NewClient(&http.Transport{})
 	fakes.ServeInvalid(t, `{"hosts":[],"first":0,"next":4,"records":[]}`, func(address, answer string) {
@@ -37,7 +37,7 @@
 	heapSlack = 32 << 20
 )
 
-// The log sends what has no end to each of the reads of a node. All of them must fail, and hold no more than there is room for.
+// The log sends endless responses to all reads of a node. The reads must fail, and use no more memory than their budget.
 func TestEndlessAnswersOfTheLogHoldBoundedMemory(t *testing.T) {
 	for name, en := range map[string]*fakes.Endless{
 		"a head":          {Text: "HTTP/1.1 200 OK\r\nA: ", Block: "e"},
@@ -53,14 +53,14 @@
 			for range streamCount {
 				wg.Go(func() {
 					if _, err := lo.Read(t.Context(), "s", 0, time.Second); err == nil || errors.Is(err, ErrExpired) {
-						t.Errorf("%s without an end: error %v", name, err)
+						t.Errorf("endless: %s: error %v", name, err)
 					}
 				})
 			}
 			wg.Wait()
 		})
 		if want := int64(maxAllReadBytes + heapSlack); held > want {
-			t.Errorf("%s without an end, %d times: %d MiB, want at most %d", name, streamCount, held>>20, want>>20)
+			t.Errorf("endless: %s, %d times: %d MiB, want at most %d", name, streamCount, held>>20, want>>20)
 		}
 		t.Logf("%s: %d MiB", name, held>>20)
 	}
--- a/entry/internal/plat/log.go
+++ b/entry/internal/plat/log.go
@@ -20,9 +20,9 @@
 	appendTimeout = 2 * time.Second
 	// readTimeout limits a read, in addition to the time for which the log waits for a record.
 	readTimeout = 1500 * time.Millisecond
-	// maxDrainBytes limits what is read of a response that is not of interest.
+	// maxDrainBytes limits how much of an unused response body is read.
 	maxDrainBytes = 1 << 20
-	// maxAllReadBytes bounds what is held of all pages that are being read at the same time.
+	// maxAllReadBytes limits the memory of all pages that are being read.
 	maxAllReadBytes = 128 << 20
 	// maxResponseBytes is the maximum size of a response body. A longer one is an error.
 	maxResponseBytes = 64 << 20
@@ -50,13 +50,13 @@
 type Log struct {
 	http    *http.Client
 	baseURL string
-	// room bounds what is held of the pages that are being read at the same time.
-	room reply.Room
+	// budget limits the memory of the pages that are being read.
+	budget reply.Budget
 }
 
 // NewLog returns a client of the log at a base URL.
 func NewLog(hc *http.Client, baseURL string) *Log {
-	return &Log{http: hc, baseURL: baseURL, room: reply.Room{BytesMax: maxAllReadBytes}}
+	return &Log{http: hc, baseURL: baseURL, budget: reply.Budget{BytesMax: maxAllReadBytes}}
 }
 
 // logRecord is one record in the response to a read.
@@ -119,7 +119,7 @@
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
 		return Page{}, errors.Newf("plat: read returned status %d", resp.StatusCode)
 	}
-	data, err := lo.room.ReadAll(resp.Body, maxResponseBytes)
+	data, err := lo.budget.ReadAll(resp.Body, maxResponseBytes)
 	if err != nil {
 		return Page{}, errors.Wrap(err, "plat: read page")
 	}
--- a/entry/internal/pool/exchange_test.go
+++ b/entry/internal/pool/exchange_test.go
@@ -129,7 +129,7 @@
 			as := startServer(t, write)
 			_, data, err := as.exchange(t, New(&net.Dialer{}, 0))
 			if err == nil {
-				t.Errorf("an answer without an end is whole, with %d bytes", len(data))
+				t.Errorf("an endless answer is whole, with %d bytes", len(data))
 			}
 			if written := as.written.Load(); written > socketBuffersMax {
 				t.Errorf("the server could write %d MiB", written>>20)
@@ -166,7 +166,7 @@
 	}
 }
 
-// An answer with a status that is none is no interim answer either: its body must not be read as the head of the own one.
+// An answer with an invalid status must not be skipped like an interim one: its body would be read as the next head.
 func TestAnswersWithAnInvalidStatusAreInvalid(t *testing.T) {
 	for _, answer := range fakes.Invalid("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ntrouble") {
 		as := startServer(t, func(wr io.Writer) { _, _ = io.WriteString(wr, answer) })
--- a/entry/internal/pool/upload_test.go
+++ b/entry/internal/pool/upload_test.go
@@ -39,3 +39,5 @@
 func TestEarlyAnswerToAnUploadIsWhole(t *testing.T) { fakes.CheckEarly(t, upload(t)) }
 
 func TestRefusalOfAnUploadWithALengthIsWhole(t *testing.T) { fakes.CheckRefusal(t, upload(t)) }
+
+func TestAnswerAfterInterimAnswersIsWhole(t *testing.T) { fakes.CheckInterim(t, upload(t)) }
--- a/entry/internal/relay/claimed.go
+++ b/entry/internal/relay/claimed.go
@@ -160,7 +160,7 @@
 			"look up its effect; do not send it again").WithOutcome(fault.Unknown)
 	}
 	if !reply.IsFinalStatus(do.Status) {
-		return outcomeUnknownError("the call may have run, but what was kept of its answer is none")
+		return outcomeUnknownError("the call may have run, but its stored answer is invalid")
 	}
 	if err := an.Head(do.Status, do.ContentType); err != nil {
 		return err
--- a/entry/internal/relay/invalid_test.go
+++ b/entry/internal/relay/invalid_test.go
@@ -14,7 +14,7 @@
 	"github.com/bambooladder/bambooladder/entry/internal/links"
 )
 
-// An agent of an earlier version passes an answer on whose status is none. The caller must not get it.
+// An agent of an earlier version passes on an answer with an invalid status. The caller must not get it.
 func TestReceiverEndsAnAnswerWithAnInvalidStatus(t *testing.T) {
 	for _, status := range []int{0, 1, 99, http.StatusSwitchingProtocols, 600, 999, -1} {
 		la, rc := &lossyAgent{events: make(chan links.Event, 3)}, &answerRecorder{}
@@ -28,7 +28,7 @@
 	}
 }
 
-// The log holds an answer whose status is none, stored by an earlier version. No repetition of the call must get it.
+// An earlier version has stored an answer with an invalid status in the log. A repeated call must not get it.
 func TestStoredAnswerWithAnInvalidStatusIsNotReplayed(t *testing.T) {
 	for _, status := range []int{0, 99, http.StatusSwitchingProtocols, 600} {
 		rc, fe := &answerRecorder{}, &fault.Error{}
--- a/entry/internal/relay/receive.go
+++ b/entry/internal/relay/receive.go
@@ -37,7 +37,7 @@
 	reasonOtherSoftware = "other_software"
 	// reasonNoStream means that an engine has answered with something else than a stream where one goes on.
 	reasonNoStream = "no_stream"
-	// reasonInvalidAnswer means that an answer has a status that is none.
+	// reasonInvalidAnswer means that the status of an answer is invalid.
 	reasonInvalidAnswer = "invalid_answer"
 
 	eventStreamType = "text/event-stream"
--- a/proofs/direct_upload_test.go
+++ b/proofs/direct_upload_test.go
@@ -14,7 +14,7 @@
 const (
 	// uploadBytes is more than the sockets of a connection hold that is not read.
 	uploadBytes = 7 << 20
-	// uploadRuns is how often each upload is answered, as the reset of a connection meets a write or a read.
+	// uploadRuns is the number of uploads to each server, as either a write or a read may get the error of a reset.
 	uploadRuns = 20
 	// uploadPause is how long the loopback interface may take.
 	uploadPause = 20 * time.Millisecond
--- a/proofs/invalid_heads_test.go
+++ b/proofs/invalid_heads_test.go
@@ -17,8 +17,7 @@
 	return err == nil && (status < http.StatusBadRequest || status > 599)
 }
 
-// checkOwnHead sends a call that must not be repeated and chats, all of which are answered once with a head that is none, and
-// reports answers that the callers must not get. The text of the answer must not reach them.
+// checkOwnHead sends a call that must not be repeated, and chats. Each gets an invalid head once. It reports what callers must not get.
 func checkOwnHead(t *testing.T, status, lines string) {
 	t.Helper()
 	for name, body := range map[string]string{"whole": `{"text":"trouble"}`, "an answer within": "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ntrouble", "empty": ""} {
@@ -61,15 +60,14 @@
 	}
 }
 
-// A backend server in trouble sends an answer whose status is none. Callers would get it as an answer.
+// A backend server sends an invalid status. The caller must not get the answer, nor the default status in place of it.
 func TestOwnAnswerWithAnInvalidStatusIsNotPassedOn(t *testing.T) {
 	for _, status := range fakes.InvalidStatuses() {
 		t.Run(status, func(t *testing.T) { checkOwnHead(t, status, "") })
 	}
 }
 
-// A backend server in trouble sends a head with a name that is none. Callers would get a body that is framed in another way, or
-// is followed by what belongs to no answer.
+// A backend server sends an invalid field name. If it is that of the length or of chunks, the library takes another body for the answer.
 func TestOwnAnswerWithAnInvalidNameIsNotPassedOn(t *testing.T) {
 	for _, line := range fakes.InvalidNames() {
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { checkOwnHead(t, "200 OK", "Server: s\r\n"+line+"\r\nVia: v\r\n") })
@@ -148,8 +146,7 @@
 	checkDirectResponse(t, trailerResponse(directLines))
 }
 
-// checkDirectHead sends requests of each kind that are answered with a head that is none, and reports answers that the callers
-// must not get, or get late.
+// checkDirectHead sends requests of each kind, which get an invalid head, and reports answers that callers must not get, or get late.
 func checkDirectHead(t *testing.T, status, lines string) {
 	t.Helper()
 	for target, adapter := range map[string]string{"/safe/x": "", "/unsafe/x": "", "/once/x": "a1", "/stream/x": "a1"} {
--- a/proofs/own_bounds_test.go
+++ b/proofs/own_bounds_test.go
@@ -88,8 +88,8 @@
 	return held
 }
 
-// Backend servers send what has no end, so slowly that none of it gets long within the time of its request. Those that read it
-// must not hold all that arrives of many requests together.
+// Backend servers send endless responses so slowly that no single one becomes long before its request times out. The memory of all of
+// them together must be limited.
 func TestOwnSlowEndlessAnswersHoldBoundedMemory(t *testing.T) {
 	block := strings.Repeat("e", ownSlowBlock)
 	for name, tc := range map[string]struct {
@@ -120,8 +120,7 @@
 	}
 }
 
-// Backend servers send what has no end, until the connection is closed. It must neither fill the memory of those that read it nor
-// look whole, and others are answered meanwhile.
+// Backend servers send endless responses. These must neither exhaust the memory of their readers nor look whole.
 func TestOwnEndlessAnswersHoldBoundedMemoryAndDoNotLookWhole(t *testing.T) {
 	block := strings.Repeat("e", endlessBlock)
 	for name, tc := range map[string]struct {
@@ -148,10 +147,10 @@
 					wg.Go(func() {
 						start := time.Now()
 						if status, err := sm.discard(tc.path, tc.stream); err == nil && status < http.StatusBadRequest {
-							t.Errorf("an answer without an end looks whole: status %d", status)
+							t.Errorf("an endless answer looks whole: status %d", status)
 						}
 						if took := time.Since(start); took > 5*time.Second {
-							t.Errorf("an answer without an end took %v", took)
+							t.Errorf("an endless answer took %v", took)
 						}
 					})
 				}
