Review case 14: a restarted entry node serves without keys

Cause: a node that starts compares its routes with those of its peers only if the ones that it has read have organisations.

--- a/review/rig-3/log.go
+++ b/review/rig-3/log.go
@@ -33,6 +33,9 @@
 	mu      sync.Mutex
 	topics  map[string][]record
 	changed chan struct{}
+	// era rises each time the store comes back from a copy; away is true while it answers nothing but 503.
+	era  int
+	away bool
 }
 
 // startStore starts a store on a free port.
@@ -41,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &store{address: ls.Addr().String(), topics: map[string][]record{}, changed: make(chan struct{})}
+	st := &store{address: ls.Addr().String(), topics: map[string][]record{}, changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /bambooladder/log-newest", st.serveNewest)
 	mux.HandleFunc("GET /bambooladder/log-read", st.serveRead)
@@ -57,11 +60,54 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if st.away {
+		// What is written while the store is away has no effect.
+		return
+	}
 	st.topics[topic] = append(st.topics[topic], record{key: key, value: data})
 	close(st.changed)
 	st.changed = make(chan struct{})
 }
 
+// copyOf returns a copy of all topics.
+func (st *store) copyOf() map[string][]record {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	topics := map[string][]record{}
+	for name, list := range st.topics {
+		topics[name] = slices.Clone(list)
+	}
+	return topics
+}
+
+// leave makes the store answer 503.
+func (st *store) leave() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.away = true
+	close(st.changed)
+	st.changed = make(chan struct{})
+}
+
+// comeBack makes the store serve a copy, in the next era.
+func (st *store) comeBack(topics map[string][]record) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.topics, st.away = topics, false
+	st.era++
+}
+
+// begin writes the era of an answer, and reports whether the store serves.
+func (st *store) begin(wr http.ResponseWriter) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	wr.Header().Set("Store-Era", strconv.Itoa(st.era))
+	if st.away {
+		wr.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return !st.away
+}
+
 // newestItem is the newest record of a key as it is listed.
 type newestItem struct {
 	Key    string `json:"key"`
@@ -71,6 +117,9 @@
 
 // serveNewest lists the newest record of each key.
 func (st *store) serveNewest(wr http.ResponseWriter, rq *http.Request) {
+	if !st.begin(wr) {
+		return
+	}
 	topic, after := rq.URL.Query().Get("topic"), rq.URL.Query().Get("after")
 	st.mu.Lock()
 	newest := map[string]newestItem{}
@@ -88,7 +137,6 @@
 	slices.SortFunc(items, func(one, other newestItem) int { return strings.Compare(one.Key, other.Key) })
 	more := len(items) > pageItemsMax
 	items = items[:min(len(items), pageItemsMax)]
-	wr.Header().Set("Store-Era", "1")
 	wr.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(wr).Encode(map[string]any{"items": items, "more": more, "end": end})
 }
@@ -104,8 +152,10 @@
 	millis, _ := strconv.Atoi(query.Get("wait_ms"))
 	ctx, cancel := context.WithTimeout(rq.Context(), min(waitMax, time.Duration(millis)*time.Millisecond))
 	defer cancel()
-	wr.Header().Set("Store-Era", "1")
 	for {
+		if !st.begin(wr) {
+			return
+		}
 		data, count, changed := st.read(query.Get("topic"), from)
 		if data == nil {
 			wr.WriteHeader(http.StatusGone)
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -23,7 +23,7 @@
 		os.Exit(exitNotRun)
 	}
 	root = os.Args[2]
-	cases := map[string]func(recordFile string, trouble bool) (int, error){"quota": quotaCase, "deadly": deadlyCase}
+	cases := map[string]func(recordFile string, trouble bool) (int, error){"quota": quotaCase, "deadly": deadlyCase, "copy": copyCase}
 	fn := cases[os.Args[1]]
 	if fn == nil {
 		fmt.Fprintln(os.Stderr, "rig3: no such case")
--- a/review/rig-3/server.go
+++ b/review/rig-3/server.go
@@ -19,6 +19,8 @@
 	at                            time.Time
 	server, request, tenant, body string
 	tokens                        int
+	// authorization is the key that the runner was shown, if any.
+	authorization string
 	// crashed is true if the request ended the runner.
 	crashed bool
 }
@@ -193,7 +195,7 @@
 	if rn.engine || id == "" {
 		return whole(400, "", "X-Bambooladder-Request-Id", id, "X-Bambooladder-Not-Executed", "1")
 	}
-	ru := run{at: time.Now(), server: rn.id, request: id, tenant: rq.Header.Get("X-Bambooladder-Tenant"), body: body, tokens: tokensOf(rq.Header)}
+	ru := run{at: time.Now(), server: rn.id, request: id, tenant: rq.Header.Get("X-Bambooladder-Tenant"), body: body, tokens: tokensOf(rq.Header), authorization: rq.Header.Get("Authorization")}
 	if rn.deadly != "" && body == rn.deadly {
 		ru.crashed = true
 		rn.rs.add(ru)
