Review rig: no port is taken between its choice and its use

Cause: the rig looked for a free port and gave it to a process that bound it later; another run took it meanwhile, and the case could not run (exit 2).

--- a/review/rig-3/system.go
+++ b/review/rig-3/system.go
@@ -19,13 +19,18 @@
 )
 
 const (
-	loopback    = "127.0.0.1"
 	modelName   = "m0"
 	plainTokens = 200
 	hostName    = "shop.example"
 	graceTime   = 8 * time.Second
 )
 
+// loopback is a loopback host of this run alone, so that no other run takes its ports.
+var loopback = fmt.Sprintf("127.%d.%d.1", 100+rand.IntN(100), 1+rand.IntN(250))
+
+// usedPorts holds the ports that were given out: their processes may not have bound them yet.
+var usedPorts = map[int]bool{}
+
 func mustJSON(value any) string {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -44,7 +49,7 @@
 func freePort(hosts ...string) (int, error) {
 	for range 500 {
 		port := portMin + rand.IntN(portMax-portMin)
-		free := true
+		free := !usedPorts[port]
 		for _, host := range hosts {
 			ls, err := net.Listen("tcp", host+":"+strconv.Itoa(port))
 			if err != nil {
@@ -54,6 +59,7 @@
 			_ = ls.Close()
 		}
 		if free {
+			usedPorts[port] = true
 			return port, nil
 		}
 	}
@@ -239,13 +245,28 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// lastError returns the last error that the process has logged, for a case that could not run.
+func (pc *process) lastError() string {
+	data, err := os.ReadFile(filepath.Join(pc.dir, pc.name+".out"))
+	if err != nil {
+		return err.Error()
+	}
+	last := "nothing logged as an error"
+	for line := range strings.Lines(string(data)) {
+		if strings.Contains(line, "level=error") {
+			last = strings.TrimSpace(line)
+		}
+	}
+	return last
+}
+
 // awaitReady waits until all entry nodes are ready.
 func (sy *system) awaitReady(most time.Duration) error {
 	end := time.Now().Add(most)
 	for _, pc := range sy.entries {
 		for !pc.isReady() {
 			if time.Now().After(end) {
-				return fmt.Errorf("%s is not ready", pc.name)
+				return fmt.Errorf("%s is not ready: %s", pc.name, pc.lastError())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
